--- /dev/null
+++ b/source/circle/circle.cpp
@@ -0,0 +1,215 @@
+// Collection of usage, the cycle, replacement inside a cycle, and the choice of who enters and who leaves.
+#include "circle/circle.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr Span tick_span = milliseconds(250);
+constexpr Span aged = milliseconds(3000);
+constexpr Span early_gap = milliseconds(5000);
+constexpr Span settle = milliseconds(2500);
+constexpr Span dark_span = std::chrono::seconds(5);
+}  // namespace
+
+double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners) {
+  double busy = queued, slots = 0;
+  for (const auto& member : members) {
+    auto runner = runners.find(member.text);
+    if (runner == runners.end()) continue;
+    slots += runner->second.spec.slots;
+    if (auto found = open.find(member.text); found != open.end()) busy += found->second;
+  }
+  return slots == 0 ? 0 : busy / slots;
+}
+
+CircleDuty::CircleDuty(Post& post, Board& board) : post_(post), board_(board) {
+  post_.on_tell<UsageReport>([this](const Address& from, UsageReport usage) {
+    auto found = states_.find(usage.runner_kind);
+    if (found != states_.end()) found->second.reports[from] = Report{std::move(usage), post_.schedule().now()};
+  });
+  post_.on_tell<KindPending>([this](const Address&, KindPending pending) {
+    for (const auto& [kind, count] : pending.kinds)
+      if (auto found = states_.find(kind); found != states_.end()) {
+        found->second.pending = count;
+        found->second.pending_heard = post_.schedule().now();
+      }
+  });
+}
+
+void CircleDuty::start() { tick(); }
+
+void CircleDuty::tick() {
+  const auto owned = board_.owned.get();
+  const auto policy = board_.policy.get();
+  for (const auto& [kind, entry] : policy->kinds) {
+    auto slot = owned->slots.find(slot_of("circle/" + kind));
+    if (slot == owned->slots.end()) {
+      states_.erase(kind);
+      continue;
+    }
+    State& state = states_[kind];
+    if (state.epoch != slot->second) {
+      state = State{};
+      state.epoch = slot->second;
+      state.since = state.last_cycle = post_.schedule().now();
+    }
+    run(kind, entry.spec, state);
+  }
+  std::erase_if(states_, [&](const auto& entry) { return !policy->kinds.contains(entry.first); });
+  post_.schedule().after(tick_span, [this] { tick(); });
+}
+
+bool CircleDuty::dark(const State& state, const std::string& runner, Moment now) const {
+  std::size_t tried = 0, unsound = 0;
+  for (const auto& [address, report] : state.reports) {
+    if (now - report.heard > aged) continue;
+    auto found = report.usage.runners.find(runner);
+    if (found == report.usage.runners.end() || !found->second.tried) continue;
+    ++tried;
+    unsound += found->second.unsound;
+  }
+  return unsound > 0 && unsound * 2 >= tried;
+}
+
+void CircleDuty::run(const std::string& kind, const Kind& settings, State& state) {
+  const Moment now = post_.schedule().now();
+  const auto policy = board_.policy.get();
+  const auto members = board_.members.get();
+  auto record = policy->circles.find(kind);
+  const Circle before = record == policy->circles.end() ? Circle{} : record->second.spec;
+  if (!state.law_loaded && record != policy->circles.end()) {
+    state.law.size = before.law;
+    state.law.last_error = before.error;
+    state.law_loaded = true;
+  }
+  std::set<std::string> able;
+  for (const auto& [name, runner] : policy->runners) {
+    if (runner.spec.kind.text != kind || runner.spec.leaving || policy->evacuated(runner.spec.hall)) continue;
+    // A dark runner is left out for a while, then may show again that it answers (through lots or a new entry).
+    if (dark(state, name, now)) state.dark_until[name] = now + dark_span;
+    if (auto found = state.dark_until.find(name); found != state.dark_until.end() && found->second > now) continue;
+    able.insert(name);
+  }
+  std::map<std::string, std::uint32_t> open;
+  std::uint32_t queued = 0;
+  std::size_t fresh = 0;
+  for (auto entry = state.reports.begin(); entry != state.reports.end();) {
+    auto member = members->all.find(entry->first);
+    const bool there = member != members->all.end() && member->second.incarnation == entry->second.usage.incarnation;
+    if (!there && now - entry->second.heard > aged) { entry = state.reports.erase(entry); continue; }
+    fresh += now - entry->second.heard <= aged;
+    queued += entry->second.usage.queued;
+    for (const auto& [name, usage] : entry->second.usage.runners) open[name] += usage.open;
+    ++entry;
+  }
+  for (const auto& [address, member] : members->all) post_.tell(address, UsageTotals{kind, open});
+
+  std::vector<std::string> current;
+  for (const auto& member : before.members)
+    if (able.contains(member.text)) current.push_back(member.text);
+  const double usage = usage_of(open, queued, before.members, policy->runners);
+  state.samples.push_back(usage);
+  const std::size_t recent = std::min<std::size_t>(state.samples.size(), 8);
+  double recent_usage = 0, mean_usage = 0;
+  for (std::size_t index = 0; index < state.samples.size(); ++index) {
+    mean_usage += state.samples[index] / static_cast<double>(state.samples.size());
+    if (index + recent >= state.samples.size()) recent_usage += state.samples[index] / static_cast<double>(recent);
+  }
+  if (state.samples.size() > 4096) state.samples.erase(state.samples.begin(), state.samples.begin() + 2048);
+
+  const CircleSettings& circle = settings.circle;
+  const bool lots_wait = state.pending > 0 && now - state.pending_heard < aged;
+  const std::size_t lowest = std::min<std::size_t>(circle.floor, able.size());
+  std::size_t highest = able.size();
+  if (lots_wait && highest > lowest) highest = std::max<std::size_t>(lowest, highest - std::min<std::size_t>(circle.reserve, highest));
+  Circle next = before;
+  std::size_t size = before.members.size();
+  std::string reason;
+  if (record == policy->circles.end()) {
+    // Nothing is known yet: all but the reserve, and the law shrinks it on what it sees.
+    size = std::max<std::size_t>(lowest, able.size() - std::min<std::size_t>(circle.reserve, able.size()));
+    reason = "first";
+  } else if (circle.all) {
+    size = able.size();
+    reason = "all";
+  } else {
+    const std::size_t missing = members->all.size() > fresh ? members->all.size() - fresh : 0;
+    const bool blind = now - state.since < settle || missing * 3 > members->all.size();
+    const bool early = recent_usage > circle.high_water && now - state.last_cycle >= early_gap;
+    if (!blind && !state.writing && (early || now - state.last_cycle >= circle.cycle)) {
+      const double seen = early ? recent_usage : mean_usage;
+      size = state.law.step(seen, circle.target, before.members.size(), lowest, highest, missing == 0 && !early);
+      next.usage = seen;
+      next.law = state.law.size;
+      next.error = state.law.last_error;
+      next.cycle = before.cycle + 1;
+      reason = early ? "early" : "cycle";
+      state.last_cycle = now;
+      state.samples.clear();
+    }
+    if (size > highest && lots_wait) size = highest;
+  }
+  size = std::clamp(size, lowest, std::max(lowest, able.size()));
+  std::vector<std::string> chosen = match_members(*policy, able, current, size, before);
+  next.members.clear();
+  for (const auto& name : chosen) next.members.push_back(RunnerId(name));
+  next.warm.clear();
+  for (const auto& name : chosen) {
+    const bool was_warm = std::find(before.warm.begin(), before.warm.end(), RunnerId(name)) != before.warm.end();
+    const Moment since = state.entered.try_emplace(name, now).first->second;
+    if (was_warm || now - since >= circle.ramp) next.warm.push_back(RunnerId(name));
+  }
+  std::erase_if(state.entered, [&](const auto& entry) { return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end(); });
+  if (next.members != before.members && reason.empty()) reason = "replaced";
+  if (reason == "all" && next.members == before.members) reason.clear();
+  if (reason.empty() && next.warm != before.warm) reason = "warmed";
+  if (reason.empty() || state.writing) return;
+  next.reason = reason;
+  write(kind, state, std::move(next));
+}
+
+std::vector<std::string> CircleDuty::match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before) const {
+  std::map<std::string, std::size_t> in_hall;
+  auto hall = [&](const std::string& name) { return policy.runners.at(name).spec.hall.text; };
+  auto warm = [&](const std::string& name) { return std::find(before.warm.begin(), before.warm.end(), RunnerId(name)) != before.warm.end(); };
+  for (const auto& name : members) ++in_hall[hall(name)];
+  while (members.size() > size) {
+    auto leaver = std::max_element(members.begin(), members.end(), [&](const std::string& left, const std::string& right) {
+      return std::make_tuple(in_hall[hall(left)], !warm(left), hash_of(left)) < std::make_tuple(in_hall[hall(right)], !warm(right), hash_of(right));
+    });
+    --in_hall[hall(*leaver)];
+    members.erase(leaver);
+  }
+  std::set<std::string> outside = able;
+  for (const auto& name : members) outside.erase(name);
+  while (members.size() < size && !outside.empty()) {
+    auto entrant = std::min_element(outside.begin(), outside.end(), [&](const std::string& left, const std::string& right) {
+      return std::make_tuple(in_hall[hall(left)], hash_of(left)) < std::make_tuple(in_hall[hall(right)], hash_of(right));
+    });
+    ++in_hall[hall(*entrant)];
+    members.push_back(*entrant);
+    outside.erase(entrant);
+  }
+  std::sort(members.begin(), members.end());
+  return members;
+}
+
+void CircleDuty::write(const std::string& kind, State& state, Circle circle) {
+  state.writing = true;
+  Write write;
+  write.key = "circle/" + kind;
+  write.head = json::serialize(to_json(circle));
+  write.fence = state.epoch.value;
+  post_.ask(post_.self(), write, milliseconds(2500), [this, kind, epoch = state.epoch](Result<WriteReply>) {
+    // The news brings the decision back within a round; writing again before that would only repeat it.
+    post_.schedule().after(milliseconds(100), [this, kind, epoch] {
+      auto found = states_.find(kind);
+      if (found != states_.end() && found->second.epoch == epoch) found->second.writing = false;
+    });
+  });
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/circle/circle.hpp
@@ -0,0 +1,69 @@
+// The circle duty: for each kind of runner one control daemon, the owner of the circle's key, decides each cycle which
+// runners take live prompts. Usage comes from the daemons that route; runners report nothing.
+#pragma once
+#include "circle/law.hpp"
+#include "kept/kept.hpp"
+#include "lots/messages.hpp"
+
+namespace mothwalk {
+
+struct RunnerUsage {
+  std::uint32_t open = 0;          // prompts dispatched and not ended, streams included
+  bool unsound = false;            // this daemon's legs to it fail
+  bool tried = false;              // this daemon has sent to it of late
+  MOTHWALK_FIELDS(open, unsound, tried)
+};
+// From each routing daemon to the owner of the circle's key, about once a second.
+struct UsageReport {
+  static constexpr View kind = "circle.usage";
+  std::string runner_kind;
+  std::uint64_t incarnation = 0;
+  std::map<std::string, RunnerUsage> runners;
+  std::uint32_t queued = 0;
+  MOTHWALK_FIELDS(runner_kind, incarnation, runners, queued)
+};
+// From the circle duty to all daemons: what all of them together have open on each runner.
+struct UsageTotals {
+  static constexpr View kind = "routes.totals";
+  std::string runner_kind;
+  std::map<std::string, std::uint32_t> open;
+  MOTHWALK_FIELDS(runner_kind, open)
+};
+
+class CircleDuty {
+ public:
+  CircleDuty(Post& post, Board& board);
+  void start();
+
+ private:
+  struct Report {
+    UsageReport usage;
+    Moment heard;
+  };
+  struct State {
+    Epoch epoch;
+    Law law;
+    bool law_loaded = false, writing = false;
+    std::map<Address, Report> reports;
+    std::vector<double> samples;
+    Moment since, last_cycle;
+    std::map<std::string, Moment> entered;
+    Moment pending_heard;
+    std::uint32_t pending = 0;
+    std::map<std::string, Moment> dark_until;
+  };
+  void tick();
+  void run(const std::string& kind, const Kind& settings, State& state);
+  bool dark(const State& state, const std::string& runner, Moment now) const;
+  std::vector<std::string> match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before) const;
+  void write(const std::string& kind, State& state, Circle circle);
+
+  Post& post_;
+  Board& board_;
+  std::map<std::string, State> states_;
+};
+
+// The usage of the members: open prompts and their share of the queued ones, over their slots.
+double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners);
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/circle/law.cpp
@@ -0,0 +1,24 @@
+// One step of the PI law, with dead band, limits on the step and clamping against wind-up.
+#include "circle/law.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mothwalk {
+
+std::size_t Law::step(double usage, double target, std::size_t size_now, std::size_t lowest, std::size_t highest, bool may_shrink) {
+  const double now = static_cast<double>(size_now);
+  if (std::abs(size - now) > 1.0) size = now;
+  double error = now * usage / target - now;
+  if (std::abs(error) < dead_band) error = 0;
+  const double change = integral_gain * error + proportional_gain * (error - last_error);
+  const double up = std::max(2.0, now * 0.5), down = std::max(1.0, now * 0.25);
+  last_error = error;
+  double next = size + std::clamp(change, -down, up);
+  if (!may_shrink) next = std::max(next, now);
+  size = std::clamp(next, static_cast<double>(lowest), static_cast<double>(std::max(lowest, highest)));
+  // Rounding up while runners are missing: too small hurts callers, too large costs a runner.
+  return static_cast<std::size_t>(error > 0 ? std::ceil(size - 0.25) : std::lround(size));
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/coding/cbor.hpp
@@ -0,0 +1,142 @@
+// Records to CBOR and back, over libcbor. Maps with text keys are used so that a daemon of another version can skip
+// fields that it does not know and keep the defaults of those that it does not get.
+#pragma once
+#include <cbor.h>
+
+#include "coding/fields.hpp"
+
+namespace mothwalk {
+
+class CborWriter {
+ public:
+  explicit CborWriter(Bytes& out) : out_(out) {}
+  template <class T> void put(const T& value) {
+    if constexpr (std::is_same_v<T, bool>) head(cbor_encode_bool, value);
+    else if constexpr (std::is_same_v<T, double>) head(cbor_encode_double, value);
+    else if constexpr (std::is_same_v<T, Span>) put(static_cast<std::int64_t>(value.count()));
+    else if constexpr (std::is_same_v<T, std::string>) { head(cbor_encode_bytestring_start, value.size()); out_ += value; }
+    else if constexpr (std::is_integral_v<T>) {
+      if (value < 0) head(cbor_encode_negint, static_cast<std::uint64_t>(-(static_cast<std::int64_t>(value) + 1)));
+      else head(cbor_encode_uint, static_cast<std::uint64_t>(value));
+    }
+    else if constexpr (is_name<T>::value) put(value.text);
+    else if constexpr (is_number<T>::value) put(value.value);
+    else if constexpr (is_optional<T>::value) { if (value) put(*value); else head(cbor_encode_null); }
+    else if constexpr (is_vector<T>::value) {
+      head(cbor_encode_array_start, value.size());
+      for (const auto& each : value) put(each);
+    }
+    else if constexpr (is_map<T>::value) {
+      head(cbor_encode_map_start, value.size());
+      for (const auto& [key, each] : value) { put(key); put(each); }
+    }
+    else {
+      std::size_t count = 0;
+      value.fields([&](View, const auto&) { ++count; });
+      head(cbor_encode_map_start, count);
+      value.fields([&](View name, const auto& field) {
+        head(cbor_encode_string_start, name.size());
+        out_.append(name);
+        put(field);
+      });
+    }
+  }
+
+ private:
+  template <class Encode, class... Given> void head(Encode encode, Given... given) {
+    unsigned char space[16];
+    out_.append(reinterpret_cast<char*>(space), encode(given..., space, sizeof space));
+  }
+  Bytes& out_;
+};
+
+class CborReader {
+ public:
+  template <class T> static bool read(View bytes, T& value) {
+    cbor_load_result outcome;
+    cbor_item_t* item = cbor_load(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), &outcome);
+    if (item == nullptr) return false;
+    bool good = outcome.read == bytes.size() && take(item, value);
+    cbor_decref(&item);
+    return good;
+  }
+
+ private:
+  static bool text(const cbor_item_t* item, View& out);
+  static bool whole(const cbor_item_t* item, std::int64_t& out, std::uint64_t& plain);
+  template <class T> static bool take(cbor_item_t* item, T& value) {
+    if constexpr (std::is_same_v<T, bool>) {
+      if (!cbor_is_bool(item)) return false;
+      value = cbor_get_bool(item);
+      return true;
+    } else if constexpr (std::is_same_v<T, double>) {
+      if (!cbor_isa_float_ctrl(item) || cbor_float_ctrl_is_ctrl(item)) return false;
+      value = cbor_float_get_float(item);
+      return true;
+    } else if constexpr (std::is_same_v<T, Span>) {
+      std::int64_t count = 0;
+      if (!take(item, count)) return false;
+      value = Span{count};
+      return true;
+    } else if constexpr (std::is_same_v<T, std::string>) {
+      View view;
+      if (!text(item, view)) return false;
+      value.assign(view);
+      return true;
+    } else if constexpr (std::is_integral_v<T>) {
+      std::int64_t with_sign = 0;
+      std::uint64_t plain = 0;
+      if (!whole(item, with_sign, plain)) return false;
+      value = std::is_signed_v<T> ? static_cast<T>(with_sign) : static_cast<T>(plain);
+      return true;
+    } else if constexpr (is_name<T>::value) {
+      return take(item, value.text);
+    } else if constexpr (is_number<T>::value) {
+      return take(item, value.value);
+    } else if constexpr (is_optional<T>::value) {
+      if (cbor_is_null(item)) { value.reset(); return true; }
+      return take(item, value.emplace());
+    } else if constexpr (is_vector<T>::value) {
+      if (!cbor_isa_array(item)) return false;
+      value.clear();
+      for (std::size_t index = 0; index < cbor_array_size(item); ++index)
+        if (!take(cbor_array_handle(item)[index], value.emplace_back())) return false;
+      return true;
+    } else if constexpr (is_map<T>::value) {
+      if (!cbor_isa_map(item)) return false;
+      value.clear();
+      for (std::size_t index = 0; index < cbor_map_size(item); ++index) {
+        std::string key;
+        if (!take(cbor_map_handle(item)[index].key, key) || !take(cbor_map_handle(item)[index].value, value[key])) return false;
+      }
+      return true;
+    } else {
+      if (!cbor_isa_map(item)) return false;
+      bool good = true;
+      value.fields([&](View name, auto& field) {
+        for (std::size_t index = 0; good && index < cbor_map_size(item); ++index) {
+          View key;
+          if (text(cbor_map_handle(item)[index].key, key) && key == name) {
+            good = take(cbor_map_handle(item)[index].value, field);
+            return;
+          }
+        }
+      });
+      return good;
+    }
+  }
+};
+
+template <class T> Bytes to_cbor(const T& value) {
+  Bytes out;
+  CborWriter(out).put(value);
+  return out;
+}
+
+template <class T> std::optional<T> from_cbor(View bytes) {
+  T value;
+  if (!CborReader::read(bytes, value)) return std::nullopt;
+  return value;
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/coding/fields.hpp
@@ -0,0 +1,28 @@
+// One description of a record's fields serves every form it takes: CBOR between daemons and on disk, JSON towards
+// people. A record lists its fields once with MOTHWALK_FIELDS; the writers and readers walk that list.
+#pragma once
+#include "mothwalk.hpp"
+
+#define MOTHWALK_EXPAND(...) MOTHWALK_EXPAND3(MOTHWALK_EXPAND3(MOTHWALK_EXPAND3(__VA_ARGS__)))
+#define MOTHWALK_EXPAND3(...) MOTHWALK_EXPAND2(MOTHWALK_EXPAND2(MOTHWALK_EXPAND2(__VA_ARGS__)))
+#define MOTHWALK_EXPAND2(...) MOTHWALK_EXPAND1(MOTHWALK_EXPAND1(MOTHWALK_EXPAND1(__VA_ARGS__)))
+#define MOTHWALK_EXPAND1(...) __VA_ARGS__
+#define MOTHWALK_PARENS ()
+#define MOTHWALK_VISIT(field, ...) visit(#field, field); __VA_OPT__(MOTHWALK_VISIT_AGAIN MOTHWALK_PARENS(__VA_ARGS__))
+#define MOTHWALK_VISIT_AGAIN() MOTHWALK_VISIT
+#define MOTHWALK_FIELDS(...)                                                          \
+  template <class Visitor> void fields(Visitor&& visit) { MOTHWALK_EXPAND(MOTHWALK_VISIT(__VA_ARGS__)) } \
+  template <class Visitor> void fields(Visitor&& visit) const { MOTHWALK_EXPAND(MOTHWALK_VISIT(__VA_ARGS__)) }
+
+namespace mothwalk {
+template <class T> struct is_name : std::false_type {};
+template <class Tag> struct is_name<Name<Tag>> : std::true_type {};
+template <class T> struct is_number : std::false_type {};
+template <class Tag> struct is_number<Number<Tag>> : std::true_type {};
+template <class T> struct is_vector : std::false_type {};
+template <class T> struct is_vector<std::vector<T>> : std::true_type {};
+template <class T> struct is_map : std::false_type {};
+template <class T> struct is_map<std::map<std::string, T>> : std::true_type {};
+template <class T> struct is_optional : std::false_type {};
+template <class T> struct is_optional<std::optional<T>> : std::true_type {};
+}  // namespace mothwalk
--- /dev/null
+++ b/source/control/control.hpp
@@ -0,0 +1,55 @@
+// The operators' resource interface and the callers' interface to kept lots, over HTTP and JSON. Any daemon takes any
+// call and passes on what another one owns.
+#pragma once
+#include "coding/json.hpp"
+#include "kept/kept.hpp"
+#include "lots/messages.hpp"
+
+namespace mothwalk {
+
+struct ControlRequest {
+  std::string method, target;
+  Bytes body;
+  bool callers = false;      // came in on the callers' side: lots alone
+};
+struct ControlReply {
+  int status = 200;
+  json::value body;
+  bool retry_after = false;
+};
+using ControlAnswer = std::function<void(ControlReply)>;
+
+class Control {
+ public:
+  Control(Post& post, Board& board, Chance& chance, Member self, std::function<json::value()> own_usage);
+  void handle(ControlRequest request, ControlAnswer answer);
+
+ private:
+  struct Target {
+    std::vector<std::string> parts;
+    std::map<std::string, std::string> query;
+  };
+  static std::optional<Target> split(View target);
+  void resources(const ControlRequest& request, const Target& target, ControlAnswer answer);
+  void put(const std::string& type, const std::string& name, const ControlRequest& request, const Target& target, ControlAnswer answer, bool second_look);
+  void show(const std::string& type, const std::string& name, ControlAnswer answer);
+  void remove(const std::string& type, const std::string& name, const Target& target, ControlAnswer answer);
+  void write(Write write, ControlAnswer answer);
+  void answer_when_seen(const std::string& key, Stamp stamp, Moment until, ControlAnswer answer);
+  void watch(const Target& target, Moment until, ControlAnswer answer);
+  void lots(const ControlRequest& request, const Target& target, ControlAnswer answer);
+  void list_lots(ControlAnswer answer);
+  json::value soundness() const;
+  json::value listing(const std::string& type) const;
+
+  Post& post_;
+  Board& board_;
+  Chance& chance_;
+  Member self_;
+  std::function<json::value()> own_usage_;
+  KeptClient client_;
+};
+
+Result<LotHead> read_lot(View body);
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/host/daemon.cpp
@@ -0,0 +1,148 @@
+// Putting the duties together, draining and ending.
+#include "host/daemon.hpp"
+
+#include "host/logs.hpp"
+
+namespace mothwalk {
+
+Daemon::Daemon(Settings settings, std::string version) : settings_(std::move(settings)) {
+  self_.address = settings_.address;
+  self_.hall = settings_.hall;
+  self_.callers = settings_.callers;
+  self_.control = settings_.control;
+  self_.version = std::move(version);
+  // Later starts at one address have higher incarnations; a clock that went back only delays the newer one's standing.
+  self_.incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+Daemon::~Daemon() {
+  if (wire_) wire_->stop();
+  for (Duty* duty : {&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_}) duty->thread.stop();
+  if (disk_) disk_->stop();
+}
+
+void Daemon::make_post(Duty& duty, const std::string& slice) {
+  duty.post = std::make_unique<Post>(*wire_, duty.thread.schedule(), settings_.address, self_.incarnation, slice);
+  wire_->route(slice, [&duty](Envelope envelope) {
+    duty.thread.offer([&duty, envelope = std::move(envelope)]() mutable { duty.post->take(std::move(envelope)); });
+  });
+}
+
+Result<Done> Daemon::open() {
+  wire_ = std::make_unique<TcpWire>(settings_.address, [](View sentence) { logs::warn("wire", sentence); });
+  make_post(sessions_duty_, "sessions");
+  make_post(news_duty_, "news");
+  make_post(circle_duty_, "circle");
+  make_post(lots_duty_, "lots");
+  make_post(placing_duty_, "placing");
+  make_post(routes_duty_, "routes");
+  make_post(control_duty_, "control");
+  const bool holder = !settings_.data_folder.empty();
+  if (holder) {
+    make_post(kept_duty_, "kept");
+    disk_ = std::make_unique<FileDisk>(settings_.data_folder, [this](Task task) { boost::asio::post(kept_duty_.thread.context(), std::move(task)); });
+    auto opened = disk_->open();
+    if (auto fault = fault_of(opened)) return *fault;
+    Kept::Report report;
+    report.note = [](View sentence) { logs::note("kept", sentence); };
+    report.fatal = [this] {
+      logs::warn("kept", "The disk failed; this daemon ends.");
+      boost::asio::post(main_, [this] { exit_code_ = 5; main_.stop(); });
+    };
+    kept_ = std::make_unique<Kept>(*kept_duty_.post, board_, *disk_, kept_duty_.thread.chance(), self_, settings_.seeds, std::move(report));
+    auto loaded = kept_->load();
+    if (auto fault = fault_of(loaded)) return *fault;
+    self_.holder = kept_->identity();
+    circle_ = std::make_unique<CircleDuty>(*circle_duty_.post, board_);
+    lots_ = std::make_unique<Lots>(*lots_duty_.post, board_);
+  }
+  sessions_ = std::make_unique<Sessions>(*sessions_duty_.post, board_, self_, settings_.seeds);
+  news_ = std::make_unique<News>(*news_duty_.post, board_, news_duty_.thread.chance(), holder);
+  lot_exchange_ = std::make_unique<BeastExchange>(placing_duty_.thread.context());
+  placing_ = std::make_unique<Placing>(*placing_duty_.post, board_, *lot_exchange_, placing_duty_.thread.chance());
+  live_exchange_ = std::make_unique<BeastExchange>(routes_duty_.thread.context());
+  entries_ = std::make_unique<Entries>(*routes_duty_.post, board_, *live_exchange_, routes_duty_.thread.chance(), self_);
+  control_ = std::make_unique<Control>(*control_duty_.post, board_, control_duty_.thread.chance(), self_, [this] { return usage(); });
+  front_ = std::make_unique<Front>(routes_duty_.thread.context(), *entries_, [this](ControlRequest request, ControlAnswer answer) {
+    return control_duty_.thread.offer([this, request = std::move(request), answer = std::move(answer)]() mutable { control_->handle(std::move(request), std::move(answer)); });
+  });
+  for (auto result : {wire_->listen(), front_->listen(settings_.callers, true), front_->listen(settings_.control, false)})
+    if (auto fault = fault_of(result)) return *fault;
+  return Done{};
+}
+
+json::value Daemon::usage() {
+  std::lock_guard lock(counts_mutex_);
+  const WireCounts& wire = wire_->counts();
+  json::object dropped;
+  for (Duty* duty : {&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_})
+    if (duty->post && duty->thread.dropped() > 0) dropped[duty->post->slice()] = duty->thread.dropped();
+  return json::object{{"entries", to_json(counts_)}, {"open", open_}, {"placed", placed_},
+                      {"wire", json::object{{"frames_out", wire.frames_out.load()}, {"bytes_out", wire.bytes_out.load()}, {"frames_in", wire.frames_in.load()}, {"bytes_in", wire.bytes_in.load()}, {"foreign", wire.foreign.load()}}},
+                      {"kept", json::object{{"appends", syncs_.load()}, {"commits", commits_.load()}}}, {"rings_full", dropped}};
+}
+
+int Daemon::run() {
+  logs::note("daemon", "Serving callers at " + settings_.callers.text + " and operators at " + settings_.control.text + ".");
+  wire_->start();
+  for (Duty* duty : {&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_}) duty->thread.start();
+  sessions_duty_.thread.offer([this] { sessions_->start(); });
+  news_duty_.thread.offer([this] { news_->start(); });
+  placing_duty_.thread.offer([this] { placing_->start(); });
+  routes_duty_.thread.offer([this] { entries_->start(); });
+  if (kept_) {
+    kept_duty_.thread.offer([this] { kept_->start(); });
+    circle_duty_.thread.offer([this] { circle_->start(); });
+    lots_duty_.thread.offer([this] { lots_->start(); });
+  }
+  boost::asio::signal_set signals(main_, SIGTERM, SIGINT);
+  boost::asio::steady_timer timer(main_);
+  Moment drain_until{};
+  std::string last_state;
+  std::function<void()> watch = [&] {
+    routes_duty_.thread.offer([this] {
+      std::lock_guard lock(counts_mutex_);
+      counts_ = entries_->counts();
+      open_ = entries_->open();
+    });
+    placing_duty_.thread.offer([this] {
+      std::lock_guard lock(counts_mutex_);
+      placed_ = placing_->open();
+    });
+    if (kept_) kept_duty_.thread.offer([this] { syncs_ = kept_->syncs(); commits_ = kept_->commits(); });
+    const Moment now = steady_now();
+    const std::string state = board_.permitted(now) ? "The policy is fresh; this daemon serves." : board_.permit_until < 0 ? "" : "No control daemon in touch with a majority answers; the newest policy known stays in force.";
+    if (!state.empty() && state != last_state) logs::note("news", state);
+    if (!state.empty()) last_state = state;
+    if (drain_until.microseconds > 0) {
+      std::size_t left = 0;
+      {
+        std::lock_guard lock(counts_mutex_);
+        left = open_ + placed_;
+      }
+      if (left == 0 || now > drain_until) {
+        logs::note("daemon", left == 0 ? "Drained; ending." : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
+        main_.stop();
+        return;
+      }
+    }
+    timer.expires_after(std::chrono::milliseconds(200));
+    timer.async_wait([&](const boost::system::error_code&) { watch(); });
+  };
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      if (drain_until.microseconds > 0) return main_.stop();
+      logs::note("daemon", "Draining: new requests are refused, open ones end.");
+      board_.draining = true;
+      drain_until = steady_now() + settings_.drain + std::chrono::milliseconds(400);
+      wait();
+    });
+  };
+  wait();
+  watch();
+  main_.run();
+  return exit_code_;
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/host/duty_thread.cpp
@@ -0,0 +1,72 @@
+// The steady clock counts suspended time, so that a permit never outlives a machine's sleep.
+#include "host/duty_thread.hpp"
+
+#include <pthread.h>
+#include <time.h>
+
+#include <random>
+
+namespace mothwalk {
+
+Moment steady_now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Moment{static_cast<std::int64_t>(time.tv_sec) * 1000000 + time.tv_nsec / 1000};
+}
+
+Moment AsioSchedule::now() const { return steady_now(); }
+
+Schedule::Id AsioSchedule::after(Span span, Task task) {
+  const Id id = ++last_;
+  auto timer = std::make_unique<boost::asio::steady_timer>(context_, span);
+  timer->async_wait([this, id, task = std::move(task)](const boost::system::error_code& error) {
+    if (error || timers_.erase(id) == 0) return;
+    task();
+  });
+  timers_[id] = std::move(timer);
+  return id;
+}
+
+void AsioSchedule::cancel(Id id) { timers_.erase(id); }
+
+SystemChance::SystemChance(std::uint64_t salt) {
+  std::random_device device;
+  state_ = (static_cast<std::uint64_t>(device()) << 32 | device()) ^ salt;
+}
+
+std::uint64_t SystemChance::next() {
+  state_ += 0x9E3779B97F4A7C15ULL;
+  std::uint64_t mixed = state_;
+  mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
+  return mixed ^ (mixed >> 31);
+}
+
+bool DutyThread::offer(Task task) {
+  bool first = false;
+  if (!ring_.offer(task, first)) {
+    ++dropped_;
+    return false;
+  }
+  if (first)
+    boost::asio::post(context_, [this] {
+      std::vector<Task> tasks;
+      ring_.drain(tasks);
+      for (auto& each : tasks) each();
+    });
+  return true;
+}
+
+void DutyThread::start() {
+  thread_ = std::thread([this] {
+    pthread_setname_np(pthread_self(), name_.substr(0, 15).c_str());
+    context_.run();
+  });
+}
+
+void DutyThread::stop() {
+  context_.stop();
+  if (thread_.joinable()) thread_.join();
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/host/logs.cpp
@@ -0,0 +1,37 @@
+// The one place that knows easylogging++.
+#define ELPP_THREAD_SAFE
+#define ELPP_NO_DEFAULT_LOG_FILE
+#define ELPP_DISABLE_DEFAULT_CRASH_HANDLING
+#include "host/logs.hpp"
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wall"
+#pragma GCC diagnostic ignored "-Wextra"
+#include <easylogging++.cc>
+#include <easylogging++.h>
+#pragma GCC diagnostic pop
+#include <atomic>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace mothwalk::logs {
+namespace {
+std::atomic<int> threshold{2};
+}
+void start(View level, View file) {
+  threshold = level == "quiet" ? 2 : level == "warnings" ? 1 : 0;
+  el::Configurations settings;
+  settings.setToDefault();
+  settings.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+  settings.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
+  settings.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
+  if (!file.empty()) settings.setGlobally(el::ConfigurationType::Filename, std::string(file));
+  el::Loggers::reconfigureLogger("default", settings);
+}
+void note(View part, View sentence) {
+  if (threshold <= 0) LOG(INFO) << "[" << part << "] " << sentence;
+}
+void warn(View part, View sentence) {
+  if (threshold <= 1) LOG(WARNING) << "[" << part << "] " << sentence;
+}
+}  // namespace mothwalk::logs
--- /dev/null
+++ b/source/host/main.cpp
@@ -0,0 +1,29 @@
+// mothwalk-daemon: reads its settings and runs until it is told to end.
+#include <csignal>
+#include <iostream>
+
+#include "host/daemon.hpp"
+#include "host/logs.hpp"
+
+int main(int count, char** words) {
+  using namespace mothwalk;
+  auto complain = [](const Fault& fault) { std::cerr << "mothwalk-daemon: " << fault.field << ": " << fault.message << "; " << fault.remedy << ".\n"; };
+  auto line = read_command_line(count, words);
+  if (auto fault = fault_of(line)) {
+    complain(*fault);
+    return 2;
+  }
+  const CommandLine& given = std::get<CommandLine>(line);
+  if (given.help) return std::cout << daemon_help(), 0;
+  if (given.version) return std::cout << "mothwalk-daemon " MOTHWALK_VERSION "\n", 0;
+  if (given.check) return std::cout << "The settings are good.\n", 0;
+  std::signal(SIGPIPE, SIG_IGN);
+  logs::start(given.settings.log_level, given.settings.log_file);
+  Daemon daemon(given.settings, MOTHWALK_VERSION);
+  auto opened = daemon.open();
+  if (auto fault = fault_of(opened)) {
+    complain(*fault);
+    return fault->field == "data_folder" || fault->field == "record_file" ? 3 : 4;
+  }
+  return daemon.run();
+}
--- /dev/null
+++ b/source/host/tcp_wire.hpp
@@ -0,0 +1,48 @@
+// Envelopes between daemons over TCP: one outgoing stream to each peer, length-prefixed CBOR frames, bounded queues.
+// What can't be sent is dropped; the duties ask again.
+#pragma once
+#include <deque>
+
+#include "coding/cbor.hpp"
+#include "host/duty_thread.hpp"
+
+namespace mothwalk {
+
+struct WireCounts {
+  std::atomic<std::uint64_t> frames_out{0}, bytes_out{0}, frames_in{0}, bytes_in{0}, foreign{0};
+};
+
+class TcpWire : public Wire {
+ public:
+  TcpWire(Address self, std::function<void(View)> note);
+  // Every slice's envelopes go to its duty's thread; set before start.
+  void route(const std::string& slice, std::function<void(Envelope)> taker) { takers_[slice] = std::move(taker); }
+  Result<Done> listen();
+  void start() { thread_.start(); }
+  void stop() { thread_.stop(); }
+  void send(const Address& to, Envelope envelope) override;
+  const WireCounts& counts() const { return counts_; }
+
+ private:
+  struct Link;
+  struct Incoming;
+  void accept();
+  void read(std::shared_ptr<Incoming> incoming);
+  void deliver(Envelope envelope);
+  void push(const Address& to, Bytes frame);
+  void connect(std::shared_ptr<Link> link);
+  void write(std::shared_ptr<Link> link);
+  void drop(std::shared_ptr<Link> link);
+
+  Address self_;
+  std::function<void(View)> note_;
+  DutyThread thread_{"wire"};
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::map<std::string, std::function<void(Envelope)>> takers_;
+  std::map<Address, std::shared_ptr<Link>> links_;
+  WireCounts counts_;
+};
+
+std::optional<boost::asio::ip::tcp::endpoint> endpoint_of(const Address& address);
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/kept/kept.cpp
@@ -0,0 +1,711 @@
+// Holding, promising, taking over, writing, reading, repairing, and the changing of the roster.
+#include "kept/kept.hpp"
+
+#include <algorithm>
+
+#include "news/news.hpp"
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr Span tick_span = milliseconds(100);
+constexpr Span peer_horizon = milliseconds(1000);
+constexpr Span stall_span = milliseconds(1000);
+constexpr Span founding_pause = milliseconds(1500);
+constexpr Span replace_after = std::chrono::seconds(10);
+constexpr std::size_t wanted_seats = 5;
+constexpr std::size_t rewrite_floor = 8u << 20;
+
+bool newsy(View key) { return !key.starts_with("lot/"); }
+
+std::uint64_t record_hash(const Record& record) {
+  return hash_of(record.key, record.stamp.epoch.value * 1000003 + record.stamp.version.value * 2 + record.removed);
+}
+
+Fault moved() { return Fault{FaultKind::busy, "slot", "this holder does not own the slot of the key just now", "ask again; another holder will answer"}; }
+Fault stood_down() { return Fault{FaultKind::unknown, "slot", "the slot moved while the change was on its way; the outcome is not known", "send the same request again to settle it"}; }
+Fault not_me() { return Fault{FaultKind::stale, "target", "the data folder at this address is another one", "wait for the roster to name it"}; }
+}  // namespace
+
+Kept::Kept(Post& post, Board& board, Disk& disk, Chance& chance, Member self, std::vector<Address> seeds, Report report)
+    : post_(post), board_(board), disk_(disk), chance_(chance), self_(std::move(self)), seeds_(std::move(seeds)), report_(std::move(report)) {
+  post_.on_ask<Who>([this](const Address&, Who, Answer<WhoReply> answer) { answer(WhoReply{identity_, self_.address, self_.hall, roster_}); });
+  post_.on_ask<Found>([this](const Address&, Found found, Answer<WhoReply> answer) {
+    if (roster_.seats.empty() && found.roster.seated(identity_)) {
+      roster_ = found.roster;
+      return persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}}, [this, answer] { answer(WhoReply{identity_, self_.address, self_.hall, roster_}); });
+    }
+    answer(WhoReply{identity_, self_.address, self_.hall, roster_});
+  });
+  post_.on_ask<Promise>([this](const Address&, Promise promise, Answer<PromiseReply> answer) {
+    if (promise.target != identity_) return answer(not_me());
+    if (promise.slot >= slot_count) return answer(not_me());
+    Held& held = held_[promise.slot];
+    if (promise.roster.version > roster_.version) adopt(promise.roster);
+    if (promise.roster.version < roster_.version || promise.epoch <= held.promised) return answer(PromiseReply{false, held.promised, held.installed, roster_, {}});
+    held.promised = promise.epoch;
+    held.promised_to = promise.owner;
+    if (promise.owner != identity_ && owned_[promise.slot].state != Owned::State::none) step_down(promise.slot, milliseconds(500));
+    DiskEntry entry{.what = "promise", .holder = promise.owner, .roster = {}, .slot = promise.slot, .epoch = promise.epoch, .change = {}, .records = {}};
+    persist(std::move(entry), [this, promise, answer] {
+      const Held& kept = held_[promise.slot];
+      PromiseReply reply{kept.promised == promise.epoch, kept.promised, kept.installed, roster_, {}};
+      for (const auto& [key, record] : kept.records) reply.records.push_back(record);
+      answer(std::move(reply));
+    });
+  });
+  auto gate = [this](const HolderId& target, const HolderId& owner, std::uint32_t slot, Epoch epoch, Version roster, Answer<StoreReply>& answer) {
+    if (target != identity_ || slot >= slot_count) return answer(not_me()), false;
+    Held& held = held_[slot];
+    if (epoch < held.promised || (epoch == held.promised && owner != held.promised_to)) return answer(StoreReply{"refused", held.promised, {}}), false;
+    if (roster != roster_.version) return answer(StoreReply{"roster", held.promised, roster_}), false;
+    return true;
+  };
+  auto raise = [this](std::uint32_t slot, Epoch epoch, const HolderId& owner) {
+    Held& held = held_[slot];
+    if (epoch <= held.promised) return;
+    held.promised = epoch;
+    held.promised_to = owner;
+    if (owner != identity_ && owned_[slot].state != Owned::State::none) step_down(slot, milliseconds(500));
+    persist(DiskEntry{.what = "promise", .holder = owner, .roster = {}, .slot = slot, .epoch = epoch, .change = {}, .records = {}}, [] {});
+  };
+  post_.on_ask<Store>([this, gate, raise](const Address&, Store store, Answer<StoreReply> answer) {
+    if (!gate(store.target, store.owner, store.slot, store.epoch, store.roster, answer)) return;
+    raise(store.slot, store.epoch, store.owner);
+    Held& held = held_[store.slot];
+    auto found = held.records.find(store.change.key);
+    const Stamp have = found == held.records.end() ? Stamp{} : found->second.stamp;
+    if (have >= store.change.stamp) return append({}, [answer] { answer(StoreReply{"stored", {}, {}}); });
+    if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}});
+    apply(held, store.change);
+    const bool roster_change = store.change.key == "roster" && store.change.head;
+    DiskEntry entry{.what = "change", .holder = {}, .roster = {}, .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change), .records = {}};
+    if (roster_change)
+      if (auto next = from_json<Roster>(*entry.change.head); !fault_of(next)) adopt(std::get<Roster>(next));
+    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}}); });
+  });
+  post_.on_ask<Install>([this, gate, raise](const Address&, Install install, Answer<StoreReply> answer) {
+    if (!gate(install.target, install.owner, install.slot, install.epoch, install.roster, answer)) return;
+    raise(install.slot, install.epoch, install.owner);
+    Held& held = held_[install.slot];
+    held.installed = install.epoch;
+    held.records.clear();
+    held.digest = 0;
+    for (const auto& record : install.records) put_record(held, record);
+    DiskEntry entry{.what = "install", .holder = install.owner, .roster = {}, .slot = install.slot, .epoch = install.epoch, .change = {}, .records = std::move(install.records)};
+    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}}); });
+  });
+  post_.on_ask<Confirm>([gate](const Address&, Confirm confirm, Answer<StoreReply> answer) {
+    if (gate(confirm.target, confirm.owner, confirm.slot, confirm.epoch, confirm.roster, answer)) answer(StoreReply{"stored", {}, {}});
+  });
+  post_.on_tell<RosterNews>([this](const Address&, RosterNews news) {
+    if (news.roster.version > roster_.version) adopt(news.roster);
+  });
+  post_.on_ask<Settled>([this](const Address&, Settled settled, Answer<SettledReply> answer) {
+    SettledReply reply;
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot)
+      if (owned_[slot].state == Owned::State::owned && owned_[slot].roster == settled.roster) reply.slots.push_back(slot);
+    answer(std::move(reply));
+  });
+  post_.on_ask<Digests>([this](const Address&, Digests, Answer<DigestsReply> answer) {
+    DigestsReply reply;
+    for (const auto& held : held_) reply.digests.push_back(held.digest);
+    answer(std::move(reply));
+  });
+  post_.on_ask<Range>([this](const Address&, Range range, Answer<RangeReply> answer) {
+    RangeReply reply;
+    if (range.slot < slot_count)
+      for (const auto& [key, record] : held_[range.slot].records) reply.stamps.push_back(Record{key, record.stamp, record.removed, {}, {}, {}});
+    answer(std::move(reply));
+  });
+  post_.on_ask<FetchRecords>([this](const Address&, FetchRecords fetch, Answer<RecordsReply> answer) {
+    RecordsReply reply;
+    if (fetch.slot < slot_count)
+      for (const auto& key : fetch.keys)
+        if (auto found = held_[fetch.slot].records.find(key); found != held_[fetch.slot].records.end()) reply.records.push_back(found->second);
+    answer(std::move(reply));
+  });
+  post_.on_ask<Write>([this](const Address&, Write request, Answer<WriteReply> answer) { write(std::move(request), std::move(answer)); });
+  post_.on_ask<Read>([this](const Address&, Read read, Answer<ReadReply> answer) {
+    const std::uint32_t slot = slot_of(read.key);
+    if (owned_[slot].state != Owned::State::owned) return answer(moved());
+    confirm(slot, [this, slot, key = read.key, answer](bool good) {
+      if (!good || owned_[slot].state != Owned::State::owned) return answer(moved());
+      auto finish = [this, slot, key, answer] {
+        if (owned_[slot].state != Owned::State::owned) return answer(moved());
+        auto found = held_[slot].records.find(key);
+        if (found == held_[slot].records.end()) return answer(ReadReply{});
+        answer(ReadReply{true, found->second});
+      };
+      auto queue = owned_[slot].queues.find(key);
+      if (queue != owned_[slot].queues.end() && queue->second.busy) queue->second.readers.push_back(finish);
+      else finish();
+    });
+  });
+  post_.on_ask<ListSlot>([this](const Address& from, ListSlot list, Answer<RecordsReply> answer) {
+    if (from != self_.address || list.slot >= slot_count || owned_[list.slot].state != Owned::State::owned || owned_[list.slot].epoch != list.epoch) return answer(moved());
+    RecordsReply reply;
+    for (const auto& [key, record] : held_[list.slot].records)
+      if (key.starts_with(list.prefix) && !record.removed) reply.records.push_back(record);
+    answer(std::move(reply));
+  });
+  post_.on_ask<ConfirmSlot>([this](const Address&, ConfirmSlot request, Answer<ConfirmReply> answer) {
+    if (request.slot >= slot_count || owned_[request.slot].state != Owned::State::owned || owned_[request.slot].epoch != request.epoch) return answer(moved());
+    confirm(request.slot, [answer](bool good) { good ? answer(ConfirmReply{}) : answer(moved()); });
+  });
+}
+
+Result<Done> Kept::load() {
+  auto bytes = disk_.read_all();
+  if (auto fault = fault_of(bytes)) return *fault;
+  ReadFile file = read_frames(std::get<Bytes>(bytes));
+  if (file.damaged) {
+    report_.note("The record file is damaged in the middle; its copies come back from peers and this folder takes a new identity.");
+    file = ReadFile{};
+  } else if (file.torn) {
+    report_.note("A torn tail of the record file was cut.");
+  }
+  for (auto& entry : file.entries) {
+    if (entry.slot >= slot_count) return Fault{FaultKind::damaged, "record_file", "a record names slot " + std::to_string(entry.slot), "empty the data folder so that this machine joins as a new holder"};
+    Held& held = held_[entry.slot];
+    if (entry.what == "identity") identity_ = entry.holder;
+    else if (entry.what == "roster") roster_ = entry.roster;
+    else if (entry.what == "promise") { held.promised = entry.epoch; held.promised_to = entry.holder; }
+    else if (entry.what == "change") apply(held, entry.change);
+    else if (entry.what == "install") {
+      held.installed = entry.epoch;
+      held.records.clear();
+      held.digest = 0;
+      for (auto& record : entry.records) put_record(held, std::move(record));
+    } else return Fault{FaultKind::damaged, "record_file", "a record is of the unknown kind '" + entry.what + "'", "run the version of mothwalk that wrote this folder"};
+  }
+  if (identity_.empty()) {
+    Bytes text;
+    for (int count = 0; count < 2; ++count) {
+      const std::uint64_t number = chance_.next();
+      for (int shift = 60; shift >= 0; shift -= 4) text.push_back("0123456789abcdef"[(number >> shift) & 15]);
+    }
+    identity_ = HolderId(text);
+    roster_ = Roster{};
+    held_.assign(slot_count, Held{});
+  }
+  self_.holder = identity_;
+  return Done{};
+}
+
+void Kept::start() {
+  started_ = post_.schedule().now();
+  // The file is written anew at every start: it drops what is torn, and the identity is on disk before any promise.
+  const Bytes whole = snapshot();
+  file_bytes_ = file_base_ = whole.size();
+  appending_.push_back(started_);
+  disk_.rewrite(whole, [this](bool good) {
+    appending_.pop_front();
+    if (!good) return report_.fatal();
+    tick();
+  });
+}
+
+Bytes Kept::snapshot() const {
+  Bytes whole = frame_entry(DiskEntry{.what = "identity", .holder = identity_, .roster = {}, .slot = 0, .epoch = {}, .change = {}, .records = {}});
+  if (!roster_.seats.empty()) whole += frame_entry(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}});
+  for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
+    const Held& held = held_[slot];
+    DiskEntry install{.what = "install", .holder = {}, .roster = {}, .slot = slot, .epoch = held.installed, .change = {}, .records = {}};
+    for (const auto& [key, record] : held.records) install.records.push_back(record);
+    if (!install.records.empty() || held.installed.value > 0) whole += frame_entry(install);
+    if (held.promised.value > 0) whole += frame_entry(DiskEntry{.what = "promise", .holder = held.promised_to, .roster = {}, .slot = slot, .epoch = held.promised, .change = {}, .records = {}});
+  }
+  return whole;
+}
+
+void Kept::append(Bytes bytes, std::function<void()> then) {
+  file_bytes_ += bytes.size();
+  ++syncs_;
+  appending_.push_back(post_.schedule().now());
+  disk_.append(std::move(bytes), [this, then](bool good) {
+    appending_.pop_front();
+    if (!good) return report_.fatal();
+    then();
+  });
+}
+
+void Kept::persist(DiskEntry entry, std::function<void()> then) { append(frame_entry(entry), std::move(then)); }
+
+void Kept::rewrite_when_long() {
+  if (file_bytes_ < rewrite_floor || file_bytes_ < 3 * file_base_) return;
+  const Bytes whole = snapshot();
+  file_bytes_ = file_base_ = whole.size();
+  appending_.push_back(post_.schedule().now());
+  disk_.rewrite(whole, [this](bool good) {
+    appending_.pop_front();
+    if (!good) report_.fatal();
+  });
+}
+
+void Kept::put_record(Held& held, Record record) {
+  Record& place = held.records[record.key];
+  if (!place.key.empty()) held.digest ^= record_hash(place);
+  held.digest ^= record_hash(record);
+  place = std::move(record);
+}
+
+void Kept::apply(Held& held, const Change& change) {
+  Record record;
+  if (auto found = held.records.find(change.key); found != held.records.end() && !change.full) record = found->second;
+  record.key = change.key;
+  record.stamp = change.stamp;
+  record.removed = change.removed;
+  if (change.head) record.head = *change.head;
+  if (change.removed) { record.head.clear(); record.entries.clear(); }
+  record.entries.insert(record.entries.end(), change.appends.begin(), change.appends.end());
+  record.token = change.token;
+  put_record(held, std::move(record));
+}
+
+void Kept::adopt(const Roster& roster) {
+  if (roster.version <= roster_.version) return;
+  roster_ = roster;
+  persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}}, [] {});
+}
+
+template <class Message, class Then> void Kept::ask_seat(const Seat& seat, Message message, Span horizon, Then then) {
+  message.target = seat.holder;
+  message.owner = identity_;
+  post_.ask(seat.address, message, horizon, then);
+}
+
+void Kept::publish() {
+  Ownership ownership;
+  ownership.roster = roster_.version;
+  for (std::uint32_t slot = 0; slot < slot_count; ++slot)
+    if (owned_[slot].state == Owned::State::owned) ownership.slots[slot] = owned_[slot].epoch;
+  board_.owned.set(std::move(ownership));
+}
+
+void Kept::tick() {
+  const Moment now = post_.schedule().now();
+  ++ticks_;
+  const bool stalled = !appending_.empty() && now - appending_.front() > stall_span;
+  if (stalled && !board_.stalled.load()) report_.note("The disk does not answer; this holder gives up what it owns.");
+  board_.stalled = stalled;
+  if (stalled)
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot)
+      if (owned_[slot].state != Owned::State::none) step_down(slot, milliseconds(1000));
+  if (const auto policy = board_.policy.get(); policy->roster.version > roster_.version) adopt(policy->roster);
+  if (roster_.seats.empty()) {
+    found();
+  } else if (!stalled && now - started_ > milliseconds(1000) && roster_.seated(identity_)) {
+    const auto members = board_.members.get();
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
+      Owned& owned = owned_[slot];
+      if (owned.state == Owned::State::owned && owned.roster != roster_.version) step_down(slot, Span{});
+      if (owned.state != Owned::State::none || now < owned.not_before) continue;
+      const Seat* first = slot_owner(roster_, *members, slot);
+      if (first != nullptr && first->holder == identity_) take(slot);
+    }
+    if (ticks_ % 10 == 0) { repair(); roster_duty(); }
+  }
+  rewrite_when_long();
+  post_.schedule().after(tick_span, [this] { tick(); });
+}
+
+void Kept::found() {
+  if (founding_ || std::find(seeds_.begin(), seeds_.end(), self_.address) == seeds_.end()) return;
+  if (post_.schedule().now() - started_ < founding_pause) return;
+  // Any member that knows of a roster vetoes: this folder then joins.
+  for (const auto& [address, member] : board_.members.get()->all)
+    if (member.roster.value > 0) return;
+  founding_ = true;
+  auto replies = std::make_shared<std::vector<WhoReply>>();
+  auto left = std::make_shared<std::size_t>(seeds_.size());
+  for (const Address& seed : seeds_)
+    post_.ask(seed, Who{}, milliseconds(500), [this, replies, left](Result<WhoReply> result) {
+      if (auto* reply = std::get_if<WhoReply>(&result)) replies->push_back(std::move(*reply));
+      if (--*left > 0) return;
+      founding_ = false;
+      for (const auto& reply : *replies)
+        if (!reply.roster.seats.empty()) {
+          if (roster_.seats.empty()) adopt(reply.roster);
+          return;
+        }
+      if (replies->size() != seeds_.size() || !roster_.seats.empty()) return;
+      Roster roster{Version{1}, {}};
+      for (const auto& reply : *replies) {
+        if (reply.holder.empty()) return;
+        roster.seats.push_back(Seat{reply.holder, reply.address, reply.hall});
+      }
+      std::sort(roster.seats.begin(), roster.seats.end(), [](const Seat& first, const Seat& second) { return first.address < second.address; });
+      if (roster.seats.front().address != self_.address) return;
+      for (const auto& seat : roster.seats) post_.ask(seat.address, Found{roster}, milliseconds(500), [](Result<WhoReply>) {});
+    });
+}
+
+void Kept::take(std::uint32_t slot) {
+  Owned& owned = owned_[slot];
+  owned.state = Owned::State::taking;
+  owned.roster = roster_.version;
+  const Epoch epoch{std::max(held_[slot].promised, owned.epoch).value + 1};
+  owned.epoch = epoch;
+  auto replies = std::make_shared<std::vector<PromiseReply>>();
+  auto left = std::make_shared<std::size_t>(roster_.seats.size());
+  const std::size_t majority = roster_.majority();
+  for (const auto& seat : roster_.seats)
+    ask_seat(seat, Promise{{}, {}, slot, epoch, roster_}, peer_horizon, [this, slot, epoch, replies, left, majority](Result<PromiseReply> result) {
+      --*left;
+      Owned& now_owned = owned_[slot];
+      if (now_owned.state != Owned::State::taking || now_owned.epoch != epoch) return;
+      if (auto* reply = std::get_if<PromiseReply>(&result)) {
+        if (reply->granted) {
+          replies->push_back(std::move(*reply));
+          if (replies->size() == majority) return taken(slot, epoch, std::move(*replies));
+        } else {
+          if (reply->roster.version > roster_.version) adopt(reply->roster);
+          if (reply->epoch > now_owned.epoch) now_owned.epoch = reply->epoch;
+          if (reply->epoch >= epoch) return step_down(slot, milliseconds(200 + chance_.below(600)));
+        }
+      }
+      if (*left == 0) step_down(slot, milliseconds(100 + chance_.below(300)));
+    });
+}
+
+void Kept::taken(std::uint32_t slot, Epoch epoch, std::vector<PromiseReply> replies) {
+  Epoch installed;
+  for (const auto& reply : replies) installed = std::max(installed, reply.installed);
+  Records newest;
+  for (auto& reply : replies)
+    for (auto& record : reply.records) {
+      if (record.stamp.epoch < installed) continue;  // not in the last whole hand-over, so never on a majority
+      Record& place = newest[record.key];
+      if (place.key.empty() || place.stamp < record.stamp) place = std::move(record);
+    }
+  Install install{{}, {}, slot, epoch, roster_.version, {}};
+  for (auto& [key, record] : newest) {
+    record.stamp.epoch = epoch;
+    install.records.push_back(std::move(record));
+  }
+  auto acks = std::make_shared<std::size_t>(0);
+  auto left = std::make_shared<std::size_t>(roster_.seats.size());
+  const std::size_t majority = roster_.majority();
+  for (const auto& seat : roster_.seats)
+    ask_seat(seat, install, peer_horizon, [this, slot, epoch, acks, left, majority](Result<StoreReply> result) {
+      --*left;
+      Owned& owned = owned_[slot];
+      if (owned.state != Owned::State::taking || owned.epoch != epoch) return;
+      auto* reply = std::get_if<StoreReply>(&result);
+      if (reply != nullptr && reply->outcome == "stored" && ++*acks == majority) {
+        if (held_[slot].installed != epoch) return step_down(slot, milliseconds(100));
+        owned.state = Owned::State::owned;
+        publish();
+        std::vector<const Record*> news;
+        for (const auto& [key, record] : held_[slot].records) news.push_back(&record);
+        spread(news);
+        return;
+      }
+      if (reply != nullptr && reply->roster.version > roster_.version) adopt(reply->roster);
+      if (*left == 0) step_down(slot, milliseconds(100 + chance_.below(300)));
+    });
+}
+
+void Kept::step_down(std::uint32_t slot, Span pause) {
+  Owned& owned = owned_[slot];
+  const bool was = owned.state == Owned::State::owned;
+  owned.state = Owned::State::none;
+  owned.not_before = post_.schedule().now() + pause;
+  auto queues = std::move(owned.queues);
+  owned.queues.clear();
+  auto confirms = std::move(owned.confirm_now);
+  for (auto& each : owned.confirm_next) confirms.push_back(std::move(each));
+  owned.confirm_now.clear();
+  owned.confirm_next.clear();
+  owned.confirming = false;
+  if (was) publish();
+  for (auto& [key, queue] : queues) {
+    for (auto& pending : queue.pending) pending.answer(moved());
+    for (auto& reader : queue.readers) reader();
+  }
+  for (auto& each : confirms) each(false);
+}
+
+void Kept::spread(const std::vector<const Record*>& records) {
+  Spread news;
+  for (const Record* record : records)
+    if (newsy(record->key)) news.items.push_back(NewsItem{record->key, record->stamp, record->removed, record->head});
+  if (!news.items.empty()) post_.tell(self_.address, news);
+}
+
+void Kept::write(Write request, Answer<WriteReply> answer) {
+  const std::uint32_t slot = slot_of(request.key);
+  Owned& owned = owned_[slot];
+  if (owned.state != Owned::State::owned || owned.roster != roster_.version) return answer(moved());
+  if (request.fence && *request.fence != owned.epoch.value) return answer(Fault{FaultKind::stale, "fence", "the slot is owned under another epoch", "read the state again"});
+  Queue& queue = owned.queues[request.key];
+  if (queue.pending.size() >= 4096) return answer(Fault{FaultKind::refused, "key", "too many changes of this key wait", "try again in a second"});
+  const std::string key = request.key;
+  queue.pending.push_back(Pending{std::move(request), std::move(answer)});
+  run(slot, key);
+}
+
+void Kept::run(std::uint32_t slot, const std::string& key) {
+  Owned& owned = owned_[slot];
+  Queue& queue = owned.queues[key];
+  if (queue.busy) return;
+  while (!queue.pending.empty()) {
+    auto found = held_[slot].records.find(key);
+    const Record* record = found == held_[slot].records.end() ? nullptr : &found->second;
+    const Stamp before = record == nullptr ? Stamp{} : record->stamp;
+    Pending first = std::move(queue.pending.front());
+    queue.pending.pop_front();
+    const bool absent = record == nullptr || record->removed;
+    if (!first.write.token.empty() && record != nullptr && record->token == first.write.token) {
+      first.answer(WriteReply{record->stamp, record->entries.size()});
+      continue;
+    }
+    if (first.write.expected && *first.write.expected != (absent ? 0 : before.version.value)) {
+      first.answer(Fault{FaultKind::stale, "version", "the version is not current; it is " + std::to_string(absent ? 0 : before.version.value), "read the resource again and apply your change to that version"});
+      continue;
+    }
+    if (absent && (first.write.removed || (!first.write.head && !first.write.appends.empty()))) {
+      first.answer(Fault{FaultKind::unknown_name, "name", "there is nothing of this name", "check the name"});
+      continue;
+    }
+    Change change{key, before, Stamp{owned.epoch, before.version.next()}, false, first.write.removed, first.write.head, first.write.appends, first.write.token};
+    if (absent && record != nullptr) change.full = true;
+    std::vector<Answer<WriteReply>> answers{first.answer};
+    const bool only_appends = !first.write.head && !first.write.removed;
+    while (only_appends && !queue.pending.empty() && !queue.pending.front().write.head && !queue.pending.front().write.removed && !queue.pending.front().write.expected && queue.pending.front().write.token.empty()) {
+      for (auto& each : queue.pending.front().write.appends) change.appends.push_back(std::move(each));
+      answers.push_back(std::move(queue.pending.front().answer));
+      queue.pending.pop_front();
+    }
+    Roster also;
+    if (key == "roster" && change.head)
+      if (auto next = from_json<Roster>(*change.head); !fault_of(next)) also = std::get<Roster>(next);
+    queue.busy = true;
+    const Epoch epoch = owned.epoch;
+    commit(slot, change, also, [this, slot, key, epoch, answers, stamp = change.stamp](bool good) {
+      Owned& now_owned = owned_[slot];
+      if (!good || now_owned.state != Owned::State::owned || now_owned.epoch != epoch) {
+        if (now_owned.state == Owned::State::owned && now_owned.epoch == epoch) step_down(slot, Span{});
+        for (auto& answer : answers) answer(stood_down());
+        return;
+      }
+      ++commits_;
+      const Record& record = held_[slot].records[key];
+      if (newsy(key)) spread({&record});
+      Queue& done = now_owned.queues[key];
+      done.busy = false;
+      auto readers = std::move(done.readers);
+      done.readers.clear();
+      for (auto& answer : answers) answer(WriteReply{stamp, record.entries.size()});
+      for (auto& reader : readers) reader();
+      if (owned_[slot].state == Owned::State::owned) {
+        run(slot, key);
+        auto idle = owned_[slot].queues.find(key);
+        if (idle != owned_[slot].queues.end() && !idle->second.busy && idle->second.pending.empty() && idle->second.readers.empty()) owned_[slot].queues.erase(idle);
+      }
+    });
+    return;
+  }
+}
+
+void Kept::commit(std::uint32_t slot, const Change& change, const Roster& also, std::function<void(bool)> done) {
+  struct Count {
+    std::size_t old_acks = 0, new_acks = 0, left = 0;
+    bool over = false;
+    Roster old_roster, new_roster;
+  };
+  auto count = std::make_shared<Count>();
+  count->old_roster = roster_;
+  count->new_roster = also;
+  std::vector<Seat> seats = roster_.seats;
+  for (const auto& seat : also.seats)
+    if (!roster_.seated(seat.holder)) seats.push_back(seat);
+  count->left = seats.size();
+  const Epoch epoch = owned_[slot].epoch;
+  auto acknowledged = [this, count, slot, epoch, done](const Seat& seat, bool good) {
+    --count->left;
+    if (count->over) return;
+    if (good) {
+      count->old_acks += count->old_roster.seated(seat.holder);
+      count->new_acks += count->new_roster.seated(seat.holder);
+    }
+    const bool enough = count->old_acks >= count->old_roster.majority() && (count->new_roster.seats.empty() || count->new_acks >= count->new_roster.majority());
+    if (!enough && count->left > 0) return;
+    count->over = true;
+    done(enough);
+  };
+  const Version roster_version = roster_.version;
+  for (const auto& seat : seats) {
+    Store store{{}, {}, slot, epoch, roster_version, change};
+    ask_seat(seat, store, peer_horizon, [this, seat, slot, epoch, change, roster_version, acknowledged](Result<StoreReply> result) {
+      auto* reply = std::get_if<StoreReply>(&result);
+      if (reply == nullptr) return acknowledged(seat, false);
+      if (reply->outcome == "refused" && reply->epoch > epoch && owned_[slot].state == Owned::State::owned && owned_[slot].epoch == epoch) {
+        step_down(slot, milliseconds(500));
+        return acknowledged(seat, false);
+      }
+      if (reply->outcome == "roster" && reply->roster.version < roster_version) post_.tell(seat.address, RosterNews{roster_});
+      if (reply->outcome == "roster" && reply->roster.version > roster_.version) adopt(reply->roster);
+      if (reply->outcome == "stored") return acknowledged(seat, true);
+      if (reply->outcome == "refused") return acknowledged(seat, false);
+      // Behind or of an older roster: the whole record goes once more.
+      auto found = held_[slot].records.find(change.key);
+      if (found == held_[slot].records.end() || found->second.stamp != change.stamp) return acknowledged(seat, false);
+      const Record& record = found->second;
+      Change full{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token};
+      ask_seat(seat, Store{{}, {}, slot, epoch, roster_version, full}, peer_horizon, [seat, acknowledged](Result<StoreReply> second) {
+        auto* stored = std::get_if<StoreReply>(&second);
+        acknowledged(seat, stored != nullptr && stored->outcome == "stored");
+      });
+    });
+  }
+}
+
+void Kept::confirm(std::uint32_t slot, std::function<void(bool)> then) {
+  Owned& owned = owned_[slot];
+  owned.confirm_next.push_back(std::move(then));
+  if (!owned.confirming) confirm_round(slot);
+}
+
+void Kept::confirm_round(std::uint32_t slot) {
+  Owned& owned = owned_[slot];
+  owned.confirming = true;
+  owned.confirm_now = std::move(owned.confirm_next);
+  owned.confirm_next.clear();
+  const Epoch epoch = owned.epoch;
+  auto acks = std::make_shared<std::size_t>(0);
+  auto left = std::make_shared<std::size_t>(roster_.seats.size());
+  const std::size_t majority = roster_.majority();
+  for (const auto& seat : roster_.seats)
+    ask_seat(seat, Confirm{{}, {}, slot, epoch, owned.roster}, peer_horizon, [this, slot, epoch, acks, left, majority](Result<StoreReply> result) {
+      --*left;
+      Owned& now_owned = owned_[slot];
+      if (now_owned.state != Owned::State::owned || now_owned.epoch != epoch || *acks >= majority) return;
+      auto* reply = std::get_if<StoreReply>(&result);
+      if (reply != nullptr && reply->outcome == "stored") ++*acks;
+      if (*acks < majority && *left > 0) return;
+      if (*acks < majority) return step_down(slot, milliseconds(200));
+      auto waiting = std::move(now_owned.confirm_now);
+      now_owned.confirm_now.clear();
+      now_owned.confirming = false;
+      for (auto& each : waiting) each(true);
+      if (owned_[slot].state == Owned::State::owned && !owned_[slot].confirming && !owned_[slot].confirm_next.empty()) confirm_round(slot);
+    });
+}
+
+void Kept::repair() {
+  std::vector<Seat> others;
+  for (const auto& seat : roster_.seats)
+    if (seat.holder != identity_) others.push_back(seat);
+  if (others.empty()) return;
+  const Seat peer = others[chance_.below(others.size())];
+  post_.ask(peer.address, Digests{}, peer_horizon, [this, peer](Result<DigestsReply> result) {
+    auto* reply = std::get_if<DigestsReply>(&result);
+    if (reply == nullptr || reply->digests.size() != slot_count) return;
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
+      if (reply->digests[slot] == held_[slot].digest || owned_[slot].state != Owned::State::none) continue;
+      post_.ask(peer.address, Range{slot}, peer_horizon, [this, peer, slot](Result<RangeReply> ranged) {
+        auto* range = std::get_if<RangeReply>(&ranged);
+        if (range == nullptr) return;
+        FetchRecords fetch{slot, {}};
+        for (const auto& theirs : range->stamps) {
+          auto mine = held_[slot].records.find(theirs.key);
+          if (theirs.stamp.epoch >= held_[slot].promised && (mine == held_[slot].records.end() || mine->second.stamp < theirs.stamp)) fetch.keys.push_back(theirs.key);
+        }
+        if (fetch.keys.empty()) return;
+        post_.ask(peer.address, fetch, peer_horizon, [this, slot](Result<RecordsReply> fetched) {
+          auto* records = std::get_if<RecordsReply>(&fetched);
+          if (records == nullptr) return;
+          for (auto& record : records->records) {
+            Held& held = held_[slot];
+            auto mine = held.records.find(record.key);
+            if (record.stamp.epoch != held.promised || (mine != held.records.end() && mine->second.stamp >= record.stamp) || slot_of(record.key) != slot) continue;
+            Change change{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token};
+            apply(held, change);
+            persist(DiskEntry{.what = "change", .holder = {}, .roster = {}, .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change), .records = {}}, [] {});
+          }
+        });
+      });
+    }
+  });
+}
+
+// One change at a time, only when every slot has been handed over whole under the roster in force: then any majority of
+// the next roster meets any majority that a change was acknowledged by.
+void Kept::roster_duty() {
+  const std::uint32_t slot = slot_of("roster");
+  if (owned_[slot].state != Owned::State::owned || changing_roster_) return;
+  if (!held_[slot].records.contains("roster")) {
+    changing_roster_ = true;
+    return change_roster(roster_);
+  }
+  const auto members = board_.members.get();
+  const auto policy = board_.policy.get();
+  const Moment now = post_.schedule().now();
+  auto retired = [&](const Address& address) {
+    auto found = policy->holders.find(address.text);
+    return found != policy->holders.end() && found->second.spec.retired;
+  };
+  std::vector<const Member*> spares;
+  std::map<HallId, std::size_t> seats_in;
+  std::optional<Seat> gone;
+  bool gone_retired = false;
+  for (const auto& seat : roster_.seats) {
+    ++seats_in[seat.hall];
+    const Member* member = members->holder(seat.holder);
+    if (retired(seat.address) && member != nullptr) { gone = seat; gone_retired = true; }
+    if (member != nullptr && !member->stalled) { missing_since_.erase(seat.holder.text); continue; }
+    auto since = missing_since_.try_emplace(seat.holder.text, now).first->second;
+    // A wiped machine is back under another identity, so its old seat has nobody to wait for.
+    bool wiped = false;
+    for (const auto& [address, each] : members->all) wiped = wiped || (address == seat.address && !each.holder.empty() && each.holder != seat.holder);
+    if ((wiped || now - since > replace_after || retired(seat.address)) && !gone) gone = seat;
+  }
+  for (const auto& [address, member] : members->all)
+    if (!member.holder.empty() && !member.stalled && !roster_.seated(member.holder) && !retired(address)) spares.push_back(&member);
+  std::sort(spares.begin(), spares.end(), [&](const Member* left, const Member* right) {
+    return std::make_tuple(seats_in[left->hall], left->address) < std::make_tuple(seats_in[right->hall], right->address);
+  });
+  Roster next = roster_;
+  next.version = roster_.version.next();
+  const std::size_t live = roster_.seats.size() - (gone ? 1 : 0);
+  if (gone && (live >= wanted_seats || spares.empty()) && live >= 3) std::erase_if(next.seats, [&](const Seat& seat) { return seat.holder == gone->holder; });
+  else if (!spares.empty() && live < wanted_seats) next.seats.push_back(Seat{spares[0]->holder, spares[0]->address, spares[0]->hall});
+  else if (gone && gone_retired && live >= 3) std::erase_if(next.seats, [&](const Seat& seat) { return seat.holder == gone->holder; });
+  else return;
+  changing_roster_ = true;
+  auto covered = std::make_shared<std::set<std::uint32_t>>();
+  auto left = std::make_shared<std::size_t>(roster_.seats.size());
+  const Version current = roster_.version;
+  for (const auto& seat : roster_.seats)
+    post_.ask(seat.address, Settled{current}, peer_horizon, [this, covered, left, next, current](Result<SettledReply> result) {
+      if (auto* reply = std::get_if<SettledReply>(&result)) covered->insert(reply->slots.begin(), reply->slots.end());
+      if (--*left > 0) return;
+      if (covered->size() != slot_count || roster_.version != current) { changing_roster_ = false; return; }
+      change_roster(next);
+    });
+}
+
+void Kept::change_roster(Roster next) {
+  const std::uint32_t slot = slot_of("roster");
+  if (owned_[slot].state != Owned::State::owned) { changing_roster_ = false; return; }
+  report_.note("The roster goes to version " + std::to_string(next.version.value) + " with " + std::to_string(next.seats.size()) + " seats.");
+  Write request;
+  request.key = "roster";
+  request.head = json::serialize(to_json(next));
+  request.fence = owned_[slot].epoch.value;
+  write(std::move(request), [this](Result<WriteReply>) { changing_roster_ = false; });
+}
+
+void KeptClient::write(Write write, Span horizon, Answer<WriteReply> answer) {
+  const std::string key = write.key;
+  ask_owner<Write>(key, std::move(write), post_.schedule().now() + horizon, false, std::move(answer));
+}
+
+void KeptClient::read(const std::string& key, Span horizon, Answer<ReadReply> answer) {
+  ask_owner<Read>(key, Read{key}, post_.schedule().now() + horizon, false, std::move(answer));
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/kept/kept.hpp
@@ -0,0 +1,134 @@
+// The kept state of a holder. Keys hash into slots; a slot has one owner at a time, the first live seat in the slot's
+// order, which takes it over under a higher epoch promised by a majority, writes the newest records back, and then has
+// each change on a majority of disks before it answers. There is no common log and no leader for all.
+#pragma once
+#include <deque>
+
+#include "kept/messages.hpp"
+#include "kept/record_file.hpp"
+
+namespace mothwalk {
+
+class Kept {
+ public:
+  struct Report {
+    std::function<void(View)> note = [](View) {};
+    std::function<void()> fatal = [] {};   // a sync failed: this holder must end
+  };
+  Kept(Post& post, Board& board, Disk& disk, Chance& chance, Member self, std::vector<Address> seeds, Report report);
+  // Reads the file; false with a fault where the data can't be used.
+  Result<Done> load();
+  HolderId identity() const { return identity_; }
+  void start();
+  std::uint64_t syncs() const { return syncs_; }
+  std::uint64_t commits() const { return commits_; }
+
+ private:
+  using Records = std::map<std::string, Record>;
+  struct Held {                 // what this holder keeps of a slot, as any copy does
+    Records records;
+    Epoch promised, installed;
+    HolderId promised_to;
+    std::uint64_t digest = 0;
+  };
+  struct Pending {
+    Write write;
+    Answer<WriteReply> answer;
+  };
+  struct Queue {
+    bool busy = false;
+    std::deque<Pending> pending;
+    std::vector<Task> readers;  // reads that wait for the outstanding change
+  };
+  struct Owned {                // what this holder does with a slot as its owner or as one who would be
+    enum class State { none, taking, owned } state = State::none;
+    Epoch epoch;
+    Version roster;
+    Moment not_before;
+    std::map<std::string, Queue> queues;
+    bool confirming = false;
+    std::vector<std::function<void(bool)>> confirm_now, confirm_next;
+  };
+
+  void persist(DiskEntry entry, std::function<void()> then);
+  void append(Bytes bytes, std::function<void()> then);
+  void rewrite_when_long();
+  Bytes snapshot() const;
+  void put_record(Held& held, Record record);
+  void apply(Held& held, const Change& change);
+  void adopt(const Roster& roster);
+  bool refuses(const Promise& message) const;
+
+  void tick();
+  void found();
+  void take(std::uint32_t slot);
+  void taken(std::uint32_t slot, Epoch epoch, std::vector<PromiseReply> replies);
+  void step_down(std::uint32_t slot, Span pause);
+  void publish();
+  void write(Write write, Answer<WriteReply> answer);
+  void run(std::uint32_t slot, const std::string& key);
+  void commit(std::uint32_t slot, const Change& change, const Roster& also, std::function<void(bool)> done);
+  void confirm(std::uint32_t slot, std::function<void(bool)> then);
+  void confirm_round(std::uint32_t slot);
+  void spread(const std::vector<const Record*>& records);
+  void repair();
+  void roster_duty();
+  void change_roster(Roster next);
+  template <class Message, class Then> void ask_seat(const Seat& seat, Message message, Span horizon, Then then);
+
+  Post& post_;
+  Board& board_;
+  Disk& disk_;
+  Chance& chance_;
+  Member self_;
+  std::vector<Address> seeds_;
+  Report report_;
+  HolderId identity_;
+  Roster roster_;
+  std::vector<Held> held_{slot_count};
+  std::vector<Owned> owned_{slot_count};
+  Moment started_;
+  std::size_t file_bytes_ = 0, file_base_ = 0;
+  std::deque<Moment> appending_;
+  std::uint64_t syncs_ = 0, commits_ = 0, ticks_ = 0;
+  bool founding_ = false, changing_roster_ = false;
+  std::map<std::string, Moment> missing_since_;
+};
+
+// Asks the owner of a key's slot, wherever it is, again and again until the horizon.
+class KeptClient {
+ public:
+  KeptClient(Post& post, Board& board) : post_(post), board_(board) {}
+  void write(Write write, Span horizon, Answer<WriteReply> answer);
+  void read(const std::string& key, Span horizon, Answer<ReadReply> answer);
+  template <class Message> void ask_owner(const std::string& key, Message message, Moment until, bool sent, Answer<typename Message::Reply> answer) {
+    using Reply = typename Message::Reply;
+    const Moment now = post_.schedule().now();
+    if (now >= until) {
+      if (sent) return answer(Fault{FaultKind::unknown, key, "no majority of holders answered in time; the outcome is not known", "send the same request again to settle it"});
+      return answer(Fault{FaultKind::refused, key, "no holder owns this key just now; nothing was done", "try again in a second"});
+    }
+    const auto policy = board_.policy.get();
+    const Seat* seat = slot_owner(policy->roster, *board_.members.get(), slot_of(key));
+    auto again = [this, key, message, until, answer](bool was_sent) {
+      post_.schedule().after(std::chrono::milliseconds(100), [this, key, message, until, was_sent, answer] { ask_owner<Message>(key, message, until, was_sent, answer); });
+    };
+    if (seat == nullptr) return again(sent);
+    const Span horizon = std::min<Span>(until - now, std::chrono::milliseconds(2000));
+    post_.ask(seat->address, message, horizon, [again, key, sent, answer](Result<Reply> result) {
+      auto fault = fault_of(result);
+      if (fault != nullptr && fault->kind == FaultKind::busy) return again(sent);
+      if (fault != nullptr && (fault->kind == FaultKind::lost || fault->kind == FaultKind::unknown)) return again(true);
+      // A second sending that comes too late for its version may be the first one's own success.
+      if (fault != nullptr && fault->kind == FaultKind::stale && sent)
+        return answer(Fault{FaultKind::unknown, key, "an earlier sending may have taken effect and been changed since", "read the resource again"});
+      answer(std::move(result));
+    });
+  }
+
+ private:
+  Post& post_;
+  Board& board_;
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/kept/messages.hpp
@@ -0,0 +1,195 @@
+// The messages and records of the kept state.
+#pragma once
+#include "sessions/board.hpp"
+#include "sessions/post.hpp"
+
+namespace mothwalk {
+
+// A key's record: replaced as a whole (head) or appended to (entries). The token is that of the last write.
+struct Record {
+  std::string key;
+  Stamp stamp;
+  bool removed = false;
+  Bytes head;
+  std::vector<Bytes> entries;
+  std::string token;
+  MOTHWALK_FIELDS(key, stamp, removed, head, entries, token)
+};
+
+// One change to a record. It applies to the record at `before`; a full change carries all and applies to anything older.
+struct Change {
+  std::string key;
+  Stamp before, stamp;
+  bool full = false, removed = false;
+  std::optional<Bytes> head;
+  std::vector<Bytes> appends;
+  std::string token;
+  MOTHWALK_FIELDS(key, before, stamp, full, removed, head, appends, token)
+};
+
+struct WriteReply {
+  Stamp stamp;
+  std::uint64_t entries = 0;
+  MOTHWALK_FIELDS(stamp, entries)
+};
+struct Write {
+  static constexpr View kind = "kept.write";
+  using Reply = WriteReply;
+  std::string key;
+  std::optional<Bytes> head;
+  std::vector<Bytes> appends;
+  bool removed = false;
+  std::optional<std::uint64_t> expected;  // the version that the record must be at; zero for absent
+  std::optional<std::uint64_t> fence;     // the epoch that the slot must be owned under
+  std::string token;                      // the same token again settles an unknown outcome
+  MOTHWALK_FIELDS(key, head, appends, removed, expected, fence, token)
+};
+struct ReadReply {
+  bool found = false;
+  Record record;
+  MOTHWALK_FIELDS(found, record)
+};
+struct Read {
+  static constexpr View kind = "kept.read";
+  using Reply = ReadReply;
+  std::string key;
+  MOTHWALK_FIELDS(key)
+};
+struct RecordsReply {
+  std::vector<Record> records;
+  MOTHWALK_FIELDS(records)
+};
+// Local: all records of an owned slot under a prefix.
+struct ListSlot {
+  static constexpr View kind = "kept.list";
+  using Reply = RecordsReply;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  std::string prefix;
+  MOTHWALK_FIELDS(slot, epoch, prefix)
+};
+// Asks the owner whether it still is the owner under the epoch; answered after a majority has said so.
+struct ConfirmReply { bool good = true; MOTHWALK_FIELDS(good) };
+struct ConfirmSlot {
+  static constexpr View kind = "kept.confirmslot";
+  using Reply = ConfirmReply;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  MOTHWALK_FIELDS(slot, epoch)
+};
+
+// Between holders. Each names the identity it is meant for, so that a wiped folder never answers for its forerunner.
+struct PromiseReply {
+  bool granted = false;
+  Epoch epoch, installed;
+  Roster roster;
+  std::vector<Record> records;
+  MOTHWALK_FIELDS(granted, epoch, installed, roster, records)
+};
+struct Promise {
+  static constexpr View kind = "kept.promise";
+  using Reply = PromiseReply;
+  HolderId target, owner;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  Roster roster;
+  MOTHWALK_FIELDS(target, owner, slot, epoch, roster)
+};
+struct StoreReply {
+  std::string outcome;  // stored, behind, refused, roster
+  Epoch epoch;
+  Roster roster;
+  MOTHWALK_FIELDS(outcome, epoch, roster)
+};
+struct Store {
+  static constexpr View kind = "kept.store";
+  using Reply = StoreReply;
+  HolderId target, owner;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  Version roster;
+  Change change;
+  MOTHWALK_FIELDS(target, owner, slot, epoch, roster, change)
+};
+struct Install {
+  static constexpr View kind = "kept.install";
+  using Reply = StoreReply;
+  HolderId target, owner;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  Version roster;
+  std::vector<Record> records;
+  MOTHWALK_FIELDS(target, owner, slot, epoch, roster, records)
+};
+struct Confirm {
+  static constexpr View kind = "kept.confirm";
+  using Reply = StoreReply;
+  HolderId target, owner;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  Version roster;
+  MOTHWALK_FIELDS(target, owner, slot, epoch, roster)
+};
+struct RosterNews {
+  static constexpr View kind = "kept.roster";
+  Roster roster;
+  MOTHWALK_FIELDS(roster)
+};
+struct WhoReply {
+  HolderId holder;
+  Address address;
+  HallId hall;
+  Roster roster;
+  MOTHWALK_FIELDS(holder, address, hall, roster)
+};
+struct Who {
+  static constexpr View kind = "kept.who";
+  using Reply = WhoReply;
+  bool ask = true;
+  MOTHWALK_FIELDS(ask)
+};
+struct Found {
+  static constexpr View kind = "kept.found";
+  using Reply = WhoReply;
+  Roster roster;
+  MOTHWALK_FIELDS(roster)
+};
+struct SettledReply {
+  std::vector<std::uint32_t> slots;
+  MOTHWALK_FIELDS(slots)
+};
+struct Settled {
+  static constexpr View kind = "kept.settled";
+  using Reply = SettledReply;
+  Version roster;
+  MOTHWALK_FIELDS(roster)
+};
+struct DigestsReply {
+  std::vector<std::uint64_t> digests;
+  MOTHWALK_FIELDS(digests)
+};
+struct Digests {
+  static constexpr View kind = "kept.digests";
+  using Reply = DigestsReply;
+  bool ask = true;
+  MOTHWALK_FIELDS(ask)
+};
+struct RangeReply {
+  std::vector<Record> stamps;  // keys and stamps alone
+  MOTHWALK_FIELDS(stamps)
+};
+struct Range {
+  static constexpr View kind = "kept.range";
+  using Reply = RangeReply;
+  std::uint32_t slot = 0;
+  MOTHWALK_FIELDS(slot)
+};
+struct FetchRecords {
+  static constexpr View kind = "kept.fetch";
+  using Reply = RecordsReply;
+  std::uint32_t slot = 0;
+  std::vector<std::string> keys;
+  MOTHWALK_FIELDS(slot, keys)
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/kept/record_file.hpp
@@ -0,0 +1,28 @@
+// The holder's append-only file: framed records with checksums. Reading cuts a torn tail and tells damage in the middle
+// apart from it by looking for sound frames behind the broken one.
+#pragma once
+#include "kept/messages.hpp"
+
+namespace mothwalk {
+
+struct DiskEntry {
+  std::string what;  // identity, roster, promise, change, install
+  HolderId holder;
+  Roster roster;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  Change change;
+  std::vector<Record> records;
+  MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records)
+};
+
+struct ReadFile {
+  std::vector<DiskEntry> entries;
+  std::size_t sound_bytes = 0;
+  bool torn = false, damaged = false;
+};
+
+Bytes frame_entry(const DiskEntry& entry);
+ReadFile read_frames(View bytes);
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/lots/lots.cpp
@@ -0,0 +1,448 @@
+// Submission, starts, results, cancelling, horizons and retention at a lot's owner.
+#include "lots/lots.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr Span tick_span = milliseconds(50);
+constexpr Span write_horizon = milliseconds(2500);
+constexpr Span placer_grace = milliseconds(1500);
+std::string key_of(const std::string& id) { return "lot/" + id; }
+Fault loading() { return Fault{FaultKind::busy, "slot", "the lots of this slot are being taken over", "ask again"}; }
+Fault no_lot() { return Fault{FaultKind::unknown_name, "id", "there is no lot of this id", "check the id; finished lots are kept for the retention time only"}; }
+}  // namespace
+
+Lots::Lots(Post& post, Board& board) : post_(post), board_(board) {
+  post_.on_ask<SubmitLot>([this](const Address&, SubmitLot message, Answer<LotStatus> answer) { submit(std::move(message), std::move(answer)); });
+  post_.on_ask<CancelLot>([this](const Address&, CancelLot message, Answer<LotStatus> answer) { cancel(message.id, std::move(answer)); });
+  post_.on_ask<ReadLot>([this](const Address&, ReadLot message, Answer<LotPage> answer) { read(std::move(message), std::move(answer)); });
+  post_.on_ask<ListLots>([this](const Address&, ListLots, Answer<LotList> answer) {
+    LotList list;
+    for (const auto& slot : slots_)
+      for (const auto& [id, lot] : slot.lots) list.lots.push_back(status(lot));
+    answer(std::move(list));
+  });
+  post_.on_ask<FetchItems>([this](const Address& from, FetchItems message, Answer<ItemsReply> answer) {
+    const auto members = board_.members.get();
+    auto placer = members->all.find(from);
+    if (placer == members->all.end()) return answer(Fault{FaultKind::refused, "placer", "this daemon is not a member", "wait until its session stands"});
+    fetch(from, placer->second.incarnation, std::move(message), std::move(answer));
+  });
+  post_.on_ask<FinishItem>([this](const Address&, FinishItem message, Answer<FinishReply> answer) { finish(std::move(message), std::move(answer)); });
+}
+
+void Lots::start() { tick(); }
+
+void Lots::tick() {
+  follow_ownership();
+  const Moment now = post_.schedule().now();
+  for (auto& slot : slots_)
+    for (auto& [id, lot] : slot.lots) sweep(lot, now);
+  if (++ticks_ % 4 == 0 || announce_soon_) announce();
+  post_.schedule().after(tick_span, [this] { tick(); });
+}
+
+void Lots::follow_ownership() {
+  const auto owned = board_.owned.get();
+  for (std::uint32_t number = 0; number < slot_count; ++number) {
+    Slot& slot = slots_[number];
+    auto found = owned->slots.find(number);
+    if (found == owned->slots.end()) {
+      if (slot.epoch.value != 0) slot = Slot{};
+    } else if (slot.epoch != found->second) {
+      slot = Slot{};
+      slot.epoch = found->second;
+      load(number, found->second);
+    }
+  }
+}
+
+void Lots::load(std::uint32_t number, Epoch epoch) {
+  slots_[number].loading = true;
+  post_.ask(post_.self(), ListSlot{number, epoch, "lot/"}, milliseconds(1000), [this, number, epoch](Result<RecordsReply> result) {
+    Slot& slot = slots_[number];
+    if (slot.epoch != epoch) return;
+    auto* reply = std::get_if<RecordsReply>(&result);
+    if (reply == nullptr) {
+      slot.epoch = Epoch{};
+      slot.loading = false;
+      return;
+    }
+    for (const auto& record : reply->records) {
+      Lot lot = rebuild(record, epoch);
+      slot.lots.emplace(lot.id, std::move(lot));
+    }
+    slot.loading = false;
+    slot.ready = true;
+    announce_soon_ = true;
+  });
+}
+
+Lots::Lot Lots::rebuild(const Record& record, Epoch epoch) const {
+  const Moment now = post_.schedule().now();
+  Lot lot;
+  lot.id = record.key.substr(4);
+  lot.epoch = epoch;
+  lot.head_bytes = record.head;
+  if (auto head = from_cbor<LotHead>(record.head)) lot.head = std::move(*head);
+  lot.items.resize(lot.head.items.size());
+  Span elapsed{};
+  for (const auto& bytes : record.entries) {
+    auto entry = from_cbor<LotEntry>(bytes);
+    if (!entry) continue;
+    elapsed = std::max(elapsed, entry->elapsed);
+    if (entry->what == "cancel") { lot.cancelled = true; continue; }
+    if (entry->item >= lot.items.size()) continue;
+    Item& item = lot.items[entry->item];
+    if (entry->what == "start" && item.state != ItemState::finished) {
+      item = Item{ItemState::started, entry->leg, entry->placer, entry->incarnation, now, std::nullopt};
+    } else if (entry->what == "result" && item.state != ItemState::finished) {
+      item.state = ItemState::finished;
+      lot.results.push_back(std::move(*entry));
+    }
+  }
+  lot.begun = now + -elapsed;
+  lot.finished_at = now;
+  for (const auto& item : lot.items) lot.pending += item.state == ItemState::pending;
+  return lot;
+}
+
+Lots::Lot* Lots::find(const std::string& id, bool* ready) {
+  Slot& slot = slots_[slot_of(key_of(id))];
+  *ready = slot.ready;
+  auto found = slot.lots.find(id);
+  return found == slot.lots.end() ? nullptr : &found->second;
+}
+
+Lots::Lot* Lots::find_under(const std::string& id, Epoch epoch) {
+  bool ready = false;
+  Lot* lot = find(id, &ready);
+  return lot != nullptr && lot->epoch == epoch ? lot : nullptr;
+}
+
+void Lots::append(const Lot& lot, std::vector<LotEntry> entries, std::function<void(Lot*, bool)> then) {
+  Write write;
+  write.key = key_of(lot.id);
+  write.fence = lot.epoch.value;
+  for (const auto& entry : entries) write.appends.push_back(to_cbor(entry));
+  post_.ask(post_.self(), write, write_horizon, [this, id = lot.id, epoch = lot.epoch, then](Result<WriteReply> result) {
+    then(find_under(id, epoch), fault_of(result) == nullptr);
+  });
+}
+
+LotStatus Lots::status(const Lot& lot) const {
+  LotStatus status{lot.id, lot.head.lane, lot.finished() ? "finished" : lot.cancelled ? "cancelled" : "open", static_cast<std::uint32_t>(lot.items.size()), static_cast<std::uint32_t>(lot.results.size()), 0};
+  for (const auto& item : lot.items) status.started += item.state == ItemState::started || item.state == ItemState::finishing;
+  return status;
+}
+
+void Lots::submit(SubmitLot submit, Answer<LotStatus> answer) {
+  const std::uint32_t number = slot_of(key_of(submit.id));
+  Slot& slot = slots_[number];
+  if (!slot.ready) return answer(loading());
+  const Bytes head = to_cbor(submit.head);
+  auto same = [head, id = submit.id](const Lot& lot) -> std::optional<Fault> {
+    if (lot.head_bytes == head) return std::nullopt;
+    return Fault{FaultKind::conflict, "id", "lot '" + id + "' was handed in with another body", "use a new id for a new lot"};
+  };
+  if (auto found = slot.lots.find(submit.id); found != slot.lots.end()) {
+    if (auto fault = same(found->second)) return answer(*fault);
+    if (!found->second.removing) return answer(status(found->second));
+  }
+  const auto policy = board_.policy.get();
+  const LotSettings settings = policy->lot_settings();
+  if (!policy->lanes.contains(submit.head.lane)) return answer(Fault{FaultKind::invalid, "lane", "no lane has the name '" + submit.head.lane + "'", "name an existing lane"});
+  if (submit.head.items.empty() || submit.head.items.size() > settings.items) return answer(Fault{FaultKind::invalid, "items", "a lot has 1 to " + std::to_string(settings.items) + " items", "split the lot"});
+  std::size_t kept = 0;
+  for (const auto& each : slots_) kept += each.lots.size();
+  if (kept >= settings.lots) return answer(Fault{FaultKind::refused, "lots", "the store of lots is full; the lot was not taken", "hand it in again later, or raise lots in lots/default"});
+  Write write;
+  write.key = key_of(submit.id);
+  write.head = head;
+  write.expected = 0;
+  write.fence = slot.epoch.value;
+  write.token = std::to_string(hash_of(head));
+  post_.ask(post_.self(), write, write_horizon, [this, submit = std::move(submit), head, number, epoch = slot.epoch, answer, same](Result<WriteReply> result) {
+    Slot& now_slot = slots_[number];
+    if (auto fault = fault_of(result); fault != nullptr) {
+      // Two equal submissions may race: the second finds the first's record.
+      if (fault->kind == FaultKind::stale && now_slot.epoch == epoch)
+        if (auto found = now_slot.lots.find(submit.id); found != now_slot.lots.end()) {
+          if (auto other = same(found->second)) return answer(*other);
+          return answer(status(found->second));
+        }
+      return answer(fault->kind == FaultKind::stale ? loading() : *fault);
+    }
+    if (now_slot.epoch != epoch || !now_slot.ready) return answer(loading());
+    if (auto found = now_slot.lots.find(submit.id); found != now_slot.lots.end()) {
+      if (auto other = same(found->second)) return answer(*other);
+      return answer(status(found->second));
+    }
+    Lot lot;
+    lot.id = submit.id;
+    lot.epoch = epoch;
+    lot.head = submit.head;
+    lot.head_bytes = head;
+    lot.items.resize(lot.head.items.size());
+    lot.pending = static_cast<std::uint32_t>(lot.items.size());
+    lot.begun = post_.schedule().now();
+    const LotStatus reply = status(lot);
+    now_slot.lots.emplace(submit.id, std::move(lot));
+    announce_soon_ = true;
+    answer(reply);
+  });
+}
+
+void Lots::cancel(const std::string& id, Answer<LotStatus> answer) {
+  bool ready = false;
+  Lot* lot = find(id, &ready);
+  if (lot == nullptr) return answer(ready ? no_lot() : loading());
+  if (lot->cancelled || lot->finished()) return answer(status(*lot));
+  lot->cancelling = true;
+  LotEntry entry;
+  entry.what = "cancel";
+  entry.elapsed = post_.schedule().now() - lot->begun;
+  append(*lot, {entry}, [this, answer](Lot* now_lot, bool good) {
+    if (now_lot == nullptr || !good) {
+      if (now_lot != nullptr) now_lot->cancelling = false;
+      return answer(Fault{FaultKind::unknown, "id", "the cancellation got no majority in time; its outcome is not known", "send it again"});
+    }
+    now_lot->cancelled = true;
+    answer(status(*now_lot));
+  });
+}
+
+void Lots::read(ReadLot read, Answer<LotPage> answer) {
+  const std::uint32_t number = slot_of(key_of(read.id));
+  if (!slots_[number].ready) return answer(loading());
+  const Epoch epoch = slots_[number].epoch;
+  post_.ask(post_.self(), ConfirmSlot{number, epoch}, milliseconds(1500), [this, read, number, epoch, answer](Result<ConfirmReply> result) {
+    if (fault_of(result) != nullptr || slots_[number].epoch != epoch || !slots_[number].ready) return answer(loading());
+    Lot* now_lot = find_under(read.id, epoch);
+    if (now_lot == nullptr) return answer(no_lot());
+    LotPage page;
+    page.lot = status(*now_lot);
+    const std::size_t limit = std::min<std::size_t>(read.limit, 1000);
+    std::size_t bytes = 0;
+    std::size_t position = read.after;
+    for (; position < now_lot->results.size() && position - read.after < limit && bytes < (4u << 20); ++position) {
+      const LotEntry& entry = now_lot->results[position];
+      page.results.push_back(LotResult{static_cast<std::uint32_t>(position), entry.item, entry.outcome, entry.status, entry.body});
+      bytes += entry.body.size();
+    }
+    page.next = static_cast<std::uint32_t>(std::max<std::size_t>(position, read.after));
+    answer(std::move(page));
+  });
+}
+
+void Lots::fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer) {
+  struct Choice {
+    Moment horizon;
+    Lot* lot;
+  };
+  const Moment now = post_.schedule().now();
+  const auto policy = board_.policy.get();
+  std::vector<Choice> choices;
+  std::uint32_t remaining = 0;
+  for (auto& slot : slots_)
+    for (auto& [id, lot] : slot.lots) {
+      if (lot.pending == 0 || lot.cancelled || lot.cancelling) continue;
+      auto lane = policy->lanes.find(lot.head.lane);
+      if (lane == policy->lanes.end() || lane->second.spec.kind.text != fetch.runner_kind) continue;
+      if (lot.head.horizon > Span{} && now - lot.begun >= lot.head.horizon) continue;
+      remaining += lot.pending;
+      choices.push_back(Choice{lot.head.horizon > Span{} ? lot.begun + lot.head.horizon : lot.begun + std::chrono::hours(24), &lot});
+    }
+  std::sort(choices.begin(), choices.end(), [](const Choice& left, const Choice& right) { return left.horizon < right.horizon; });
+  auto reply = std::make_shared<ItemsReply>();
+  auto left = std::make_shared<std::size_t>(1);
+  auto finish = [reply, left, answer] {
+    if (--*left == 0) answer(std::move(*reply));
+  };
+  std::uint32_t wanted = std::min<std::uint32_t>(fetch.count, 64);
+  for (auto& choice : choices) {
+    if (wanted == 0) break;
+    Lot& lot = *choice.lot;
+    std::vector<LotEntry> starts;
+    for (std::uint32_t index = 0; index < lot.items.size() && wanted > 0; ++index) {
+      Item& item = lot.items[index];
+      if (item.state != ItemState::pending) continue;
+      item = Item{ItemState::starting, item.leg + 1, placer, incarnation, now, std::nullopt};
+      --lot.pending;
+      --wanted;
+      --remaining;
+      LotEntry entry;
+      entry.what = "start";
+      entry.item = index;
+      entry.leg = item.leg;
+      entry.placer = placer;
+      entry.incarnation = incarnation;
+      entry.elapsed = now - lot.begun;
+      starts.push_back(std::move(entry));
+    }
+    if (starts.empty()) continue;
+    ++*left;
+    append(lot, starts, [reply, starts, finish, lane = lot.head.lane](Lot* now_lot, bool good) {
+      for (const auto& entry : starts) {
+        if (now_lot == nullptr) break;
+        Item& item = now_lot->items[entry.item];
+        if (item.state != ItemState::starting || item.leg != entry.leg) continue;
+        // Without a majority the start may yet stand, but the item never left: it is free again.
+        if (!good || now_lot->cancelled) { item.state = ItemState::pending; ++now_lot->pending; continue; }
+        item.state = ItemState::started;
+        reply->items.push_back(PlacedItem{now_lot->id, lane, entry.item, entry.leg, now_lot->head.items[entry.item]});
+      }
+      finish();
+    });
+  }
+  reply->remaining = remaining;
+  finish();
+}
+
+void Lots::requeue(Lot& lot, Item& item) {
+  item.state = ItemState::pending;
+  item.placer_missing.reset();
+  ++lot.pending;
+  announce_soon_ = true;
+}
+
+void Lots::give_result(Lot& lot, std::uint32_t index, LotEntry entry, std::function<void(bool)> then) {
+  Item& item = lot.items[index];
+  const ItemState before = item.state;
+  if (before == ItemState::pending) --lot.pending;
+  item.state = ItemState::finishing;
+  entry.what = "result";
+  entry.item = index;
+  entry.elapsed = post_.schedule().now() - lot.begun;
+  append(lot, {entry}, [this, entry, before, then](Lot* now_lot, bool good) {
+    if (now_lot == nullptr) return then(false);
+    Item& now_item = now_lot->items[entry.item];
+    if (now_item.state != ItemState::finishing) return then(now_item.state == ItemState::finished);
+    if (!good) {
+      now_item.state = before;
+      if (before == ItemState::pending) ++now_lot->pending;
+      return then(false);
+    }
+    now_item.state = ItemState::finished;
+    now_lot->results.push_back(entry);
+    if (now_lot->finished()) now_lot->finished_at = post_.schedule().now();
+    then(true);
+  });
+}
+
+void Lots::finish(FinishItem finish, Answer<FinishReply> answer) {
+  bool ready = false;
+  Lot* lot = find(finish.lot, &ready);
+  if (!ready) return answer(loading());
+  // A lot that is gone, an item that is finished or has a later leg: this report comes too late to count.
+  if (lot == nullptr || finish.item >= lot->items.size()) return answer(FinishReply{false});
+  Item& item = lot->items[finish.item];
+  if (item.state == ItemState::finishing) return answer(loading());
+  if (item.state == ItemState::finished || item.leg != finish.leg) return answer(FinishReply{false});
+  if (item.state == ItemState::starting) return answer(loading());
+  if (finish.outcome == "not_run") {
+    if (item.state == ItemState::started) requeue(*lot, item);
+    return answer(FinishReply{});
+  }
+  const auto policy = board_.policy.get();
+  auto lane = policy->lanes.find(lot->head.lane);
+  const bool repeatable = lane != policy->lanes.end() && lane->second.spec.repeatable;
+  if (finish.outcome == "stopped" || finish.outcome == "lost") {
+    if (item.state == ItemState::pending) return answer(FinishReply{});
+    const bool more = repeatable && (finish.outcome == "stopped" || item.leg <= lane->second.spec.retries);
+    if (more && !lot->cancelled) {
+      requeue(*lot, item);
+      return answer(FinishReply{});
+    }
+  }
+  LotEntry entry;
+  entry.leg = finish.leg;
+  entry.outcome = finish.outcome == "answer" ? "answer" : "unknown";
+  entry.status = finish.status;
+  entry.body = std::move(finish.body);
+  give_result(*lot, finish.item, std::move(entry), [answer](bool good) { good ? answer(FinishReply{}) : answer(loading()); });
+}
+
+void Lots::sweep(Lot& lot, Moment now) {
+  const auto policy = board_.policy.get();
+  if (lot.finished()) {
+    if (!lot.removing && now - lot.finished_at > policy->lot_settings().retention) {
+      lot.removing = true;
+      Write write;
+      write.key = key_of(lot.id);
+      write.removed = true;
+      write.fence = lot.epoch.value;
+      post_.ask(post_.self(), write, write_horizon, [this, id = lot.id, epoch = lot.epoch](Result<WriteReply> result) {
+        Lot* now_lot = find_under(id, epoch);
+        if (now_lot == nullptr) return;
+        if (fault_of(result) != nullptr) { now_lot->removing = false; return; }
+        slots_[slot_of(key_of(id))].lots.erase(id);
+      });
+    }
+    return;
+  }
+  const bool late = lot.head.horizon > Span{} && now - lot.begun >= lot.head.horizon;
+  const auto members = board_.members.get();
+  auto lane = policy->lanes.find(lot.head.lane);
+  const bool repeatable = lane != policy->lanes.end() && lane->second.spec.repeatable;
+  const Span longest = lane == policy->lanes.end() ? Span(std::chrono::seconds(60)) : lane->second.spec.whole;
+  for (std::uint32_t index = 0; index < lot.items.size(); ++index) {
+    Item& item = lot.items[index];
+    if (item.state == ItemState::pending && (late || lot.cancelled)) {
+      LotEntry entry;
+      entry.leg = item.leg;
+      entry.outcome = lot.cancelled ? "cancelled" : "expired";
+      give_result(lot, index, std::move(entry), [](bool) {});
+      continue;
+    }
+    if (item.state != ItemState::started) continue;
+    auto placer = members->all.find(item.placer);
+    const bool there = placer != members->all.end() && placer->second.incarnation == item.incarnation;
+    if (there) item.placer_missing.reset();
+    else if (!item.placer_missing) item.placer_missing = now;
+    const bool lost = (item.placer_missing && now - *item.placer_missing > placer_grace) || now - item.since > longest + std::chrono::seconds(5);
+    if (!lost) continue;
+    if (repeatable) {
+      requeue(lot, item);
+    } else {
+      LotEntry entry;
+      entry.leg = item.leg;
+      entry.outcome = "unknown";
+      give_result(lot, index, std::move(entry), [](bool) {});
+    }
+  }
+}
+
+std::map<std::string, std::uint32_t> Lots::pending_by_kind() const {
+  std::map<std::string, std::uint32_t> kinds;
+  const auto policy = board_.policy.get();
+  for (const auto& slot : slots_)
+    for (const auto& [id, lot] : slot.lots) {
+      if (lot.pending == 0 || lot.cancelled) continue;
+      auto lane = policy->lanes.find(lot.head.lane);
+      if (lane != policy->lanes.end()) kinds[lane->second.spec.kind.text] += lot.pending;
+    }
+  return kinds;
+}
+
+void Lots::announce() {
+  announce_soon_ = false;
+  const auto kinds = pending_by_kind();
+  if (kinds.empty()) return;
+  const auto members = board_.members.get();
+  const auto policy = board_.policy.get();
+  std::set<Address> placers;
+  for (const auto& [name, runner] : policy->runners) {
+    if (!kinds.contains(runner.spec.kind.text)) continue;
+    const auto order = duty_order(*members, "place/" + name, runner.spec.hall);
+    if (!order.empty()) placers.insert(order.front()->address);
+  }
+  for (const Address& placer : placers) post_.tell(placer, PendingItems{kinds});
+  for (const auto& [kind, count] : kinds)
+    if (const Seat* seat = slot_owner(policy->roster, *members, slot_of("circle/" + kind))) post_.tell(seat->address, KindPending{{{kind, count}}});
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/lots/messages.hpp
@@ -0,0 +1,119 @@
+// The messages between those who hand lots in, the lots' owners and the daemons that place items on outside runners.
+#pragma once
+#include "kept/messages.hpp"
+
+namespace mothwalk {
+
+struct LotHead {
+  std::string lane;
+  Span horizon{};
+  std::vector<Bytes> items;
+  MOTHWALK_FIELDS(lane, horizon, items)
+};
+
+// What is appended to a lot's record. Elapsed is the steady time since submission as the owner knew it, so a horizon
+// needs no wall clock and survives a change of owner.
+struct LotEntry {
+  std::string what;        // start, result, cancel
+  std::uint32_t item = 0, leg = 0;
+  Address placer;
+  std::uint64_t incarnation = 0;
+  Span elapsed{};
+  std::string outcome;     // answer, unknown, expired, cancelled
+  std::int32_t status = 0;
+  Bytes body;
+  MOTHWALK_FIELDS(what, item, leg, placer, incarnation, elapsed, outcome, status, body)
+};
+
+struct LotStatus {
+  std::string id, lane, state;  // open, cancelled, finished
+  std::uint32_t items = 0, results = 0, started = 0;
+  MOTHWALK_FIELDS(id, lane, state, items, results, started)
+};
+struct SubmitLot {
+  static constexpr View kind = "lots.submit";
+  using Reply = LotStatus;
+  std::string id;
+  LotHead head;
+  MOTHWALK_FIELDS(id, head)
+};
+struct CancelLot {
+  static constexpr View kind = "lots.cancel";
+  using Reply = LotStatus;
+  std::string id;
+  MOTHWALK_FIELDS(id)
+};
+struct LotResult {
+  std::uint32_t position = 0, item = 0;
+  std::string outcome;
+  std::int32_t status = 0;
+  Bytes body;
+  MOTHWALK_FIELDS(position, item, outcome, status, body)
+};
+struct LotPage {
+  LotStatus lot;
+  std::vector<LotResult> results;
+  std::uint32_t next = 0;
+  MOTHWALK_FIELDS(lot, results, next)
+};
+struct ReadLot {
+  static constexpr View kind = "lots.read";
+  using Reply = LotPage;
+  std::string id;
+  std::uint32_t after = 0, limit = 0;
+  MOTHWALK_FIELDS(id, after, limit)
+};
+struct LotList {
+  std::vector<LotStatus> lots;
+  MOTHWALK_FIELDS(lots)
+};
+struct ListLots {
+  static constexpr View kind = "lots.list";
+  using Reply = LotList;
+  bool ask = true;
+  MOTHWALK_FIELDS(ask)
+};
+
+// Between owners and placing daemons.
+struct PendingItems {
+  static constexpr View kind = "placing.pending";
+  std::map<std::string, std::uint32_t> kinds;
+  MOTHWALK_FIELDS(kinds)
+};
+struct KindPending {
+  static constexpr View kind = "circle.pending";
+  std::map<std::string, std::uint32_t> kinds;
+  MOTHWALK_FIELDS(kinds)
+};
+struct PlacedItem {
+  std::string lot, lane;
+  std::uint32_t item = 0, leg = 0;
+  Bytes body;
+  MOTHWALK_FIELDS(lot, lane, item, leg, body)
+};
+struct ItemsReply {
+  std::vector<PlacedItem> items;
+  std::uint32_t remaining = 0;
+  MOTHWALK_FIELDS(items, remaining)
+};
+struct FetchItems {
+  static constexpr View kind = "lots.fetch";
+  using Reply = ItemsReply;
+  std::string runner_kind;
+  std::uint32_t count = 0;
+  MOTHWALK_FIELDS(runner_kind, count)
+};
+struct FinishReply { bool taken = true; MOTHWALK_FIELDS(taken) };
+// Outcome: answer (the runner's), lost (may have run), stopped (may have run, stopped by us), not_run (did not run).
+struct FinishItem {
+  static constexpr View kind = "lots.finish";
+  using Reply = FinishReply;
+  std::string lot;
+  std::uint32_t item = 0, leg = 0;
+  std::string outcome;
+  std::int32_t status = 0;
+  Bytes body;
+  MOTHWALK_FIELDS(lot, item, leg, outcome, status, body)
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/lots/placing.cpp
@@ -0,0 +1,168 @@
+// Fetching, sending and reporting of items.
+#include "lots/placing.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr Span tick_span = milliseconds(100);
+constexpr Span start_permit = milliseconds(1500);
+constexpr Span source_span = milliseconds(1000);
+constexpr Span leave_span = milliseconds(2000);
+constexpr std::size_t longest_body = 4u << 20;
+}  // namespace
+
+class Placing::Watcher : public LegWatcher {
+ public:
+  Watcher(Placing& placing, std::uint64_t leg, std::vector<std::uint32_t> refusals) : placing_(placing), leg_(leg), refusals_(std::move(refusals)) {}
+  void on_head(int status, const std::vector<Header>&) override { status_ = status; }
+  void on_piece(View piece) override {
+    if (body_.size() + piece.size() <= longest_body) body_.append(piece);
+    else too_long_ = true;
+  }
+  void on_end(LegEnd end) override {
+    if (end == LegEnd::not_sent) return placing_.ended(leg_, "not_run", 0, {});
+    if (end != LegEnd::whole || too_long_) return placing_.ended(leg_, "lost", 0, {});
+    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end()) return placing_.ended(leg_, "not_run", status_, {});
+    placing_.ended(leg_, "answer", status_, std::move(body_));
+  }
+
+ private:
+  Placing& placing_;
+  std::uint64_t leg_;
+  std::vector<std::uint32_t> refusals_;
+  int status_ = 0;
+  Bytes body_;
+  bool too_long_ = false;
+};
+
+Placing::Placing(Post& post, Board& board, Exchange& exchange, Chance& chance)
+    : post_(post), board_(board), exchange_(exchange), chance_(chance), client_(post, board) {
+  post_.on_tell<PendingItems>([this](const Address& from, PendingItems pending) {
+    sources_[from] = Source{std::move(pending.kinds), post_.schedule().now()};
+    work();
+  });
+}
+
+void Placing::start() { tick(); }
+
+bool Placing::outside(const PolicyView& policy, const std::string& name, const Runner& runner) const {
+  if (runner.leaving || policy.evacuated(runner.hall)) return false;
+  auto circle = policy.circles.find(runner.kind.text);
+  if (circle == policy.circles.end()) return false;
+  const auto& members = circle->second.spec.members;
+  return std::find(members.begin(), members.end(), RunnerId(name)) == members.end();
+}
+
+void Placing::tick() {
+  const Moment now = post_.schedule().now();
+  const auto policy = board_.policy.get();
+  // Items on a runner that entered the circle get a bounded time to end; repeatable ones are then stopped.
+  for (auto& [name, state] : works_) {
+    auto runner = policy->runners.find(name);
+    const bool out = runner != policy->runners.end() && outside(*policy, name, runner->second.spec);
+    if (out) state.inside_since.reset();
+    else if (!state.inside_since) state.inside_since = now;
+  }
+  std::vector<std::uint64_t> stop;
+  for (const auto& [number, leg] : legs_)
+    if (const Work& state = works_[leg.runner]; leg.repeatable && state.inside_since && now - *state.inside_since > leave_span) stop.push_back(number);
+  for (const std::uint64_t number : stop) {
+    exchange_.cancel(legs_[number].exchange);
+    ended(number, "stopped", 0, {});
+  }
+  std::erase_if(sources_, [&](const auto& entry) { return now - entry.second.heard > source_span; });
+  work();
+  post_.schedule().after(tick_span, [this] { tick(); });
+}
+
+void Placing::work() {
+  const Moment now = post_.schedule().now();
+  if (sources_.empty() || !board_.permitted(now) || board_.draining) return;
+  const auto policy = board_.policy.get();
+  const auto members = board_.members.get();
+  for (const auto& [name, entry] : policy->runners) {
+    const Runner& runner = entry.spec;
+    if (!outside(*policy, name, runner)) continue;
+    Work& state = works_[name];
+    if (state.fetching || state.open >= runner.slots || now < state.not_before) continue;
+    const auto order = duty_order(*members, "place/" + name, runner.hall);
+    if (order.empty() || order.front()->address != post_.self()) continue;
+    std::vector<Address> owners;
+    for (const auto& [address, source] : sources_)
+      if (auto found = source.kinds.find(runner.kind.text); found != source.kinds.end() && found->second > 0) owners.push_back(address);
+    if (owners.empty()) continue;
+    const Address owner = owners[chance_.below(owners.size())];
+    state.fetching = true;
+    // A runner that failed lately gets one item to prove itself with.
+    const std::uint32_t count = state.failures > 0 ? 1 : runner.slots - state.open;
+    post_.ask(owner, FetchItems{runner.kind.text, count}, milliseconds(3000), [this, name, owner, kind = runner.kind.text, began = now](Result<ItemsReply> result) {
+      Work& now_state = works_[name];
+      now_state.fetching = false;
+      auto* reply = std::get_if<ItemsReply>(&result);
+      if (reply == nullptr) {
+        sources_.erase(owner);
+        return;
+      }
+      if (auto source = sources_.find(owner); source != sources_.end()) source->second.kinds[kind] = reply->remaining;
+      const Moment now_moment = post_.schedule().now();
+      const auto now_policy = board_.policy.get();
+      auto found = now_policy->runners.find(name);
+      const bool good = found != now_policy->runners.end() && outside(*now_policy, name, found->second.spec) && board_.permitted(now_moment) && now_moment - began < start_permit;
+      for (const auto& item : reply->items) {
+        if (good) send(name, item);
+        else report(FinishItem{item.lot, item.item, item.leg, "not_run", 0, {}});
+      }
+      if (!reply->items.empty()) work();
+    });
+  }
+}
+
+void Placing::send(const std::string& name, const PlacedItem& item) {
+  const auto policy = board_.policy.get();
+  auto lane = policy->lanes.find(item.lane);
+  auto runner = policy->runners.find(name);
+  if (lane == policy->lanes.end() || runner == policy->runners.end()) return report(FinishItem{item.lot, item.item, item.leg, "not_run", 0, {}});
+  auto kind = policy->kinds.find(runner->second.spec.kind.text);
+  const std::uint64_t number = ++last_leg_;
+  ++works_[name].open;
+  Leg& leg = legs_[number];
+  leg = Leg{name, item, 0, lane->second.spec.repeatable};
+  LegRequest request;
+  request.to = runner->second.spec.address;
+  request.method = "POST";
+  request.target = lane->second.spec.path;
+  request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", item.lot + "/" + std::to_string(item.item)}, {"X-Mothwalk-Lot", item.lot}};
+  request.body = std::make_shared<const Bytes>(item.body);
+  request.connecting = lane->second.spec.connecting;
+  request.first_piece = lane->second.spec.first_piece;
+  request.between_pieces = lane->second.spec.between_pieces;
+  auto watcher = std::make_shared<Watcher>(*this, number, kind == policy->kinds.end() ? std::vector<std::uint32_t>{} : kind->second.spec.refusals);
+  leg.exchange = exchange_.start(request, watcher);
+}
+
+void Placing::ended(std::uint64_t number, const std::string& outcome, int status, Bytes body) {
+  auto found = legs_.find(number);
+  if (found == legs_.end()) return;
+  const Leg leg = std::move(found->second);
+  legs_.erase(found);
+  Work& state = works_[leg.runner];
+  --state.open;
+  if (outcome == "answer") {
+    state.failures = 0;
+  } else if (outcome != "stopped") {
+    state.failures = std::min(state.failures + 1, 5u);
+    state.not_before = post_.schedule().now() + milliseconds(200 << state.failures);
+  }
+  report(FinishItem{leg.item.lot, leg.item.item, leg.item.leg, outcome, status, std::move(body)});
+  work();
+}
+
+void Placing::report(FinishItem finish) {
+  const std::string key = "lot/" + finish.lot;
+  client_.ask_owner<FinishItem>(key, std::move(finish), post_.schedule().now() + std::chrono::seconds(60), false, [](Result<FinishReply>) {});
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/lots/placing.hpp
@@ -0,0 +1,52 @@
+// The placing side of kept lots. The runners outside the circle are shared out by an agreed order, each to one daemon,
+// which fetches items from the owners that have some, sends each within its short permit, and reports until heard.
+#pragma once
+#include "kept/kept.hpp"
+#include "lots/messages.hpp"
+
+namespace mothwalk {
+
+class Placing {
+ public:
+  Placing(Post& post, Board& board, Exchange& exchange, Chance& chance);
+  void start();
+  std::size_t open() const { return legs_.size(); }
+
+ private:
+  struct Work {
+    std::uint32_t open = 0;
+    bool fetching = false;
+    Moment not_before;
+    std::uint32_t failures = 0;
+    std::optional<Moment> inside_since;
+  };
+  struct Leg {
+    std::string runner;
+    PlacedItem item;
+    Exchange::Id exchange = 0;
+    bool repeatable = false;
+  };
+  struct Source {
+    std::map<std::string, std::uint32_t> kinds;
+    Moment heard;
+  };
+  class Watcher;
+  void tick();
+  void work();
+  bool outside(const PolicyView& policy, const std::string& name, const Runner& runner) const;
+  void send(const std::string& runner, const PlacedItem& item);
+  void ended(std::uint64_t leg, const std::string& outcome, int status, Bytes body);
+  void report(FinishItem finish);
+
+  Post& post_;
+  Board& board_;
+  Exchange& exchange_;
+  Chance& chance_;
+  KeptClient client_;
+  std::map<std::string, Work> works_;
+  std::map<std::uint64_t, Leg> legs_;
+  std::map<Address, Source> sources_;
+  std::uint64_t last_leg_ = 0;
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/news/news.cpp
@@ -0,0 +1,134 @@
+// Spreading, comparing, mending, and the permit that a whole comparison brings.
+#include "news/news.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+namespace {
+std::uint64_t item_hash(const NewsItem& item) {
+  return hash_of(item.key, item.stamp.epoch.value * 1000003 + item.stamp.version.value);
+}
+}  // namespace
+
+News::News(Post& post, Board& board, Chance& chance, bool control) : post_(post), board_(board), chance_(chance), control_(control) {
+  post_.on_tell<Spread>([this](const Address&, Spread spread) { take(std::move(spread.items), true); });
+  post_.on_ask<Compare>([this](const Address&, Compare compare, Answer<CompareReply> answer) {
+    CompareReply reply{compare.digest == view_.digest, majority_permit(), {}};
+    if (!reply.same)
+      for (const auto& [key, item] : items_) reply.listing.push_back(KeyStamp{key, item.stamp});
+    answer(std::move(reply));
+  });
+  post_.on_ask<FetchNews>([this](const Address&, FetchNews fetch, Answer<FetchNewsReply> answer) {
+    FetchNewsReply reply;
+    for (const auto& key : fetch.keys)
+      if (auto found = items_.find(key); found != items_.end()) reply.items.push_back(found->second);
+    answer(std::move(reply));
+  });
+  post_.on_ask<Taken>([this](const Address&, Taken taken, Answer<TakenReply> answer) {
+    auto found = items_.find(taken.key);
+    if (found == items_.end()) return answer(TakenReply{});
+    answer(TakenReply{true, found->second.removed, found->second.stamp});
+  });
+}
+
+void News::start() { tick(); }
+
+bool News::take(std::vector<NewsItem> items, bool spread) {
+  std::vector<NewsItem> fresh;
+  for (auto& item : items) {
+    auto found = items_.find(item.key);
+    if (found != items_.end() && item.stamp <= found->second.stamp) continue;
+    if (found != items_.end()) view_.digest ^= item_hash(found->second);
+    view_.digest ^= item_hash(item);
+    put_in_view(view_, item.key, item.removed ? nullptr : &item.value, item.stamp);
+    fresh.push_back(item);
+    items_[item.key] = std::move(item);
+  }
+  if (fresh.empty()) return false;
+  board_.policy.set(view_);
+  if (spread) pass_on(fresh);
+  return true;
+}
+
+void News::pass_on(const std::vector<NewsItem>& items) {
+  const auto members = board_.members.get();
+  std::vector<Address> others;
+  for (const auto& [address, member] : members->all)
+    if (address != post_.self()) others.push_back(address);
+  for (std::size_t count = 0; count < fan_out && !others.empty(); ++count) {
+    const std::size_t index = chance_.below(others.size());
+    post_.tell(others[index], Spread{items});
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+Span News::majority_permit() const {
+  if (!control_ || view_.roster.seats.empty()) return Span{};
+  const Moment now = post_.schedule().now();
+  std::vector<Span> left;
+  for (const auto& seat : view_.roster.seats) {
+    if (seat.address == post_.self()) left.push_back(permit_span);
+    else if (auto found = compared_.find(seat.address); found != compared_.end()) left.push_back(found->second + permit_span - now);
+  }
+  std::sort(left.rbegin(), left.rend());
+  const std::size_t majority = view_.roster.majority();
+  if (left.size() < majority || left[majority - 1] <= Span{}) return Span{};
+  return left[majority - 1];
+}
+
+void News::tick() {
+  const auto members = board_.members.get();
+  const Moment now = post_.schedule().now();
+  if (control_) {
+    for (const auto& [address, member] : members->all)
+      if (!member.holder.empty() && address != post_.self()) compare(address);
+    if (const Span permit = majority_permit(); permit > Span{}) board_.permit_until = (now + permit).microseconds;
+  } else if (!members->home.empty()) {
+    compare(members->home);
+  }
+  // A gap between two ticks means that this process was frozen: the search for a permit begins anew.
+  const bool frozen = now.microseconds - board_.news_tick.load() > 3 * round_span.count();
+  if (board_.permitted(now)) board_.permit_sought = -1;
+  else if (board_.permit_sought.load() < 0 || frozen) board_.permit_sought = now.microseconds;
+  board_.news_tick = now.microseconds;
+  post_.schedule().after(round_span, [this] { tick(); });
+}
+
+void News::compare(const Address& peer) {
+  if (!comparing_.insert(peer).second) return;
+  const Moment began = post_.schedule().now();
+  post_.ask(peer, Compare{view_.digest}, std::chrono::milliseconds(500), [this, peer, began](Result<CompareReply> result) {
+    auto* reply = std::get_if<CompareReply>(&result);
+    if (reply == nullptr) return void(comparing_.erase(peer));
+    if (reply->same) return finish(peer, began, reply->permit);
+    FetchNews wanted;
+    Spread owed;
+    std::map<std::string, Stamp> theirs;
+    for (const auto& each : reply->listing) {
+      theirs[each.key] = each.stamp;
+      auto found = items_.find(each.key);
+      if (found == items_.end() || found->second.stamp < each.stamp) wanted.keys.push_back(each.key);
+    }
+    for (const auto& [key, item] : items_)
+      if (auto found = theirs.find(key); found == theirs.end() || found->second < item.stamp) owed.items.push_back(item);
+    if (!owed.items.empty()) post_.tell(peer, owed);
+    if (wanted.keys.empty()) return finish(peer, began, reply->permit);
+    post_.ask(peer, wanted, std::chrono::milliseconds(500), [this, peer, began, permit = reply->permit](Result<FetchNewsReply> fetched) {
+      auto* items = std::get_if<FetchNewsReply>(&fetched);
+      if (items == nullptr) return void(comparing_.erase(peer));
+      take(std::move(items->items), false);
+      finish(peer, began, permit);
+    });
+  });
+}
+
+void News::finish(const Address& peer, Moment began, Span permit) {
+  comparing_.erase(peer);
+  compared_[peer] = began;
+  if (control_ || permit <= Span{}) return;
+  const std::int64_t until = (began + std::min(permit, permit_span)).microseconds;
+  if (until > board_.permit_until.load()) board_.permit_until = until;
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/news/news.hpp
@@ -0,0 +1,87 @@
+// News: the policy (with circles and the roster) as every daemon holds it. A change is passed on to a few others, gaps
+// are mended by comparing digests, and a key never goes back to a lower stamp. A daemon that has just been compared
+// whole with a control daemon in touch with a majority of the roster holds a short permit to serve.
+#pragma once
+#include "sessions/board.hpp"
+#include "sessions/post.hpp"
+
+namespace mothwalk {
+
+struct NewsItem {
+  std::string key;
+  Stamp stamp;
+  bool removed = false;
+  Bytes value;
+  MOTHWALK_FIELDS(key, stamp, removed, value)
+};
+struct Spread {
+  static constexpr View kind = "news.spread";
+  std::vector<NewsItem> items;
+  MOTHWALK_FIELDS(items)
+};
+struct KeyStamp {
+  std::string key;
+  Stamp stamp;
+  MOTHWALK_FIELDS(key, stamp)
+};
+struct CompareReply {
+  bool same = false;
+  Span permit{};               // how long a daemon that reaches this digest may serve; zero for not at all
+  std::vector<KeyStamp> listing;
+  MOTHWALK_FIELDS(same, permit, listing)
+};
+struct Compare {
+  static constexpr View kind = "news.compare";
+  using Reply = CompareReply;
+  std::uint64_t digest = 0;
+  MOTHWALK_FIELDS(digest)
+};
+struct FetchNewsReply {
+  std::vector<NewsItem> items;
+  MOTHWALK_FIELDS(items)
+};
+struct FetchNews {
+  static constexpr View kind = "news.fetch";
+  using Reply = FetchNewsReply;
+  std::vector<std::string> keys;
+  MOTHWALK_FIELDS(keys)
+};
+struct TakenReply {
+  bool found = false, removed = false;
+  Stamp stamp;
+  MOTHWALK_FIELDS(found, removed, stamp)
+};
+struct Taken {
+  static constexpr View kind = "news.taken";
+  using Reply = TakenReply;
+  std::string key;
+  MOTHWALK_FIELDS(key)
+};
+
+class News {
+ public:
+  News(Post& post, Board& board, Chance& chance, bool control);
+  void start();
+
+ private:
+  static constexpr Span round_span = std::chrono::milliseconds(200);
+  static constexpr Span permit_span = std::chrono::milliseconds(800);
+  static constexpr std::size_t fan_out = 3;
+  void tick();
+  void compare(const Address& peer);
+  void finish(const Address& peer, Moment began, Span permit);
+  bool take(std::vector<NewsItem> items, bool spread);
+  void pass_on(const std::vector<NewsItem>& items);
+  Span majority_permit() const;
+
+  Post& post_;
+  Board& board_;
+  Chance& chance_;
+  bool control_;
+  std::map<std::string, NewsItem> items_;
+  PolicyView view_;
+  std::map<Address, Moment> compared_;   // when the last whole comparison with that control daemon began
+  std::set<Address> comparing_;
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/operator/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/source/policy/resources.cpp
@@ -0,0 +1,182 @@
+// Checking of the operators' documents and the building of the view that all duties read.
+#include "policy/resources.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace mothwalk {
+namespace {
+
+Fault wrong(std::string field, std::string message, std::string remedy) {
+  return Fault{FaultKind::invalid, std::move(field), std::move(message), std::move(remedy)};
+}
+
+using Checked = std::optional<Fault>;
+
+Checked positive(View field, Span span) {
+  if (span < std::chrono::milliseconds(1)) return wrong(std::string(field), "the time is zero", "give 1 millisecond or more");
+  return std::nullopt;
+}
+
+Checked check(const Lane& lane, View name, const PolicyView& view) {
+  if (lane.path.size() < 2 || lane.path[0] != '/' || lane.path.size() > 200) return wrong("path", "a lane's path begins with / and has 2 to 200 characters", "give a path such as /audits");
+  if (lane.path.starts_with("/lots")) return wrong("path", "/lots is taken by the kept lots", "give another path");
+  if (!view.kinds.contains(lane.kind.text)) return wrong("kind", "no kind of runner has the name '" + lane.kind.text + "'", "apply that kind first, or name an existing one");
+  for (const auto& [other, entry] : view.lanes)
+    if (other != name && entry.spec.path == lane.path) return wrong("path", "lane '" + other + "' has this path already", "give each lane a path of its own");
+  if (lane.retries > 10) return wrong("retries", "more than 10 retries", "give 0 to 10");
+  if (lane.waiting_room > 100000) return wrong("waiting_room", "more than 100000 requests", "give 0 to 100000");
+  for (auto [field, span] : {std::pair<View, Span>{"waiting", lane.waiting}, {"connecting", lane.connecting}, {"first_piece", lane.first_piece}, {"between_pieces", lane.between_pieces}, {"whole", lane.whole}})
+    if (auto fault = positive(field, span)) return fault;
+  if (lane.whole < lane.first_piece) return wrong("whole", "the whole budget is shorter than that of the first piece", "give whole at least first_piece");
+  return std::nullopt;
+}
+
+Checked check(const Kind& kind, View, const PolicyView&) {
+  const CircleSettings& circle = kind.circle;
+  if (!(circle.target > 0 && circle.target <= 1)) return wrong("circle.target", "the target is outside (0, 1]", "give a medium usage such as 0.6");
+  if (!(circle.high_water > circle.target && circle.high_water <= 10)) return wrong("circle.high_water", "the high water is not above the target", "give a number above target, at most 10");
+  if (circle.cycle < std::chrono::seconds(1)) return wrong("circle.cycle", "the cycle is under one second", "give 1000 milliseconds or more");
+  if (circle.floor < 1 || circle.floor > 10000) return wrong("circle.floor", "the floor is out of range", "give 1 to 10000");
+  if (circle.reserve > 10000) return wrong("circle.reserve", "the reserve is out of range", "give 0 to 10000");
+  if (!(kind.overcommit >= 1 && kind.overcommit <= 100)) return wrong("overcommit", "the overcommit is out of range", "give 1 to 100");
+  for (std::size_t index = 0; index < kind.refusals.size(); ++index)
+    if (kind.refusals[index] < 400 || kind.refusals[index] > 599) return wrong("refusals[" + std::to_string(index) + "]", "not an HTTP error status", "give 400 to 599");
+  return std::nullopt;
+}
+
+Checked check_address(const Address& address, const std::string& field) {
+  const auto colon = address.text.rfind(':');
+  boost::system::error_code error;
+  if (colon != std::string::npos) boost::asio::ip::make_address(address.text.substr(0, colon), error);
+  const std::string port = colon == std::string::npos ? "" : address.text.substr(colon + 1);
+  if (colon == std::string::npos || error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoi(port) < 1 || std::stoi(port) > 65535)
+    return wrong(field, "'" + address.text + "' is not an address", "give ip:port, such as 10.0.0.4:8000");
+  return std::nullopt;
+}
+
+Checked check(const Runner& runner, View, const PolicyView& view) {
+  if (!view.kinds.contains(runner.kind.text)) return wrong("kind", "no kind of runner has the name '" + runner.kind.text + "'", "apply that kind first, or name an existing one");
+  if (auto fault = check_address(runner.address, "address")) return fault;
+  if (runner.hall.empty()) return wrong("hall", "the hall is empty", "name the hall that the runner stands in");
+  if (runner.slots < 1 || runner.slots > 4096) return wrong("slots", "the slots are out of range", "give 1 to 4096");
+  return std::nullopt;
+}
+
+Checked check(const Hall& hall, View name, const PolicyView& view) {
+  if (!hall.evacuated) return std::nullopt;
+  std::set<std::string> others;
+  for (const auto& [id, runner] : view.runners)
+    if (runner.spec.hall.text != name && !view.evacuated(runner.spec.hall) && !runner.spec.leaving) others.insert(runner.spec.hall.text);
+  bool any_here = false;
+  for (const auto& [id, runner] : view.runners) any_here = any_here || runner.spec.hall.text == name;
+  if (any_here && others.empty()) return Fault{FaultKind::conflict, "evacuated", "no runner would be left outside evacuated halls", "bring another hall back first"};
+  return std::nullopt;
+}
+
+Checked check(const LotSettings& lots, View name, const PolicyView&) {
+  if (name != "default") return wrong("name", "the lot settings have one document, 'default'", "apply lots/default");
+  if (lots.items < 1 || lots.items > 100000) return wrong("items", "the items are out of range", "give 1 to 100000");
+  if (lots.lots < 1 || lots.lots > 1000000) return wrong("lots", "the lots are out of range", "give 1 to 1000000");
+  return std::nullopt;
+}
+
+Checked check(const HolderMark&, View, const PolicyView&) { return std::nullopt; }
+
+template <class T> Result<Bytes> check_as(View name, View text, const PolicyView& view) {
+  auto read = from_json<T>(text);
+  if (auto fault = fault_of(read)) return *fault;
+  if (auto fault = check(std::get<T>(read), name, view)) return *fault;
+  return json::serialize(to_json(std::get<T>(read)));
+}
+
+template <class T> bool put_as(Table<T>& table, const std::string& name, const Bytes* value, Stamp stamp) {
+  if (value == nullptr) return table.erase(name), true;
+  auto read = from_json<T>(*value);
+  if (fault_of(read)) return false;
+  table[name] = Named<T>{stamp, std::move(std::get<T>(read))};
+  return true;
+}
+
+}  // namespace
+
+bool Roster::seated(const HolderId& holder) const {
+  for (const auto& seat : seats)
+    if (seat.holder == holder) return true;
+  return false;
+}
+
+bool PolicyView::evacuated(const HallId& hall) const {
+  auto found = halls.find(hall.text);
+  return found != halls.end() && found->second.spec.evacuated;
+}
+
+const Lane* PolicyView::lane_for(View path, std::string* name) const {
+  const Lane* best = nullptr;
+  for (const auto& [lane_name, entry] : lanes) {
+    const std::string& prefix = entry.spec.path;
+    if (!path.starts_with(prefix)) continue;
+    if (path.size() > prefix.size() && path[prefix.size()] != '/' && path[prefix.size()] != '?' && prefix.back() != '/') continue;
+    if (best != nullptr && best->path.size() >= prefix.size()) continue;
+    best = &entry.spec;
+    if (name != nullptr) *name = lane_name;
+  }
+  return best;
+}
+
+LotSettings PolicyView::lot_settings() const {
+  auto found = lots.find("default");
+  return found == lots.end() ? LotSettings{} : found->second.spec;
+}
+
+bool is_resource_type(View type) {
+  return type == "lane" || type == "kind" || type == "runner" || type == "hall" || type == "lots" || type == "holder";
+}
+
+std::string resource_types() { return "lane, kind, runner, hall, lots, holder"; }
+
+bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp) {
+  if (key == "roster") {
+    if (value == nullptr) return false;
+    auto read = from_json<Roster>(*value);
+    if (fault_of(read)) return false;
+    view.roster = std::move(std::get<Roster>(read));
+    return true;
+  }
+  const auto slash = key.find('/');
+  if (slash == View::npos) return false;
+  const View type = key.substr(0, slash);
+  const std::string name(key.substr(slash + 1));
+  if (type == "lane") return put_as(view.lanes, name, value, stamp);
+  if (type == "kind") return put_as(view.kinds, name, value, stamp);
+  if (type == "runner") return put_as(view.runners, name, value, stamp);
+  if (type == "hall") return put_as(view.halls, name, value, stamp);
+  if (type == "lots") return put_as(view.lots, name, value, stamp);
+  if (type == "holder") return put_as(view.holders, name, value, stamp);
+  if (type == "circle") return put_as(view.circles, name, value, stamp);
+  return false;
+}
+
+Result<Bytes> check_document(View type, View name, View text, const PolicyView& view) {
+  if (!is_resource_type(type)) return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'", "use one of: " + resource_types()};
+  if (name.empty() || name.size() > 100 || name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != View::npos)
+    return wrong("name", "the name has characters that are not allowed, or a length outside 1 to 100", "use letters, digits, - _ . :");
+  if (type == "lane") return check_as<Lane>(name, text, view);
+  if (type == "kind") return check_as<Kind>(name, text, view);
+  if (type == "runner") return check_as<Runner>(name, text, view);
+  if (type == "hall") return check_as<Hall>(name, text, view);
+  if (type == "lots") return check_as<LotSettings>(name, text, view);
+  return check_as<HolderMark>(name, text, view);
+}
+
+Result<Done> check_removal(View type, View name, const PolicyView& view) {
+  if (!is_resource_type(type)) return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'", "use one of: " + resource_types()};
+  if (type == "kind") {
+    for (const auto& [lane, entry] : view.lanes)
+      if (entry.spec.kind.text == name) return Fault{FaultKind::conflict, "name", "lane '" + lane + "' leads to this kind", "delete or change that lane first"};
+    for (const auto& [runner, entry] : view.runners)
+      if (entry.spec.kind.text == name) return Fault{FaultKind::conflict, "name", "runner '" + runner + "' is of this kind", "delete that runner first"};
+  }
+  return Done{};
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/seams/seams.hpp
@@ -0,0 +1,86 @@
+// The seams between duties and the world: Schedule (steady time), Wire (envelopes to peers), Disk (one append-only
+// file), Exchange (HTTP legs to runners) and Chance (seeded numbers). A duty reaches nothing else, so the daemon and
+// the simulator run the same duty objects.
+#pragma once
+#include "coding/fields.hpp"
+
+namespace mothwalk {
+
+using Task = std::function<void()>;
+
+class Schedule {
+ public:
+  using Id = std::uint64_t;
+  virtual ~Schedule() = default;
+  virtual Moment now() const = 0;
+  virtual Id after(Span span, Task task) = 0;
+  virtual void cancel(Id id) = 0;
+};
+
+// An envelope goes to one slice of one daemon; its kind begins with the slice it is for. Replies go back to the
+// sender's slice under the call's number.
+struct Envelope {
+  Address from;
+  std::uint64_t incarnation = 0;
+  std::string slice, sender, kind;
+  std::uint64_t call = 0;
+  bool reply = false;
+  Bytes body;
+  MOTHWALK_FIELDS(from, incarnation, slice, sender, kind, call, reply, body)
+};
+
+class Wire {
+ public:
+  virtual ~Wire() = default;
+  virtual void send(const Address& to, Envelope envelope) = 0;
+};
+
+class Disk {
+ public:
+  virtual ~Disk() = default;
+  virtual Result<Bytes> read_all() = 0;
+  // Appends and syncs; the callback says whether the bytes are safe. Calls finish in the order given.
+  virtual void append(Bytes bytes, std::function<void(bool)> done) = 0;
+  // Replaces the whole file (new file, sync, rename, folder sync).
+  virtual void rewrite(Bytes bytes, std::function<void(bool)> done) = 0;
+};
+
+class Chance {
+ public:
+  virtual ~Chance() = default;
+  virtual std::uint64_t next() = 0;
+  std::size_t below(std::size_t bound) { return bound == 0 ? 0 : next() % bound; }
+};
+
+struct Header {
+  std::string name, value;
+  MOTHWALK_FIELDS(name, value)
+};
+
+struct LegRequest {
+  Address to;
+  std::string method, target;
+  std::vector<Header> headers;
+  std::shared_ptr<const Bytes> body;
+  Span connecting{}, first_piece{}, between_pieces{};
+};
+
+enum class LegEnd { whole, not_sent, broken, late };  // not_sent: no byte can have reached the runner
+
+class LegWatcher {
+ public:
+  virtual ~LegWatcher() = default;
+  virtual void on_head(int status, const std::vector<Header>& headers) = 0;
+  virtual void on_piece(View piece) = 0;
+  virtual void on_end(LegEnd end) = 0;
+};
+
+class Exchange {
+ public:
+  using Id = std::uint64_t;
+  virtual ~Exchange() = default;
+  virtual Id start(const LegRequest& request, std::shared_ptr<LegWatcher> watcher) = 0;
+  virtual void cancel(Id id) = 0;  // no call reaches the watcher afterwards
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/sessions/board.cpp
@@ -0,0 +1,42 @@
+// The agreed orders: rendezvous hashing of slots over the roster's seats and of single duties over members.
+#include "sessions/board.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+const Member* Members::holder(const HolderId& id) const {
+  for (const auto& [address, member] : all)
+    if (member.holder == id) return &member;
+  return nullptr;
+}
+
+std::uint32_t slot_of(View key) { return static_cast<std::uint32_t>(hash_of(key) % slot_count); }
+
+std::vector<const Seat*> slot_order(const Roster& roster, std::uint32_t slot) {
+  std::vector<const Seat*> order;
+  for (const auto& seat : roster.seats) order.push_back(&seat);
+  std::sort(order.begin(), order.end(), [&](const Seat* left, const Seat* right) { return hash_of(left->holder.text, slot + 1) > hash_of(right->holder.text, slot + 1); });
+  return order;
+}
+
+const Seat* slot_owner(const Roster& roster, const Members& members, std::uint32_t slot) {
+  for (const Seat* seat : slot_order(roster, slot)) {
+    const Member* member = members.holder(seat->holder);
+    if (member != nullptr && !member->stalled) return seat;
+  }
+  return nullptr;
+}
+
+std::vector<const Member*> duty_order(const Members& members, View duty, const HallId& hall) {
+  std::vector<const Member*> order;
+  for (const auto& [address, member] : members.all) order.push_back(&member);
+  std::sort(order.begin(), order.end(), [&](const Member* left, const Member* right) {
+    const bool left_here = left->hall == hall, right_here = right->hall == hall;
+    if (left_here != right_here) return left_here;
+    return hash_of(left->address.text, hash_of(duty)) > hash_of(right->address.text, hash_of(duty));
+  });
+  return order;
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/sessions/board.hpp
@@ -0,0 +1,75 @@
+// What the duties of one daemon share, each piece behind a short lock: who the members are, the policy in force, which
+// slots this daemon owns, and how fresh its news is. Readers take an unchanging snapshot.
+#pragma once
+#include <atomic>
+#include <mutex>
+
+#include "policy/resources.hpp"
+
+namespace mothwalk {
+
+template <class T> class Shared {
+ public:
+  Shared() : value_(std::make_shared<const T>()) {}
+  std::shared_ptr<const T> get() const {
+    std::lock_guard lock(mutex_);
+    return value_;
+  }
+  void set(T value) {
+    auto fresh = std::make_shared<const T>(std::move(value));
+    std::lock_guard lock(mutex_);
+    value_ = std::move(fresh);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::shared_ptr<const T> value_;
+};
+
+struct Member {
+  Address address;            // peer side
+  HallId hall;
+  Address callers, control;   // HTTP sides
+  std::uint64_t incarnation = 0;
+  HolderId holder;            // empty where the daemon has no data folder
+  bool stalled = false;       // its disk does not answer, so it can own nothing
+  Version roster;             // the roster version it knows; zero for none
+  std::string version;        // of the program
+  auto operator<=>(const Member&) const = default;
+  MOTHWALK_FIELDS(address, hall, callers, control, incarnation, holder, stalled, roster, version)
+};
+
+struct Members {
+  std::map<Address, Member> all;
+  Address home;               // the control daemon that this daemon's session stands with
+  std::size_t control_daemons = 0;
+  const Member* holder(const HolderId& id) const;
+};
+
+struct Ownership {
+  std::map<std::uint32_t, Epoch> slots;
+  Version roster;
+};
+
+struct Board {
+  Shared<Members> members;
+  Shared<PolicyView> policy;
+  Shared<Ownership> owned;
+  std::atomic<std::int64_t> permit_until{-1};  // Moment; news was known whole with a majority's control daemon
+  std::atomic<std::int64_t> permit_sought{-1}; // since when a lapsed permit is being sought
+  std::atomic<std::int64_t> news_tick{-1};     // when news last ran: after a freeze this is old
+  std::atomic<bool> stalled{false};
+  std::atomic<bool> draining{false};
+  bool permitted(Moment now) const { return permit_until.load() >= now.microseconds; }
+};
+
+inline constexpr std::uint32_t slot_count = 32;
+std::uint32_t slot_of(View key);
+// The seats of the roster in the order in which they come to own a slot.
+std::vector<const Seat*> slot_order(const Roster& roster, std::uint32_t slot);
+// The first live seat in that order, or none.
+const Seat* slot_owner(const Roster& roster, const Members& members, std::uint32_t slot);
+// All live members in the agreed order for a single duty; those of the given hall first.
+std::vector<const Member*> duty_order(const Members& members, View duty, const HallId& hall);
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/sessions/sessions.cpp
@@ -0,0 +1,137 @@
+// Beats, shares and the table of members that follows from them.
+#include "sessions/sessions.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+Sessions::Sessions(Post& post, Board& board, Member self, std::vector<Address> seeds)
+    : post_(post), board_(board), self_(std::move(self)), seeds_(std::move(seeds)) {
+  post_.on_ask<Beat>([this](const Address& from, Beat beat, Answer<BeatReply> answer) {
+    if (beat.protocol != protocol_number || beat.member.address != from)
+      return answer(Fault{FaultKind::refused, "protocol", "this daemon speaks protocol " + std::to_string(protocol_number) + ", the member " + std::to_string(beat.protocol), "run a version of mothwalk that speaks the fleet's protocol"});
+    BeatReply reply;
+    if (control()) {
+      Session& session = sessions_[from];
+      const bool fresh = session.member != beat.member;
+      session = Session{std::move(beat.member), post_.schedule().now()};
+      if (fresh) rebuild();
+      reply.accepted = true;
+    }
+    reply.changed = beat.digest != digest_;
+    if (reply.changed || !reply.accepted)
+      for (const auto& [address, member] : board_.members.get()->all) reply.members.push_back(member);
+    answer(std::move(reply));
+  });
+  post_.on_tell<Share>([this](const Address& from, Share share) {
+    if (!control() || share.protocol != protocol_number || share.member.address != from || from == self_.address) return;
+    Peer& peer = peers_[from];
+    if (peer.member.incarnation > share.member.incarnation) return;
+    peer = Peer{std::move(share.member), post_.schedule().now(), std::move(share.sessions)};
+    rebuild();
+  });
+}
+
+void Sessions::start() { tick(); }
+
+std::vector<Address> Sessions::candidates() const {
+  std::vector<Address> list;
+  auto add = [&](const Address& address) {
+    if (address != self_.address && std::find(list.begin(), list.end(), address) == list.end()) list.push_back(address);
+  };
+  const auto members = board_.members.get();
+  for (const auto& [address, member] : members->all) if (!member.holder.empty() && member.hall == self_.hall) add(address);
+  for (const auto& [address, member] : members->all) if (!member.holder.empty()) add(address);
+  for (const auto& seat : board_.policy.get()->roster.seats) add(seat.address);
+  for (const auto& seed : seeds_) add(seed);
+  return list;
+}
+
+void Sessions::tick() {
+  self_.stalled = board_.stalled.load();
+  self_.roster = board_.policy.get()->roster.version;
+  if (control()) { share(); rebuild(); }
+  else beat();
+  post_.schedule().after(beat_span, [this] { tick(); });
+}
+
+void Sessions::share() {
+  const Moment now = post_.schedule().now();
+  Share share{protocol_number, self_, {}};
+  for (auto entry = sessions_.begin(); entry != sessions_.end();) {
+    if (now - entry->second.heard > stand_span) { entry = sessions_.erase(entry); continue; }
+    share.sessions.push_back(SessionShare{entry->second.member, now - entry->second.heard});
+    ++entry;
+  }
+  for (const Address& address : candidates()) post_.tell(address, share);
+}
+
+void Sessions::rebuild() {
+  const Moment now = post_.schedule().now();
+  Members members;
+  members.home = self_.address;
+  members.all[self_.address] = self_;
+  members.control_daemons = 1;
+  auto add = [&](const Member& member) {
+    Member& place = members.all[member.address];
+    if (place.incarnation <= member.incarnation) place = member;
+  };
+  for (const auto& [address, session] : sessions_)
+    if (now - session.heard <= stand_span) add(session.member);
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    if (now - entry->second.heard > stand_span) { entry = peers_.erase(entry); continue; }
+    const Span since = now - entry->second.heard;
+    add(entry->second.member);
+    ++members.control_daemons;
+    for (const auto& session : entry->second.sessions)
+      if (session.age + since <= stand_span + beat_span && session.member.address != self_.address) add(session.member);
+    ++entry;
+  }
+  publish(std::move(members));
+}
+
+void Sessions::publish(Members members) {
+  Bytes text;
+  for (const auto& [address, member] : members.all) text += to_cbor(member);
+  const std::uint64_t digest = hash_of(text);
+  if (digest == digest_ && members.home == board_.members.get()->home) return;
+  digest_ = digest;
+  board_.members.set(std::move(members));
+}
+
+void Sessions::beat() {
+  if (asking_) return;
+  const auto list = candidates();
+  if (list.empty()) return;
+  const bool standing = !home_.empty() && post_.schedule().now() - home_heard_ < stand_span;
+  const Address to = standing ? home_ : list[turn_++ % list.size()];
+  asking_ = true;
+  post_.ask(to, Beat{protocol_number, self_, digest_}, std::chrono::milliseconds(300), [this, to](Result<BeatReply> result) {
+    asking_ = false;
+    auto* reply = std::get_if<BeatReply>(&result);
+    if (reply == nullptr) {
+      if (to == home_) home_ = Address{};
+      return;
+    }
+    if (reply->changed || !reply->accepted) {
+      Members members;
+      for (auto& member : reply->members) members.all[member.address] = std::move(member);
+      members.all[self_.address] = self_;
+      members.home = reply->accepted ? to : Address{};
+      for (const auto& [address, member] : members.all) members.control_daemons += !member.holder.empty();
+      // The digest is that of the home's own list, so that the next beat asks only for changes.
+      publish(std::move(members));
+    }
+    if (!reply->accepted) return;
+    if (home_ != to) turn_ = 0;
+    home_ = to;
+    home_heard_ = post_.schedule().now();
+    if (board_.members.get()->home != to) {
+      Members members = *board_.members.get();
+      members.home = to;
+      board_.members.set(std::move(members));
+    }
+  });
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/sessions/sessions.hpp
@@ -0,0 +1,75 @@
+// Membership: a daemon is a member while its session with a control daemon (one with a data folder) stands. A member
+// beats to its home control daemon; control daemons share their sessions with each other, and so all know all.
+#pragma once
+#include "sessions/board.hpp"
+#include "sessions/post.hpp"
+
+namespace mothwalk {
+
+inline constexpr std::uint32_t protocol_number = 1;
+
+struct BeatReply {
+  bool accepted = false, changed = false;
+  std::vector<Member> members;
+  MOTHWALK_FIELDS(accepted, changed, members)
+};
+struct Beat {
+  static constexpr View kind = "sessions.beat";
+  using Reply = BeatReply;
+  std::uint32_t protocol = protocol_number;
+  Member member;
+  std::uint64_t digest = 0;
+  MOTHWALK_FIELDS(protocol, member, digest)
+};
+struct SessionShare {
+  Member member;
+  Span age{};
+  MOTHWALK_FIELDS(member, age)
+};
+struct Share {
+  static constexpr View kind = "sessions.share";
+  std::uint32_t protocol = protocol_number;
+  Member member;
+  std::vector<SessionShare> sessions;
+  MOTHWALK_FIELDS(protocol, member, sessions)
+};
+
+class Sessions {
+ public:
+  Sessions(Post& post, Board& board, Member self, std::vector<Address> seeds);
+  void start();
+
+ private:
+  static constexpr Span beat_span = std::chrono::milliseconds(200);
+  static constexpr Span stand_span = std::chrono::milliseconds(900);
+  struct Session {
+    Member member;
+    Moment heard;
+  };
+  struct Peer {
+    Member member;
+    Moment heard;
+    std::vector<SessionShare> sessions;
+  };
+  bool control() const { return !self_.holder.empty(); }
+  void tick();
+  void beat();
+  void share();
+  void rebuild();
+  void publish(Members members);
+  std::vector<Address> candidates() const;
+
+  Post& post_;
+  Board& board_;
+  Member self_;
+  std::vector<Address> seeds_;
+  std::map<Address, Session> sessions_;
+  std::map<Address, Peer> peers_;
+  Address home_;
+  Moment home_heard_;
+  std::size_t turn_ = 0;
+  bool asking_ = false;
+  std::uint64_t digest_ = 0;
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/stand_ins/fleet.cpp
@@ -0,0 +1,287 @@
+// The shapes of the fleets and the handling of their processes.
+#include "stand_ins/fleet.hpp"
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+extern char** environ;
+
+namespace mothwalk {
+
+namespace {
+
+// Ports that were free a moment ago. All are held open until every one is found, so that none is given twice.
+std::vector<int> free_ports(std::size_t count) {
+  boost::asio::io_context context;
+  std::vector<boost::asio::ip::tcp::acceptor> held;
+  std::vector<int> ports;
+  for (std::size_t index = 0; index < count; ++index) {
+    held.emplace_back(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    ports.push_back(held.back().local_endpoint().port());
+  }
+  return ports;
+}
+
+Address local(int port) { return Address("127.0.0.1:" + std::to_string(port)); }
+
+json::object kind_spec(int cycle, int floor, int reserve, bool all, int ramp) {
+  return json::object{{"circle", json::object{{"cycle", cycle}, {"floor", floor}, {"reserve", reserve}, {"all", all}, {"ramp", ramp}}}, {"refusals", json::array{429}}};
+}
+
+json::object stream(View name, View path, double rate, int pieces, int body, int prefix, int prefixes, bool repeatable) {
+  return json::object{{"name", name}, {"path", path}, {"rate", rate}, {"pieces", pieces}, {"body_bytes", body}, {"prefix_bytes", prefix}, {"prefixes", prefixes}, {"repeatable", repeatable}};
+}
+
+void add_machines(Shape& shape, int count, const std::vector<std::string>& halls, int disks) {
+  for (int index = 0; index < count; ++index) shape.machines.push_back(Machine{halls[static_cast<std::size_t>(index) % halls.size()], index < disks, {}, {}, {}, {}, 0});
+}
+
+void add_runners(Shape& shape, const std::string& kind, int count, const std::vector<std::string>& halls, std::uint32_t slots) {
+  for (int index = 0; index < count; ++index) shape.runners.push_back(RunnerProcess{kind + "-" + std::to_string(index + 1), kind, halls[static_cast<std::size_t>(index) % halls.size()], {}, slots, 0, 0});
+}
+
+}  // namespace
+
+Shape thin_shape() {
+  Shape shape;
+  shape.name = "thin";
+  add_machines(shape, 4, {"north", "south"}, 3);
+  add_runners(shape, "model", 4, {"north", "south"}, 4);
+  shape.resources = {{"kind/model", kind_spec(2000, 2, 1, false, 500)},
+                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 512}}},
+                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}}};
+  shape.streams = {stream("audits", "/audits", 40, 6, 200, 1024, 2, false)};
+  shape.lots = {json::object{{"name", "lines"}, {"lane", "lines"}, {"rate", 10}, {"items", 10}, {"horizon", 0}}};
+  return shape;
+}
+
+Shape altiplano_shape(double share) {
+  Shape shape;
+  shape.name = "altiplano";
+  const std::vector<std::string> halls{"alto", "bajo", "centro", "este"};
+  // Four storage machines and four edge machines with disks, then nine edge machines without.
+  add_machines(shape, 17, halls, 8);
+  add_runners(shape, "model", 12, halls, 4);
+  add_runners(shape, "notice", 4, halls, 8);
+  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
+                     {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
+                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
+                     {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
+                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
+                     {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  shape.streams = {stream("audits", "/audits", 5 * share, 40, 500, 6000, 4, false),
+                   stream("suggestions", "/suggestions", 18 * share, 10, 200, 0, 0, false),
+                   stream("notices", "/notices", 55 * share, 0, 150, 0, 0, true)};
+  shape.lots = {json::object{{"name", "lines"}, {"lane", "lines"}, {"rate", 2 * share}, {"items", 40}, {"horizon", 8000}, {"cancel_every", 10}}};
+  return shape;
+}
+
+Shape sestavna_shape(double share) {
+  Shape shape;
+  shape.name = "sestavna";
+  const std::vector<std::string> halls{"one", "two", "three"};
+  add_machines(shape, 15, halls, 6);
+  add_runners(shape, "model", 12, halls, 4);
+  add_runners(shape, "index", 3, halls, 8);
+  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
+                     {"kind/index", kind_spec(5000, 1, 0, true, 500)},
+                     {"lane/reviews", json::object{{"path", "/reviews"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
+                     {"lane/triage", json::object{{"path", "/triage"}, {"kind", "model"}}},
+                     {"lane/sweeps", json::object{{"path", "/sweeps"}, {"kind", "model"}, {"repeatable", true}}},
+                     {"lane/lookups", json::object{{"path", "/lookups"}, {"kind", "index"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  shape.streams = {stream("reviews", "/reviews", 4 * share, 50, 2000, 8000, 3, false),
+                   stream("triage", "/triage", 16 * share, 12, 300, 0, 0, false),
+                   stream("lookups", "/lookups", 55 * share, 0, 80, 0, 0, true)};
+  shape.lots = {json::object{{"name", "sweeps"}, {"lane", "sweeps"}, {"rate", 1 * share}, {"items", 80}, {"horizon", 15000}, {"cancel_every", 10}}};
+  return shape;
+}
+
+Fleet::Fleet(Shape given, std::string programs, std::string place) : shape(std::move(given)), folder(std::move(place)), programs_(std::move(programs)) {
+  std::filesystem::create_directories(folder);
+  const auto ports = free_ports(shape.machines.size() * 3 + shape.runners.size());
+  std::size_t next = 0;
+  for (std::size_t index = 0; index < shape.machines.size(); ++index) {
+    Machine& machine = shape.machines[index];
+    machine.address = local(ports[next++]);
+    machine.callers = local(ports[next++]);
+    machine.control = local(ports[next++]);
+    machine.folder = folder + "/data-" + std::to_string(index);
+  }
+  for (auto& runner : shape.runners) runner.address = local(ports[next++]);
+}
+
+Fleet::~Fleet() {
+  for (const pid_t pid : started_) {
+    ::kill(pid, SIGCONT);
+    ::kill(pid, SIGKILL);
+  }
+  for (const pid_t pid : started_) ::waitpid(pid, nullptr, 0);
+}
+
+pid_t Fleet::start(const std::vector<std::string>& words) {
+  std::vector<char*> arguments;
+  for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+  arguments.push_back(nullptr);
+  pid_t pid = 0;
+  const std::string program = programs_ + "/" + words[0];
+  if (::posix_spawn(&pid, program.c_str(), nullptr, nullptr, arguments.data(), environ) != 0) return 0;
+  started_.insert(pid);
+  return pid;
+}
+
+int Fleet::wait_for(pid_t pid) {
+  int status = 0;
+  ::waitpid(pid, &status, 0);
+  started_.erase(pid);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+void Fleet::start_machine(std::size_t index) {
+  Machine& machine = shape.machines[index];
+  // The first three machines with disks are the seeds.
+  const std::string seeds = shape.machines[0].address.text + "," + shape.machines[1].address.text + "," + shape.machines[2].address.text;
+  std::vector<std::string> words{"mothwalk-daemon", "--address", machine.address.text, "--callers", machine.callers.text, "--control", machine.control.text, "--hall", machine.hall, "--seeds", seeds, "--log-file", folder + "/daemon-" + std::to_string(index) + ".log", "--drain", "5000"};
+  if (machine.disk) {
+    words.push_back("--data-folder");
+    words.push_back(machine.folder);
+  }
+  machine.pid = start(words);
+}
+
+void Fleet::start_runner(std::size_t index, double cold) {
+  RunnerProcess& runner = shape.runners[index];
+  runner.pid = start({"stand-in-runner", "--address", runner.address.text, "--name", runner.name, "--slots", std::to_string(runner.slots), "--ledger", runner_ledger(), "--cold", std::to_string(cold)});
+}
+
+void Fleet::start_all() {
+  for (std::size_t index = 0; index < shape.runners.size(); ++index) start_runner(index, 0);
+  for (std::size_t index = 0; index < shape.machines.size(); ++index) start_machine(index);
+}
+
+void Fleet::signal_machine(std::size_t index, int signal) {
+  if (shape.machines[index].pid > 0) ::kill(shape.machines[index].pid, signal);
+}
+
+void Fleet::end_machine(std::size_t index, int signal) {
+  Machine& machine = shape.machines[index];
+  if (machine.pid == 0) return;
+  ::kill(machine.pid, signal);
+  wait_for(machine.pid);
+  machine.pid = 0;
+}
+
+void Fleet::end_runner(std::size_t index, int signal) {
+  RunnerProcess& runner = shape.runners[index];
+  if (runner.pid == 0) return;
+  ::kill(runner.pid, signal);
+  wait_for(runner.pid);
+  runner.pid = 0;
+}
+
+int Fleet::end_politely(std::size_t index) {
+  Machine& machine = shape.machines[index];
+  ::kill(machine.pid, SIGTERM);
+  const int code = wait_for(machine.pid);
+  machine.pid = 0;
+  return code;
+}
+
+void Fleet::wipe(std::size_t index) { std::filesystem::remove_all(shape.machines[index].folder); }
+
+bool Fleet::until(std::function<bool()> holds, Span limit) {
+  const Moment end = steady_now() + limit;
+  while (!holds()) {
+    if (steady_now() > end) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+std::optional<json::value> Fleet::get(std::size_t machine, const std::string& target) {
+  auto answer = http_call(shape.machines[machine].control, "GET", target, "", std::chrono::seconds(5));
+  if (fault_of(answer) || std::get<HttpAnswer>(answer).status != 200) return std::nullopt;
+  auto parsed = parse_json(std::get<HttpAnswer>(answer).body);
+  if (fault_of(parsed)) return std::nullopt;
+  return std::get<json::value>(parsed);
+}
+
+bool Fleet::apply(std::size_t machine, const std::string& type, const std::string& name, const json::object& spec) {
+  const std::string path = "/v1/resources/" + type + "/" + name;
+  std::uint64_t version = 0;
+  auto current = http_call(shape.machines[machine].control, "GET", path, "", std::chrono::seconds(6));
+  if (fault_of(current)) return false;
+  if (std::get<HttpAnswer>(current).status == 200) {
+    auto parsed = parse_json(std::get<HttpAnswer>(current).body);
+    if (fault_of(parsed)) return false;
+    version = std::get<json::value>(parsed).at("version").to_number<std::uint64_t>();
+  } else if (std::get<HttpAnswer>(current).status != 404) {
+    return false;
+  }
+  auto answer = http_call(shape.machines[machine].control, "PUT", path + "?version=" + std::to_string(version), json::serialize(spec), std::chrono::seconds(8));
+  return !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200;
+}
+
+bool Fleet::remove(std::size_t machine, const std::string& type, const std::string& name) {
+  const std::string path = "/v1/resources/" + type + "/" + name;
+  auto current = get(machine, path);
+  if (!current) return false;
+  auto answer = http_call(shape.machines[machine].control, "DELETE", path + "?version=" + std::to_string(current->at("version").to_number<std::uint64_t>()), "", std::chrono::seconds(8));
+  return !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200;
+}
+
+bool Fleet::serving(std::size_t machine) {
+  auto soundness = get(machine, "/v1/soundness");
+  return soundness && soundness->at("state").as_string() == "serving" && soundness->at("seats").to_number<int>() > 0;
+}
+
+bool Fleet::all_serving() {
+  for (std::size_t index = 0; index < shape.machines.size(); ++index)
+    if (shape.machines[index].pid > 0 && !serving(index)) return false;
+  return true;
+}
+
+bool Fleet::taken_by_all(std::size_t machine, const std::string& type, const std::string& name) {
+  auto shown = get(machine, "/v1/resources/" + type + "/" + name);
+  return shown && shown->at("status").at("taken") == shown->at("status").at("members") && shown->at("status").at("waiting").as_array().empty();
+}
+
+std::optional<Circle> Fleet::circle(std::size_t machine, const std::string& kind) {
+  auto shown = get(machine, "/v1/resources/circle/" + kind);
+  if (!shown) return std::nullopt;
+  Circle circle;
+  if (JsonReader::read(shown->at("spec"), circle, "")) return std::nullopt;
+  return circle;
+}
+
+bool Fleet::apply_policy() {
+  std::size_t machine = 0;
+  auto apply_at_any = [&](const std::string& type, const std::string& name, const json::object& spec) {
+    // Each call goes to another daemon: any of them takes it.
+    return until([&] { return apply(machine++ % shape.machines.size(), type, name, spec); });
+  };
+  for (const auto& [key, spec] : shape.resources) {
+    const auto slash = key.find('/');
+    if (!apply_at_any(key.substr(0, slash), key.substr(slash + 1), spec)) return false;
+  }
+  for (const auto& runner : shape.runners)
+    if (!apply_at_any("runner", runner.name, json::object{{"kind", runner.kind}, {"address", runner.address.text}, {"hall", runner.hall}, {"slots", runner.slots}})) return false;
+  return true;
+}
+
+std::string Fleet::write_plan(Span length, Span settle, std::uint32_t most) {
+  json::array targets;
+  for (const auto& machine : shape.machines) targets.push_back(json::value(json::string(machine.callers.text)));
+  const json::object plan{{"targets", targets}, {"ledger", caller_ledger()}, {"length", length.count() / 1000}, {"settle", settle.count() / 1000}, {"most", most}, {"streams", shape.streams}, {"lots", shape.lots}};
+  const std::string path = folder + "/plan.json";
+  std::ofstream(path) << json::serialize(plan);
+  return path;
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/stand_ins/fleet.hpp
@@ -0,0 +1,80 @@
+// A fleet on one machine: daemons, runners and callers as real processes on loopback, and the calls an operator would
+// make. The platform stand-in is the only program that starts others.
+#pragma once
+#include <sys/types.h>
+
+#include "coding/json.hpp"
+#include "host/http_client.hpp"
+#include "policy/resources.hpp"
+#include "stand_ins/ledger.hpp"
+
+namespace mothwalk {
+
+struct Machine {
+  std::string hall;
+  bool disk = false;
+  Address address, callers, control;
+  std::string folder;
+  pid_t pid = 0;
+};
+
+struct RunnerProcess {
+  std::string name, kind, hall;
+  Address address;
+  std::uint32_t slots = 4;
+  double cold = 0;
+  pid_t pid = 0;
+};
+
+struct Shape {
+  std::string name;
+  std::vector<Machine> machines;
+  std::vector<RunnerProcess> runners;
+  std::vector<std::pair<std::string, json::object>> resources;  // "type/name" and spec, in the order to apply
+  json::array streams, lots;                                    // the callers' plan
+};
+
+Shape thin_shape();
+Shape altiplano_shape(double share);
+Shape sestavna_shape(double share);
+
+class Fleet {
+ public:
+  Fleet(Shape shape, std::string programs, std::string folder);
+  ~Fleet();
+  Shape shape;
+  std::string folder;
+
+  void start_all();
+  void start_machine(std::size_t index);
+  void start_runner(std::size_t index, double cold);
+  void end_machine(std::size_t index, int signal);         // and waits for it
+  void end_runner(std::size_t index, int signal);
+  void wipe(std::size_t index);
+  void signal_machine(std::size_t index, int signal);
+  int end_politely(std::size_t index);                     // SIGTERM; gives the exit code
+  pid_t start(const std::vector<std::string>& words);
+  int wait_for(pid_t pid);
+
+  // Waits on an event: polls until it holds; false only when the (generous) limit has passed.
+  static bool until(std::function<bool()> holds, Span limit = std::chrono::seconds(60));
+  std::optional<json::value> get(std::size_t machine, const std::string& target);
+  // Applies a resource through a machine, reading its version first; true when acknowledged.
+  bool apply(std::size_t machine, const std::string& type, const std::string& name, const json::object& spec);
+  bool remove(std::size_t machine, const std::string& type, const std::string& name);
+  bool serving(std::size_t machine);
+  bool all_serving();
+  bool taken_by_all(std::size_t machine, const std::string& type, const std::string& name);
+  std::optional<Circle> circle(std::size_t machine, const std::string& kind);
+  std::string runner_ledger() const { return folder + "/runners.ledger"; }
+  std::string platform_ledger() const { return folder + "/platform.ledger"; }
+  std::string caller_ledger() const { return folder + "/callers.ledger"; }
+  std::string write_plan(Span length, Span settle, std::uint32_t most);
+  bool apply_policy();
+
+ private:
+  std::string programs_;
+  std::set<pid_t> started_;
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/stand_ins/platform.cpp
@@ -0,0 +1,258 @@
+// stand-in-platform: starts a fleet on this machine, plays the operator and the platform towards it, brings failures
+// about and lets the judge speak.
+#include <getopt.h>
+#include <csignal>
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+#include "stand_ins/fleet.hpp"
+#include "stand_ins/judge.hpp"
+
+using namespace mothwalk;
+
+namespace {
+
+struct Options {
+  std::string fleet = "thin", programs, folder, faults;
+  int seconds = 20;
+  double share = 1.0;
+  bool keep = false;
+};
+
+int failed_checks = 0;
+bool check(bool good, const std::string& what) {
+  std::cout << (good ? "ok      " : "FAILED  ") << what << std::endl;
+  failed_checks += !good;
+  return good;
+}
+
+std::vector<json::object> all_ledgers(const Fleet& fleet) {
+  std::vector<json::object> lines;
+  for (const auto& path : {fleet.runner_ledger(), fleet.caller_ledger(), fleet.platform_ledger()})
+    for (auto& line : read_ledger(path)) lines.push_back(std::move(line));
+  return lines;
+}
+
+// The thin path, by events alone: every step waits for what it needs and nothing depends on speed.
+void thin(Fleet& fleet) {
+  fleet.start_all();
+  check(Fleet::until([&] { return fleet.all_serving(); }), "four daemons in two halls found each other and hold permits");
+  check(fleet.apply_policy(), "kinds, lanes and runners were taken, each at another daemon");
+  for (const auto& name : {"audits", "lines"}) check(Fleet::until([&] { return fleet.taken_by_all(3, "lane", name); }), std::string("lane ") + name + " reached every member");
+  check(Fleet::until([&] {
+          auto circle = fleet.circle(1, "model");
+          return circle && circle->members.size() >= 2 && circle->members.size() <= 3 && circle->warm.size() == circle->members.size();
+        }), "the circle stands, with the floor inside and the reserve outside");
+  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) {
+    // The platform's own client is a caller through each single daemon.
+    auto answer = http_call(fleet.shape.machines[machine].callers, "POST", "/audits", "a receipt", std::chrono::seconds(30));
+    const bool good = !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200 && std::get<HttpAnswer>(answer).headers["x-mothwalk-outcome"] == "answer";
+    check(good, "daemon " + std::to_string(machine) + " carried a request to a runner");
+  }
+  const pid_t caller = fleet.start({"stand-in-caller", fleet.write_plan(std::chrono::seconds(60), std::chrono::seconds(60), 3)});
+  check(fleet.wait_for(caller) == 0, "the callers streamed and handed in lots");
+  const auto lines = all_ledgers(fleet);
+  Verdict verdict = judge(lines);
+  for (const auto& each : verdict.broken) check(false, each);
+  check(verdict.broken.empty(), "the judge finds nothing");
+  check(verdict.counts["audits answer"] == 3, "three streams were answered whole");
+  check(verdict.counts["lots done"] == 3 && verdict.counts["items answer"] == 30, "three lots of ten items were worked off and read");
+  std::set<std::string> lot_runners;
+  for (const auto& line : lines)
+    if (const auto* what = line.if_contains("what"); what != nullptr && what->as_string() == "run" && std::string(line.at("id").as_string()).starts_with("lines-")) lot_runners.insert(std::string(line.at("runner").as_string()));
+  auto circle = fleet.circle(0, "model");
+  bool outside = circle.has_value() && !lot_runners.empty();
+  for (const auto& name : lot_runners) outside = outside && std::find(circle->members.begin(), circle->members.end(), RunnerId(name)) == circle->members.end();
+  check(outside, "the items ran on runners outside the circle alone");
+  // An operator's stale version and a faulty document change nothing.
+  const std::string path = "/v1/resources/lane/audits";
+  auto stale = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=0", R"({"path":"/audits","kind":"model"})", std::chrono::seconds(10));
+  check(!fault_of(stale) && std::get<HttpAnswer>(stale).status == 412, "a stale version is refused");
+  auto faulty = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=1", R"({"path":"/audits","kind":"model","retires":2})", std::chrono::seconds(10));
+  check(!fault_of(faulty) && std::get<HttpAnswer>(faulty).status == 400 && std::get<HttpAnswer>(faulty).body.find("retires") != std::string::npos, "an unknown field is refused by its name");
+  // Everything down at once and back.
+  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.end_machine(machine, SIGKILL);
+  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.start_machine(machine);
+  check(Fleet::until([&] { return fleet.all_serving() && fleet.taken_by_all(0, "lane", "audits"); }), "after a total loss the policy is back");
+  check(Fleet::until([&] {
+          auto answer = http_call(fleet.shape.machines[3].callers, "GET", "/lots", "", std::chrono::seconds(10));
+          if (fault_of(answer)) return false;
+          auto parsed = parse_json(std::get<HttpAnswer>(answer).body);
+          if (fault_of(parsed) || !std::get<json::value>(parsed).as_object().contains("lots")) return false;
+          return std::get<json::value>(parsed).at("lots").as_array().size() == 3;
+        }), "after a total loss the lots are back");
+  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) check(fleet.end_politely(machine) == 0, "daemon " + std::to_string(machine) + " drained and ended with 0");
+}
+
+void observe(Ledger& ledger, const std::string& name, std::int64_t took, std::optional<std::int64_t> limit) {
+  json::object line{{"what", "observed"}, {"name", name}, {"took", took}};
+  if (limit) line["limit"] = *limit;
+  std::cout << "        " << name << ": " << took << " ms" << std::endl;
+  ledger.write(std::move(line));
+}
+
+std::int64_t timed(std::function<bool()> holds) {
+  const std::int64_t began = Ledger::milliseconds_now();
+  Fleet::until(std::move(holds), std::chrono::seconds(60));
+  return Ledger::milliseconds_now() - began;
+}
+
+std::size_t live_machine(const Fleet& fleet, std::size_t from) {
+  for (std::size_t step = 0; step < fleet.shape.machines.size(); ++step)
+    if (const std::size_t index = (from + step) % fleet.shape.machines.size(); fleet.shape.machines[index].pid > 0) return index;
+  return 0;
+}
+
+// Seen by every live daemon's own table, whose versions are compared with the one just acknowledged.
+bool seen_everywhere(Fleet& fleet, const std::string& type, const std::string& name, std::uint64_t version) {
+  for (std::size_t index = 0; index < fleet.shape.machines.size(); ++index) {
+    if (fleet.shape.machines[index].pid == 0) continue;
+    auto list = fleet.get(index, "/v1/resources/" + type);
+    bool seen = false;
+    if (list)
+      for (const auto& each : list->at("resources").as_array()) seen = seen || (each.at("name").as_string() == name && each.at("version").to_number<std::uint64_t>() >= version);
+    if (!seen) return false;
+  }
+  return true;
+}
+
+void policy_change(Fleet& fleet, Ledger& ledger, int round) {
+  json::object spec;
+  for (const auto& [key, given] : fleet.shape.resources)
+    if (key.starts_with("lane/")) spec = given;
+  spec["path"] = "/changed-" + std::to_string(round);
+  const std::size_t machine = live_machine(fleet, static_cast<std::size_t>(round) * 5);
+  if (!Fleet::until([&] { return fleet.apply(machine, "lane", "changing", spec); }, std::chrono::seconds(20))) return;
+  auto shown = fleet.get(machine, "/v1/resources/lane/changing");
+  const std::uint64_t version = shown ? shown->at("version").to_number<std::uint64_t>() : 1;
+  observe(ledger, "policy change everywhere", timed([&] { return seen_everywhere(fleet, "lane", "changing", version); }), 2000);
+}
+
+void run_fault(Fleet& fleet, Ledger& ledger, const std::string& fault, int round) {
+  std::cout << "fault   " << fault << std::endl;
+  const std::size_t holders = static_cast<std::size_t>(std::count_if(fleet.shape.machines.begin(), fleet.shape.machines.end(), [](const Machine& machine) { return machine.disk; }));
+  const std::size_t holder = static_cast<std::size_t>(round) % holders;
+  if (fault == "kill" || fault == "wipe") {
+    fleet.end_machine(holder, SIGKILL);
+    if (fault == "wipe") fleet.wipe(holder);
+    policy_change(fleet, ledger, round);
+    fleet.start_machine(holder);
+    observe(ledger, "killed daemon serves again", timed([&] { return fleet.serving(holder); }), std::nullopt);
+  } else if (fault == "freeze") {
+    fleet.signal_machine(holder, SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    fleet.signal_machine(holder, SIGCONT);
+    observe(ledger, "frozen daemon serves again", timed([&] { return fleet.serving(holder); }), std::nullopt);
+  } else if (fault == "policy") {
+    policy_change(fleet, ledger, round);
+  } else if (fault == "runner-crash") {
+    const std::size_t runner = static_cast<std::size_t>(round) % 12;
+    fleet.end_runner(runner, SIGKILL);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    fleet.start_runner(runner, 2000);
+  } else if (fault == "leaving" || fault == "evacuate") {
+    json::array names;
+    const std::string hall = fleet.shape.runners[static_cast<std::size_t>(round) % 3].hall;
+    const RunnerProcess leaver = fleet.shape.runners[static_cast<std::size_t>(round + 5) % 12];
+    const std::size_t machine = live_machine(fleet, static_cast<std::size_t>(round) * 3);
+    json::object runner_spec{{"kind", leaver.kind}, {"address", leaver.address.text}, {"hall", leaver.hall}, {"slots", leaver.slots}, {"leaving", true}};
+    const bool evacuation = fault == "evacuate";
+    Fleet::until([&] { return evacuation ? fleet.apply(machine, "hall", hall, json::object{{"evacuated", true}}) : fleet.apply(machine, "runner", leaver.name, runner_spec); }, std::chrono::seconds(20));
+    const std::int64_t acknowledged = Ledger::milliseconds_now();
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    for (const auto& each : fleet.shape.runners)
+      if (evacuation ? each.hall == hall : each.name == leaver.name) names.push_back(json::value(json::string(each.name)));
+    ledger.write({{"what", evacuation ? "evacuated" : "leaving"}, {"runners", names}, {"acknowledged", acknowledged}, {"until", Ledger::milliseconds_now()}});
+    runner_spec["leaving"] = false;
+    Fleet::until([&] { return evacuation ? fleet.apply(machine, "hall", hall, json::object{{"evacuated", false}}) : fleet.apply(machine, "runner", leaver.name, runner_spec); }, std::chrono::seconds(20));
+  } else if (fault == "total-loss") {
+    for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.end_machine(machine, SIGKILL);
+    for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.start_machine(machine);
+    const std::string path = fleet.shape.name == "altiplano" ? "/suggestions" : "/triage";
+    observe(ledger, "service back after a total loss", timed([&] {
+              for (const auto& machine : fleet.shape.machines) {
+                auto answer = http_call(machine.callers, "POST", path, "hello", std::chrono::seconds(5));
+                if (fault_of(answer) || std::get<HttpAnswer>(answer).status != 200) return false;
+              }
+              return true;
+            }), 12000);
+  } else {
+    check(false, "the fault '" + fault + "' is not known; use kill, wipe, freeze, policy, runner-crash, leaving, evacuate, total-loss");
+  }
+}
+
+void loaded(Fleet& fleet, const Options& options) {
+  fleet.start_all();
+  if (!check(Fleet::until([&] { return fleet.all_serving(); }), "all daemons serve")) return;
+  if (!check(fleet.apply_policy(), "the policy was taken")) return;
+  check(Fleet::until([&] {
+          for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) {
+            auto circle = fleet.circle(machine, "model");
+            if (!circle || circle->members.empty() || circle->warm.size() < circle->members.size()) return false;
+          }
+          return true;
+        }), "the circle is warm");
+  Ledger ledger(fleet.platform_ledger());
+  const pid_t caller = fleet.start({"stand-in-caller", fleet.write_plan(std::chrono::seconds(options.seconds), std::chrono::seconds(30), 0)});
+  const std::int64_t end = Ledger::milliseconds_now() + options.seconds * 1000;
+  std::vector<std::string> faults;
+  std::string rest = options.faults;
+  while (!rest.empty()) {
+    const auto comma = std::min(rest.find(','), rest.size());
+    faults.push_back(rest.substr(0, comma));
+    rest.erase(0, comma + 1);
+  }
+  for (int round = 0; !faults.empty() && Ledger::milliseconds_now() < end - 6000; ++round) {
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    run_fault(fleet, ledger, faults[static_cast<std::size_t>(round) % faults.size()], round);
+  }
+  check(fleet.wait_for(caller) == 0, "the callers ended");
+  json::object totals;
+  std::uint64_t own = 0, other = 0;
+  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine)
+    if (auto usage = fleet.get(machine, "/v1/usage")) {
+      own += usage->at("entries").at("own_hall").to_number<std::uint64_t>();
+      other += usage->at("entries").at("other_hall").to_number<std::uint64_t>();
+      for (const auto& each : usage->at("entries").at("refusals").as_object()) totals[each.key()] = (totals.contains(each.key()) ? totals[each.key()].as_uint64() : 0) + each.value().to_number<std::uint64_t>();
+    }
+  std::cout << "refusals by reason: " << json::serialize(totals) << "\nlegs in the own hall: " << own << ", in other halls: " << other << "\n";
+  if (auto circle = fleet.circle(live_machine(fleet, 0), "model")) std::cout << "circle: " << circle->members.size() << " members, usage " << circle->usage << ", " << circle->cycle << " cycles\n";
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Options options;
+  const option flags[] = {{"fleet", 1, nullptr, 'f'}, {"programs", 1, nullptr, 'p'}, {"folder", 1, nullptr, 'd'}, {"faults", 1, nullptr, 'x'}, {"seconds", 1, nullptr, 's'}, {"share", 1, nullptr, 'r'}, {"keep", 0, nullptr, 'k'}, {nullptr, 0, nullptr, 0}};
+  for (int found = 0; (found = getopt_long(count, words, "", flags, nullptr)) != -1;) {
+    if (found == 'f') options.fleet = optarg;
+    else if (found == 'p') options.programs = optarg;
+    else if (found == 'd') options.folder = optarg;
+    else if (found == 'x') options.faults = optarg;
+    else if (found == 's') options.seconds = std::stoi(optarg);
+    else if (found == 'r') options.share = std::stod(optarg);
+    else if (found == 'k') options.keep = true;
+    else return std::cerr << "stand-in-platform --fleet thin|altiplano|sestavna [--programs FOLDER] [--folder FOLDER] [--seconds N] [--share X] [--faults a,b,c] [--keep]\n", 2;
+  }
+  if (options.programs.empty()) options.programs = std::filesystem::path(words[0]).parent_path().string();
+  if (options.folder.empty()) options.folder = (std::filesystem::temp_directory_path() / ("mothwalk-" + std::to_string(::getpid()))).string();
+  if (options.fleet != "thin" && options.fleet != "altiplano" && options.fleet != "sestavna") return std::cerr << "stand-in-platform: the fleet is thin, altiplano or sestavna\n", 2;
+  {
+    Fleet fleet(options.fleet == "thin" ? thin_shape() : options.fleet == "altiplano" ? altiplano_shape(options.share) : sestavna_shape(options.share), options.programs, options.folder);
+    if (options.fleet == "thin") {
+      thin(fleet);
+    } else {
+      loaded(fleet, options);
+      const pid_t judging = fleet.start({"judge", fleet.runner_ledger(), fleet.caller_ledger(), fleet.platform_ledger()});
+      check(fleet.wait_for(judging) == 0, "the judge finds nothing");
+    }
+  }
+  if (!options.keep && failed_checks == 0) std::filesystem::remove_all(options.folder);
+  else std::cout << "the ledgers and logs are in " << options.folder << "\n";
+  std::cout << (failed_checks == 0 ? "All checks hold.\n" : std::to_string(failed_checks) + " checks failed.\n");
+  return failed_checks == 0 ? 0 : 1;
+}
