Takeover: a promise that comes after the majority no longer undoes the hand-over

Cause: the late third reply counted the open ones down to zero and stepped down from a slot that was being installed. Seen as 33 s to take the policy and 21 s back after a total loss in the thin fleet. Ruled out: disk, membership (both stood within 2 s). After: 1 s and 2 s, same fleet and machine.

--- a/source/kept/kept.cpp
+++ b/source/kept/kept.cpp
@@ -350,16 +350,20 @@
   owned.epoch = epoch;
   auto replies = std::make_shared<std::vector<PromiseReply>>();
   auto left = std::make_shared<std::size_t>(roster_.seats.size());
+  auto enough = std::make_shared<bool>(false);
   const std::size_t majority = roster_.majority();
   for (const auto& seat : roster_.seats)
-    ask_seat(seat, Promise{{}, {}, slot, epoch, roster_}, peer_horizon, [this, slot, epoch, replies, left, majority](Result<PromiseReply> result) {
+    ask_seat(seat, Promise{{}, {}, slot, epoch, roster_}, peer_horizon, [this, slot, epoch, replies, left, enough, majority](Result<PromiseReply> result) {
       --*left;
       Owned& now_owned = owned_[slot];
-      if (now_owned.state != Owned::State::taking || now_owned.epoch != epoch) return;
+      if (*enough || now_owned.state != Owned::State::taking || now_owned.epoch != epoch) return;
       if (auto* reply = std::get_if<PromiseReply>(&result)) {
         if (reply->granted) {
           replies->push_back(std::move(*reply));
-          if (replies->size() == majority) return taken(slot, epoch, std::move(*replies));
+          if (replies->size() == majority) {
+            *enough = true;
+            return taken(slot, epoch, std::move(*replies));
+          }
         } else {
           if (reply->roster.version > roster_.version) adopt(reply->roster);
           if (reply->epoch > now_owned.epoch) now_owned.epoch = reply->epoch;
