--- /dev/null
+++ b/source/simulate/main.cpp
@@ -0,0 +1,104 @@
+// simulate: runs scenarios by seed, exactly the same every time, and says for each failure its seed, the broken rule and
+// the history that led to it.
+#include <getopt.h>
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "simulate/scenarios.hpp"
+
+using namespace mothwalk;
+using namespace mothwalk::simulate;
+
+namespace {
+
+std::optional<std::uint64_t> number(const char* text) {
+  const View view(text);
+  if (view.empty() || view.size() > 9 || view.find_first_not_of("0123456789") != View::npos) return std::nullopt;
+  return std::stoull(std::string(view));
+}
+
+int usage(const std::string& what) {
+  std::cerr << "simulate: " << what << "\n"
+            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna] [--threads N] [--history] [--list]\n"
+            << "Seeds go from 1 to 999999999; give a scenario that --list shows.\n";
+  return 2;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::string scenario, shape = "small";
+  std::uint64_t seed = 1, seeds = 1, threads = std::max(1u, std::thread::hardware_concurrency());
+  bool history = false;
+  const option flags[] = {{"scenario", 1, nullptr, 's'}, {"seed", 1, nullptr, 'n'}, {"seeds", 1, nullptr, 'c'}, {"shape", 1, nullptr, 'f'}, {"threads", 1, nullptr, 't'}, {"history", 0, nullptr, 'h'}, {"list", 0, nullptr, 'l'}, {nullptr, 0, nullptr, 0}};
+  for (int found = 0; (found = getopt_long(count, words, "", flags, nullptr)) != -1;) {
+    if (found == 's') scenario = optarg;
+    else if (found == 'f') shape = optarg;
+    else if (found == 'h') history = true;
+    else if (found == 'l') {
+      for (const auto& each : scenarios()) std::cout << each.name << ": " << each.about << "\n";
+      return 0;
+    } else if (found == 'n' || found == 'c' || found == 't') {
+      const auto given = number(optarg);
+      if (!given || *given < 1) return usage("'" + std::string(optarg) + "' is out of range");
+      (found == 'n' ? seed : found == 'c' ? seeds : threads) = *given;
+    } else return usage("a flag is not known");
+  }
+  if (scenario.empty()) return usage("no scenario is given");
+  if (shape != "small" && shape != "altiplano" && shape != "sestavna") return usage("the shape '" + shape + "' is not known");
+  if (scenario != "all" && find_scenario(scenario) == nullptr) return usage("the scenario '" + scenario + "' is not known");
+  std::vector<std::pair<const Scenario*, std::uint64_t>> jobs;
+  for (const auto& each : scenarios())
+    if (scenario == "all" || scenario == each.name)
+      for (std::uint64_t index = 0; index < seeds; ++index) jobs.emplace_back(&each, seed + index);
+  std::vector<std::optional<Outcome>> outcomes(jobs.size());
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> workers;
+  for (std::uint64_t index = 0; index < std::min<std::uint64_t>(threads, jobs.size()); ++index)
+    workers.emplace_back([&] {
+      for (std::size_t job = next++; job < jobs.size(); job = next++) outcomes[job] = run(*jobs[job].first, jobs[job].second, shape);
+    });
+  for (auto& worker : workers) worker.join();
+  std::size_t failed = 0;
+  double hours = 0;
+  std::map<std::string, std::uint64_t> requests;
+  std::map<std::string, std::vector<std::int64_t>> worst;
+  for (const auto& outcome : outcomes) {
+    hours += outcome->virtual_seconds / 3600;
+    std::uint64_t refused = 0, answered = 0, broken = 0;
+    for (const auto& [name, times] : outcome->verdict.counts) {
+      if (name.ends_with(" refused")) refused += times;
+      if (name.ends_with(" answer")) answered += times;
+      if (name.ends_with(" broken") || name.ends_with(" unknown")) broken += times;
+    }
+    for (const auto& [name, times] : outcome->verdict.took)
+      for (const auto time : times) worst[name].push_back(time);
+    requests["answered"] += answered;
+    requests["refused"] += refused;
+    requests["broken or unknown"] += broken;
+    const bool good = outcome->verdict.broken.empty();
+    failed += !good;
+    std::cout << (good ? "ok      " : "FAILED  ") << outcome->scenario << " seed " << outcome->seed << ": " << answered << " answered, " << refused << " refused, " << broken << " broken or unknown, " << outcome->events << " events\n";
+    if (!good) {
+      for (std::size_t index = 0; index < std::min<std::size_t>(outcome->verdict.broken.size(), 8); ++index) std::cout << "        BROKEN " << outcome->verdict.broken[index] << "\n";
+      std::cout << "        replay: simulate --scenario " << outcome->scenario << " --seed " << outcome->seed << " --shape " << shape << " --history\n";
+    }
+    if (history || !good) {
+      const std::size_t shown = history ? outcome->story.size() : std::min<std::size_t>(outcome->story.size(), 25);
+      for (std::size_t index = 0; index < shown; ++index) std::cout << "        " << outcome->story[index] << "\n";
+      if (history) for (const auto& line : outcome->final_state) std::cout << "        " << line << "\n";
+      if (history) for (const auto& [name, times] : outcome->verdict.counts) std::cout << "        " << name << ": " << times << "\n";
+    }
+  }
+  for (auto& [name, times] : worst) {
+    std::sort(times.begin(), times.end());
+    if (!times.empty()) std::cout << name << ": median " << times[times.size() / 2] << " ms, worst " << times.back() << " ms, of " << times.size() << "\n";
+  }
+  for (const auto& [name, times] : requests) std::cout << name << ": " << times << "\n";
+  std::cout << jobs.size() - failed << " passed, " << failed << " failed (" << hours << " virtual hours)\n";
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/source/simulate/scenarios.cpp
@@ -0,0 +1,420 @@
+// What is done to the town in each scenario, and the run around it.
+#include "simulate/scenarios.hpp"
+
+#include <algorithm>
+
+namespace mothwalk::simulate {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+void restart_later(Town& town, Machine& machine, Span pause) {
+  town.world.after(pause, [&machine] {
+    if (!machine.alive()) machine.start();
+  });
+}
+
+Machine& pick(Town& town, bool holder) {
+  std::vector<Machine*> list;
+  for (auto& machine : town.machines)
+    if (machine->alive() && !machine->frozen() && machine->has_disk == holder) list.push_back(machine.get());
+  return list.empty() ? *town.machines[0] : *list[town.world.chance.below(list.size())];
+}
+
+RunnerModel& pick_runner(Town& town, const std::string& kind) {
+  std::vector<RunnerModel*> list;
+  for (auto& runner : town.runners)
+    if (runner->kind == kind) list.push_back(runner.get());
+  return *list[town.world.chance.below(list.size())];
+}
+
+// The machine that owns the slot of a key, as most see it.
+Machine& owner_of(Town& town, const std::string& key) {
+  for (Machine* holder : town.holders())
+    if (holder->alive() && holder->board().owned.get()->slots.contains(slot_of(key))) return *holder;
+  return *town.holders()[0];
+}
+
+std::string runner_document(const Town& town, const RunnerModel& runner, bool leaving) {
+  (void)town;
+  return json::serialize(json::object{{"kind", runner.kind}, {"address", runner.address.text}, {"hall", runner.hall}, {"slots", runner.slots}, {"leaving", leaving}});
+}
+
+void cut_hall(Town& town, const std::string& hall, Span length, bool both) {
+  town.world.history("hall " + hall + " is cut off" + (both ? "" : " one way"));
+  std::set<std::string> halls;
+  for (auto& machine : town.machines) halls.insert(machine->hall);
+  for (const auto& other : halls) {
+    if (other == hall) continue;
+    town.world.cut(hall, other);
+    if (both) town.world.cut(other, hall);
+  }
+  for (auto& machine : town.machines)
+    if (machine->hall == hall || !both) machine->cut_off();
+  town.world.after(length, [&town] {
+    town.world.history("the network is mended");
+    town.world.mend();
+    for (auto& machine : town.machines) machine->joined();
+  });
+}
+
+void kill_and_restart(Town& town, Machine& machine, bool wipe, Span pause = seconds(3)) {
+  machine.kill(wipe);
+  restart_later(town, machine, pause);
+}
+
+// A change of policy and, the moment it is acknowledged, the death of the one who owned its key.
+void change_then_kill(Town& town, bool wipe) {
+  const std::string key = "lane/extra";
+  town.operator_change(key, R"({"path":"/extra","kind":"model","retries":)" + std::to_string(town.world.chance.below(9)) + "}", [&town, key, wipe](Stamp) { kill_and_restart(town, owner_of(town, key), wipe); });
+}
+
+void every(Town& town, Span gap, int times, std::function<void(int)> act) {
+  for (int turn = 0; turn < times; ++turn)
+    town.world.after(gap * (turn + 1), [act, turn] { act(turn); });
+}
+
+void leaving(Town& town, RunnerModel& runner) {
+  town.operator_change("runner/" + runner.name, runner_document(town, runner, true), [&town, &runner](Stamp) {
+    const std::int64_t acknowledged = town.world.milliseconds();
+    town.world.after(seconds(6), [&town, &runner, acknowledged] {
+      town.world.write({{"what", "leaving"}, {"runners", json::array{json::value(json::string(runner.name))}}, {"acknowledged", acknowledged}, {"until", town.world.milliseconds()}});
+      town.operator_change("runner/" + runner.name, runner_document(town, runner, false));
+    });
+  });
+}
+
+void evacuate(Town& town, const std::string& hall) {
+  town.operator_change("hall/" + hall, R"({"evacuated":true})", [&town, hall](Stamp) {
+    const std::int64_t acknowledged = town.world.milliseconds();
+    town.world.after(seconds(9), [&town, hall, acknowledged] {
+      json::array names;
+      for (auto& runner : town.runners)
+        if (runner->hall == hall) names.push_back(json::value(json::string(runner->name)));
+      town.world.write({{"what", "evacuated"}, {"runners", names}, {"acknowledged", acknowledged}, {"until", town.world.milliseconds()}});
+      town.operator_change("hall/" + hall, R"({"evacuated":false})");
+    });
+  });
+}
+
+void total_loss(Town& town) {
+  for (auto& machine : town.machines) machine->kill(false);
+  const Moment down = town.world.now();
+  for (auto& machine : town.machines) restart_later(town, *machine, milliseconds(200 + static_cast<std::int64_t>(town.world.chance.below(500))));
+  auto watch = std::make_shared<std::function<void()>>();
+  std::weak_ptr<std::function<void()>> weak = watch;
+  *watch = [&town, down, keep = watch.get(), weak] {
+    bool all = true;
+    for (auto& machine : town.machines) all = all && machine->alive() && machine->board().permitted(town.world.now()) && !machine->board().policy.get()->lanes.empty();
+    if (all) {
+      const std::int64_t took = (town.world.now() - down).count() / 1000;
+      town.world.write({{"what", "observed"}, {"name", "service back after a total loss"}, {"took", took}, {"limit", 12000}});
+      return;
+    }
+    if (town.world.now() - down > seconds(30)) return town.world.write({{"what", "observed"}, {"name", "service back after a total loss"}, {"took", 30000}, {"limit", 12000}});
+    town.world.after(milliseconds(50), [self = weak.lock()] { if (self) (*self)(); });
+  };
+  town.world.after(milliseconds(50), [watch] { (*watch)(); });
+}
+
+void crowd(Town& town, double factor, Span length) {
+  town.world.history("a crowd arrives");
+  for (auto& load : town.shape.streams) load.rate *= factor;
+  town.world.after(length, [&town, factor] {
+    town.world.history("the crowd is over");
+    for (auto& load : town.shape.streams) load.rate /= factor;
+  });
+}
+
+void crash_and_return(Town& town, RunnerModel& runner, Span pause) {
+  town.crash_runner(runner);
+  town.world.after(pause, [&town, &runner] { town.return_runner(runner, seconds(2)); });
+}
+
+void misbehave(Town& town, RunnerModel& runner, const std::string& mode, Span length) {
+  town.world.history(runner.name + " turns " + mode);
+  runner.mode = mode;
+  town.world.after(length, [&town, &runner] {
+    town.world.history(runner.name + " is sound again");
+    runner.mode = "sound";
+  });
+}
+
+void freeze(Town& town, Machine& machine, Span length) {
+  machine.freeze();
+  town.world.after(length, [&machine] { machine.wake(); });
+}
+
+void random_fault(Town& town) {
+  switch (town.world.chance.below(12)) {
+    case 0: return kill_and_restart(town, pick(town, true), false);
+    case 1: return kill_and_restart(town, pick(town, false), false);
+    case 2: return freeze(town, pick(town, town.world.chance.below(2) == 0), seconds(3));
+    case 3: return crash_and_return(town, pick_runner(town, "model"), seconds(2));
+    case 4: return misbehave(town, pick_runner(town, "model"), "truncate", seconds(3));
+    case 5: return misbehave(town, pick_runner(town, "model"), "dark", seconds(3));
+    case 6: return misbehave(town, pick_runner(town, "model"), "slow", seconds(3));
+    case 7: return change_then_kill(town, false);
+    case 8: return leaving(town, pick_runner(town, "model"));
+    case 9: return misbehave(town, pick_runner(town, "model"), "nonsense", seconds(2));
+    case 10: {
+      Machine& machine = pick(town, true);
+      machine.disk().stalled = true;
+      town.world.after(seconds(3), [&machine] { machine.disk().stalled = false; });
+      return;
+    }
+    default: town.operator_change("lane/extra", R"({"path":"/extra","kind":"model","retries":)" + std::to_string(town.world.chance.below(9)) + "}");
+  }
+}
+
+std::vector<Scenario> make() {
+  std::vector<Scenario> list;
+  auto add = [&](std::string name, std::string about, std::function<void(Town&)> faults, Span load = seconds(20), Span settle = seconds(35)) { list.push_back(Scenario{std::move(name), std::move(about), std::move(faults), load, settle}); };
+  add("quiet", "load alone", [](Town&) {});
+  add("kill", "holders killed one after another, back after 3 s", [](Town& town) {
+    every(town, seconds(4), 4, [&town](int) { kill_and_restart(town, pick(town, true), false); });
+  });
+  add("kill-plain", "daemons without disks killed", [](Town& town) {
+    every(town, seconds(4), 4, [&town](int) { kill_and_restart(town, pick(town, false), false); });
+  });
+  add("kill-after-acknowledgement", "the owner of a key dies the moment its change is acknowledged", [](Town& town) {
+    every(town, seconds(6), 3, [&town](int) { change_then_kill(town, false); });
+  });
+  add("wipe-after-acknowledgement", "the same, and its disk is wiped", [](Town& town) {
+    every(town, seconds(9), 2, [&town](int) { change_then_kill(town, true); });
+  }, seconds(24));
+  add("kill-circle-duty", "the owner of the circle's key dies", [](Town& town) {
+    every(town, seconds(5), 3, [&town](int) { kill_and_restart(town, owner_of(town, "circle/model"), false); });
+  });
+  add("points", "the process that passes point number SEED*7 of its kept state is killed there", [](Town& town) {
+    town.world.strike = [&town](const std::string& place) {
+      for (auto& machine : town.machines)
+        if (machine->name == place && machine->alive()) kill_and_restart(town, *machine, false, seconds(2));
+    };
+    town.operator_change("lane/extra", R"({"path":"/extra","kind":"model"})");
+  }, seconds(12));
+  add("cut-even", "one hall against the others, for 6 s", [](Town& town) {
+    town.world.after(seconds(4), [&town] { cut_hall(town, town.machines[town.world.chance.below(3)]->hall, seconds(6), true); });
+    town.world.after(seconds(6), [&town] { town.operator_change("lane/extra", R"({"path":"/extra","kind":"model"})"); });
+  });
+  add("cut-core", "every hall cut from every other, for 5 s", [](Town& town) {
+    town.world.after(seconds(4), [&town] {
+      town.world.history("the core is down");
+      for (auto& machine : town.machines) {
+        machine->cut_off();
+        for (auto& other : town.machines)
+          if (machine->hall != other->hall) town.world.cut(machine->hall, other->hall);
+      }
+    });
+    town.world.after(seconds(9), [&town] {
+      town.world.history("the network is mended");
+      town.world.mend();
+      for (auto& machine : town.machines) machine->joined();
+    });
+  });
+  add("cut-one-way", "a hall can't be heard for 5 s", [](Town& town) {
+    town.world.after(seconds(4), [&town] { cut_hall(town, town.machines[town.world.chance.below(3)]->hall, seconds(5), false); });
+  });
+  add("loss", "one message in twenty vanishes", [](Town& town) {
+    town.world.loss = 0.05;
+    for (auto& machine : town.machines) machine->cut_off();
+    town.world.after(seconds(15), [&town] {
+      town.world.loss = 0;
+      for (auto& machine : town.machines) machine->joined();
+    });
+  });
+  add("freeze", "machines freeze for longer than a permit and wake", [](Town& town) {
+    every(town, seconds(4), 4, [&town](int turn) { freeze(town, pick(town, turn % 2 == 0), milliseconds(2500 + 500 * turn)); });
+    every(town, seconds(5), 3, [&town](int turn) { town.operator_change("lane/extra", R"({"path":"/extra","kind":"model","retries":)" + std::to_string(turn) + "}"); });
+  });
+  add("freeze-over-leaving", "a daemon is frozen while a runner leaves, and wakes", [](Town& town) {
+    town.world.after(seconds(4), [&town] {
+      for (int count = 0; count < 3; ++count) freeze(town, pick(town, count == 0), seconds(5));
+      leaving(town, pick_runner(town, "model"));
+    });
+  });
+  add("disk-stall", "a holder's disk stalls for 4 s", [](Town& town) {
+    every(town, seconds(6), 3, [&town](int) {
+      Machine& machine = owner_of(town, "lane/audits");
+      town.world.history(machine.name + "'s disk stalls");
+      machine.disk().stalled = true;
+      town.world.after(seconds(4), [&machine] { machine.disk().stalled = false; });
+    });
+  });
+  add("disk-slow", "two disks take 100 ms for a sync", [](Town& town) {
+    auto holders = town.holders();
+    for (std::size_t index = 0; index < 2; ++index) holders[index]->disk().sync_time = milliseconds(100);
+    town.world.after(seconds(12), [holders] { for (auto* each : holders) each->disk().sync_time = std::chrono::microseconds(400); });
+  });
+  add("disk-error", "a sync fails; the drive is replaced by an empty one", [](Town& town) {
+    town.world.after(seconds(4), [&town] { pick(town, true).disk().failing = true; });
+  }, seconds(24));
+  add("disk-damage", "a record in the middle of a holder's file is damaged while it is down", [](Town& town) {
+    town.world.after(seconds(4), [&town] {
+      Machine& machine = pick(town, true);
+      machine.kill(false);
+      machine.disk().damage();
+      restart_later(town, machine, seconds(1));
+    });
+  }, seconds(24));
+  add("runner-crash", "model runners crash and return cold", [](Town& town) {
+    every(town, seconds(3), 5, [&town](int) { crash_and_return(town, pick_runner(town, "model"), seconds(2)); });
+  });
+  add("runner-dark", "a model runner takes requests and answers nothing", [](Town& town) {
+    every(town, seconds(6), 2, [&town](int) { misbehave(town, pick_runner(town, "model"), "dark", seconds(5)); });
+  });
+  add("runner-truncate", "a model runner breaks its streams off", [](Town& town) {
+    every(town, seconds(5), 3, [&town](int) { misbehave(town, pick_runner(town, "model"), "truncate", seconds(4)); });
+  });
+  add("runner-nonsense", "a model runner answers nonsense", [](Town& town) {
+    every(town, seconds(5), 3, [&town](int) { misbehave(town, pick_runner(town, "model"), "nonsense", seconds(4)); });
+  });
+  add("runner-slow", "a model runner is six times slower", [](Town& town) {
+    every(town, seconds(5), 3, [&town](int) { misbehave(town, pick_runner(town, "model"), "slow", seconds(4)); });
+  });
+  add("release", "model runners are replaced one by one: leaving, down, back cold", [](Town& town) {
+    for (std::size_t index = 0; index < 4; ++index) {
+      RunnerModel& runner = *town.runners[index];
+      town.world.after(seconds(4) * static_cast<int>(index) + seconds(1), [&town, &runner] {
+        town.operator_change("runner/" + runner.name, runner_document(town, runner, true), [&town, &runner](Stamp) {
+          town.world.after(seconds(3), [&town, &runner] {
+            crash_and_return(town, runner, seconds(1));
+            town.world.after(seconds(1), [&town, &runner] { town.operator_change("runner/" + runner.name, runner_document(town, runner, false)); });
+          });
+        });
+      });
+    }
+  }, seconds(24));
+  add("leaving", "runners are signalled as leaving", [](Town& town) {
+    every(town, seconds(5), 3, [&town](int) { leaving(town, pick_runner(town, "model")); });
+  });
+  add("evacuate", "a hall is evacuated during a surge", [](Town& town) {
+    crowd(town, 1.7, seconds(12));
+    town.world.after(seconds(3), [&town] { evacuate(town, town.machines[town.world.chance.below(3)]->hall); });
+  });
+  add("evacuate-and-kill", "a hall is evacuated and the owner of its key dies at once", [](Town& town) {
+    const std::string hall = town.machines[town.world.chance.below(3)]->hall;
+    town.world.after(seconds(3), [&town, hall] {
+      town.operator_change("hall/" + hall, R"({"evacuated":true})", [&town, hall](Stamp) {
+        const std::int64_t acknowledged = town.world.milliseconds();
+        kill_and_restart(town, owner_of(town, "hall/" + hall), town.world.chance.below(2) == 0);
+        town.world.after(seconds(9), [&town, hall, acknowledged] {
+          json::array names;
+          for (auto& runner : town.runners)
+            if (runner->hall == hall) names.push_back(json::value(json::string(runner->name)));
+          town.world.write({{"what", "evacuated"}, {"runners", names}, {"acknowledged", acknowledged}, {"until", town.world.milliseconds()}});
+          town.operator_change("hall/" + hall, R"({"evacuated":false})");
+        });
+      });
+    });
+  }, seconds(24));
+  add("policy-storm", "sixty changes in three seconds", [](Town& town) {
+    town.world.after(seconds(4), [&town] {
+      for (int index = 0; index < 60; ++index)
+        town.world.after(milliseconds(50) * index, [&town, index] { town.operator_change("lane/storm-" + std::to_string(index % 20), R"({"path":"/storm-)" + std::to_string(index % 20) + R"(","kind":"model","retries":)" + std::to_string(index / 20) + "}"); });
+    });
+  });
+  add("policy-race", "two operators change one resource at the same version", [](Town& town) {
+    every(town, seconds(2), 6, [&town](int turn) {
+      auto won = std::make_shared<int>(0);
+      auto left = std::make_shared<int>(2);
+      const std::string path = "/v1/resources/lane/raced";
+      town.control(town.any_alive(), "GET", path, "", [&town, turn, won, left, path](int status, const std::string& text) {
+        const std::uint64_t version = status == 200 ? std::get<json::value>(parse_json(text)).at("version").to_number<std::uint64_t>() : 0;
+        for (int rival = 0; rival < 2; ++rival)
+          town.control(town.any_alive(), "PUT", path + "?version=" + std::to_string(version), R"({"path":"/raced","kind":"model","retries":)" + std::to_string((turn + rival) % 5) + "}", [&town, won, left](int put, const std::string&) {
+            *won += put == 200;
+            if (--*left == 0 && *won > 1) town.broken.push_back("two operators both won the same version");
+          });
+      });
+    });
+  });
+  add("crowd", "callers and lots arrive fourfold for 6 s", [](Town& town) {
+    town.world.after(seconds(4), [&town] {
+      crowd(town, 4, seconds(6));
+      for (auto& load : town.shape.lots) load.rate *= 4;
+    });
+    town.world.after(seconds(10), [&town] { for (auto& load : town.shape.lots) load.rate /= 4; });
+  }, seconds(20), seconds(45));
+  add("replace-holder", "a holder dies for good; the spare takes its seat", [](Town& town) {
+    town.world.after(seconds(3), [&town] { pick(town, true).kill(true); });
+    town.world.after(seconds(20), [&town] { town.operator_change("lane/extra", R"({"path":"/extra","kind":"model"})"); });
+  }, seconds(28));
+  add("two-holders-lost", "two holders die for good one after another, and come back empty later", [](Town& town) {
+    town.world.after(seconds(3), [&town] { kill_and_restart(town, pick(town, true), true, seconds(20)); });
+    town.world.after(seconds(18), [&town] { kill_and_restart(town, pick(town, true), true, seconds(8)); });
+    town.world.after(seconds(30), [&town] { town.operator_change("lane/extra", R"({"path":"/extra","kind":"model"})"); });
+  }, seconds(34));
+  add("retire", "a holder is retired by the operator, then switched off", [](Town& town) {
+    Machine& machine = pick(town, true);
+    town.operator_change("holder/" + machine.address.text, R"({"retired":true})");
+    town.world.after(seconds(14), [&town, &machine] {
+      for (const auto& seat : town.any_alive().board().policy.get()->roster.seats)
+        if (seat.address == machine.address) town.broken.push_back("a retired holder still has its seat after 14 s");
+      machine.kill(true);
+    });
+  }, seconds(24));
+  add("total-loss", "everything down at once and back", [](Town& town) {
+    town.world.after(seconds(6), [&town] { total_loss(town); });
+  }, seconds(20));
+  add("mixed", "a random fault every two seconds", [](Town& town) {
+    every(town, seconds(2), 10, [&town](int) { random_fault(town); });
+  }, seconds(24), seconds(45));
+  add("mixed-then-total-loss", "random faults, and a closing fault that takes everything down", [](Town& town) {
+    every(town, seconds(2), 6, [&town](int) { random_fault(town); });
+    town.world.after(seconds(16), [&town] { total_loss(town); });
+  }, seconds(24), seconds(45));
+  return list;
+}
+
+}  // namespace
+
+const std::vector<Scenario>& scenarios() {
+  static const std::vector<Scenario> list = make();
+  return list;
+}
+
+const Scenario* find_scenario(const std::string& name) {
+  for (const auto& each : scenarios())
+    if (each.name == name) return &each;
+  return nullptr;
+}
+
+Outcome run(const Scenario& scenario, std::uint64_t seed, const std::string& shape) {
+  World world(seed * 1000003 + 17);
+  Town town(world, shape_named(shape, 1.0));
+  Outcome outcome;
+  outcome.scenario = scenario.name;
+  outcome.seed = seed;
+  outcome.machines = town.machines.size();
+  town.start();
+  while (!town.ready() && world.now() < Moment{} + seconds(40)) world.run_until(world.now() + milliseconds(100));
+  if (!town.ready()) town.broken.push_back("the policy was not taken within 40 s of the first start");
+  // The circle's ramp is over before the load begins: cold starts have scenarios of their own.
+  world.run_until(world.now() + seconds(5));
+  town.load(scenario.load);
+  world.points = 0;
+  if (scenario.name == "points") world.armed = seed * 7;
+  scenario.faults(town);
+  world.run_until(world.now() + scenario.load + scenario.settle);
+  outcome.verdict = judge(world.ledger());
+  for (const auto& each : town.broken) outcome.verdict.broken.push_back(each);
+  for (auto& runner : town.runners)
+    if (runner->most_offered_cold > runner->slots * 2) outcome.verdict.broken.push_back("a cold runner was flooded: " + runner->name + " had " + std::to_string(runner->most_offered_cold) + " at once");
+  for (auto& machine : town.machines) {
+    outcome.frames += machine->frames;
+    outcome.bytes += machine->bytes;
+    if (!machine->alive()) continue;
+    if (!machine->board().permitted(world.now())) outcome.verdict.broken.push_back("not serving at the end: " + machine->name);
+    outcome.final_state.push_back(machine->name + " owns " + std::to_string(machine->board().owned.get()->slots.size()) + " slots, roster " + std::to_string(machine->board().policy.get()->roster.version.value));
+  }
+  outcome.story = world.story();
+  outcome.virtual_seconds = static_cast<double>(world.now().microseconds) / 1e6;
+  outcome.events = world.events;
+  outcome.points = world.points;
+  return outcome;
+}
+
+}  // namespace mothwalk::simulate
--- /dev/null
+++ b/source/simulate/scenarios.hpp
@@ -0,0 +1,29 @@
+// The scenarios: each brings one kind of failure about, alone or mixed, and is replayed exactly by its seed.
+#pragma once
+#include "simulate/town.hpp"
+#include "stand_ins/judge.hpp"
+
+namespace mothwalk::simulate {
+
+struct Outcome {
+  std::string scenario;
+  std::uint64_t seed = 0;
+  Verdict verdict;                     // the judge's and the town's findings together
+  std::vector<std::string> story;
+  double virtual_seconds = 0;
+  std::uint64_t events = 0, points = 0, frames = 0, bytes = 0;
+  std::size_t machines = 0;
+  std::vector<std::string> final_state;
+};
+
+struct Scenario {
+  std::string name, about;
+  std::function<void(Town&)> faults;   // called when the load begins
+  Span load = std::chrono::seconds(20), settle = std::chrono::seconds(35);
+};
+
+const std::vector<Scenario>& scenarios();
+const Scenario* find_scenario(const std::string& name);
+Outcome run(const Scenario& scenario, std::uint64_t seed, const std::string& shape);
+
+}  // namespace mothwalk::simulate
--- /dev/null
+++ b/source/simulate/town.cpp
@@ -0,0 +1,656 @@
+// Machines that run the daemon's duties, runners that play the model, callers that verify, and the rules that the town
+// watches itself: freshness, versions that never fall back, and floods of cold runners.
+#include "simulate/town.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace mothwalk::simulate {
+
+using std::chrono::milliseconds;
+
+// ---- machines
+
+Machine::Machine(Town& town, std::string given_name, std::string given_hall, bool disk, Address given_address)
+    : name(std::move(given_name)), hall(std::move(given_hall)), has_disk(disk), address(std::move(given_address)), town_(town), disk_(town.world, name) {}
+
+void Machine::start() {
+  World& world = town_.world;
+  life_ = std::make_shared<Life>();
+  board_ = std::make_unique<Board>();
+  schedule_ = std::make_unique<SimulatedSchedule>(world, life_);
+  duties_ = std::make_unique<Duties>();
+  disk_.own(life_);
+  undisturbed_since = world.now();
+  incarnation_ = std::max(incarnation_ + 1, static_cast<std::uint64_t>(world.now().microseconds));
+  Member self;
+  self.address = address;
+  self.hall = HallId(hall);
+  self.callers = self.control = address;
+  self.incarnation = incarnation_;
+  self.version = "simulated";
+  std::vector<Address> seeds;
+  for (std::size_t index = 0; index < 3; ++index) seeds.push_back(town_.machines[index]->address);
+  auto post = [&](const std::string& slice) -> Post& {
+    return *(duties_->posts[slice] = std::make_unique<Post>(*this, *schedule_, address, incarnation_, slice));
+  };
+  if (has_disk) {
+    Kept::Report report;
+    report.note = [this](View sentence) { town_.world.history(name + " kept: " + std::string(sentence)); };
+    report.fatal = [this] {
+      town_.world.history(name + " ends: its disk failed");
+      // The platform restarts it with an empty disk, as it would replace the drive.
+      kill(true);
+      disk_.failing = false;
+      town_.world.after(std::chrono::seconds(2), [this] { if (!alive()) start(); });
+    };
+    duties_->kept = std::make_unique<Kept>(post("kept"), *board_, disk_, world.chance, self, seeds, std::move(report));
+    if (auto loaded = duties_->kept->load(); fault_of(loaded)) {
+      town_.broken.push_back("a holder could not read its own file: " + fault_of(loaded)->message);
+      return;
+    }
+    self.holder = duties_->kept->identity();
+    duties_->circle = std::make_unique<CircleDuty>(post("circle"), *board_);
+    duties_->lots = std::make_unique<Lots>(post("lots"), *board_);
+  }
+  duties_->live_exchange = std::make_unique<SimulatedExchange>(town_, name, hall, life_);
+  duties_->lot_exchange = std::make_unique<SimulatedExchange>(town_, name, hall, life_);
+  duties_->sessions = std::make_unique<Sessions>(post("sessions"), *board_, self, seeds);
+  duties_->news = std::make_unique<News>(post("news"), *board_, world.chance, has_disk);
+  duties_->placing = std::make_unique<Placing>(post("placing"), *board_, *duties_->lot_exchange, world.chance);
+  duties_->entries = std::make_unique<Entries>(post("routes"), *board_, *duties_->live_exchange, world.chance, self);
+  duties_->control = std::make_unique<Control>(post("control"), *board_, world.chance, self, [] { return json::value(nullptr); });
+  duties_->sessions->start();
+  duties_->news->start();
+  duties_->placing->start();
+  duties_->entries->start();
+  if (has_disk) {
+    duties_->kept->start();
+    duties_->circle->start();
+    duties_->lots->start();
+  }
+}
+
+void Machine::kill(bool wipe) {
+  if (!alive()) return;
+  town_.world.history(name + (wipe ? " is killed and wiped" : " is killed"));
+  life_->alive = false;
+  disk_.tear();
+  if (wipe) disk_.wipe();
+  // The duties may be on the stack: they are taken down between events.
+  struct Remains {
+    std::unique_ptr<Duties> duties;
+    std::unique_ptr<Board> board;
+    std::unique_ptr<SimulatedSchedule> schedule;
+  };
+  auto remains = std::make_shared<Remains>();
+  remains->duties = std::move(duties_);
+  remains->board = std::move(board_);
+  remains->schedule = std::move(schedule_);
+  board_ = std::make_unique<Board>();
+  town_.world.graveyard.push_back(remains);
+  town_.gone(*this);
+}
+
+void Machine::freeze() {
+  if (!alive() || life_->frozen) return;
+  town_.world.history(name + " freezes");
+  town_.world.freeze(life_);
+}
+
+void Machine::wake() {
+  if (!frozen()) return;
+  town_.world.history(name + " wakes");
+  undisturbed_since = town_.world.now();
+  town_.world.wake(life_);
+}
+
+void Machine::joined() { undisturbed_since = town_.world.now(); }
+
+void Machine::send(const Address& to, Envelope envelope) {
+  World& world = town_.world;
+  if (envelope.slice == "kept" || envelope.sender == "kept" || envelope.sender == "lots") world.point(name);
+  Machine* target = town_.machine_at(to);
+  if (target == nullptr || !target->alive()) return;
+  auto shared = std::make_shared<Envelope>(std::move(envelope));
+  Span delay{20};
+  if (target != this) {
+    // The form that goes over the wire is made and read here as well, so that the simulation covers it.
+    const Bytes form = to_cbor(*shared);
+    ++frames;
+    bytes += form.size() + 4;
+    if (world.is_cut(name, hall, target->name, target->hall)) return;
+    if (world.loss > 0 && world.chance.uniform() < world.loss) return;
+    if (auto read = from_cbor<Envelope>(form)) *shared = std::move(*read);
+    delay = world.delay(hall, target->hall);
+  }
+  world.at(delay, target->life(), [target, shared] { target->take(std::move(*shared)); });
+}
+
+void Machine::take(Envelope envelope) {
+  if (!duties_) return;
+  auto post = duties_->posts.find(envelope.slice);
+  if (post != duties_->posts.end()) post->second->take(std::move(envelope));
+}
+
+// ---- legs to runners
+
+Exchange::Id SimulatedExchange::start(const LegRequest& request, std::shared_ptr<LegWatcher> watcher) {
+  const Id id = ++last_;
+  auto leg = std::make_shared<Leg>();
+  leg->request = request;
+  leg->watcher = std::move(watcher);
+  leg->runner = town_.runner_at(request.to);
+  for (const auto& header : request.headers) {
+    if (header.name == "X-Request-Id") leg->id = header.value;
+    if (header.name == "X-Pieces") leg->pieces = static_cast<std::uint32_t>(std::stoul(header.value));
+  }
+  legs_[id] = leg;
+  World& world = town_.world;
+  const bool reachable = leg->runner != nullptr && !world.is_cut(place_, hall_, leg->runner->name, leg->runner->hall);
+  if (!reachable) {
+    world.at(request.connecting, life_, [this, id, leg] { finish(id, leg, LegEnd::not_sent); });
+    return id;
+  }
+  const Span way = world.delay(hall_, leg->runner->hall);
+  if (leg->runner->down) {
+    world.at(way * 2, life_, [this, id, leg] { finish(id, leg, LegEnd::not_sent); });
+    return id;
+  }
+  leg->runner_life = leg->runner->life;
+  guard(id, leg, way * 2 + request.first_piece);
+  // What is on its way arrives even if the daemon dies meanwhile.
+  world.after(way * 2, [this, id, leg, life = life_] {
+    if (!life->alive) return;   // the connection was never made
+    arrive(id, leg);
+  });
+  return id;
+}
+
+void SimulatedExchange::guard(Id id, const LegPointer& leg, Span budget) {
+  const std::uint64_t beat = ++leg->beat;
+  town_.world.at(budget, life_, [this, id, leg, beat] {
+    if (leg->beat == beat && legs_.contains(id)) {
+      free(town_, leg, "abandoned");
+      finish(id, leg, LegEnd::late);
+    }
+  });
+}
+
+void SimulatedExchange::arrive(Id id, const LegPointer& leg) {
+  RunnerModel& runner = *leg->runner;
+  if (runner.life != leg->runner_life || runner.down) return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  if (runner.mode == "dark") return;
+  if (runner.mode == "nonsense") return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  if (town_.world.now() < runner.cold_until) runner.most_offered_cold = std::max(runner.most_offered_cold, runner.active + static_cast<std::uint32_t>(runner.waiting.size()) + 1);
+  if (runner.active < runner.slots) return begin(id, leg);
+  if (runner.waiting.size() >= runner.slots)
+    return give(id, leg, [this, id, leg] {
+      leg->watcher->on_head(429, {});
+      if (legs_.contains(id)) finish(id, leg, LegEnd::whole);
+    });
+  runner.waiting.push_back([this, id, leg, life = life_] {
+    if (!life->alive || !legs_.contains(id)) return;
+    begin(id, leg);
+  });
+}
+
+void SimulatedExchange::begin(Id id, const LegPointer& leg) {
+  RunnerModel& runner = *leg->runner;
+  World& world = town_.world;
+  leg->began = true;
+  leg->began_at = world.now();
+  ++runner.active;
+  runner.most_active = std::max(runner.most_active, runner.active);
+  leg->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
+  world.write({{"what", "run"}, {"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
+  const std::string& body = *leg->request.body;
+  double fresh = static_cast<double>(body.size());
+  if (body.size() >= 512) {
+    const std::uint64_t prefix = hash_of(View(body).substr(0, 512));
+    auto found = std::find(runner.prefixes.begin(), runner.prefixes.end(), prefix);
+    const bool hit = found != runner.prefixes.end();
+    if (hit) { runner.prefixes.erase(found); fresh *= 0.1; }
+    ++(hit ? runner.hits : runner.misses);
+    runner.prefixes.push_front(prefix);
+    if (runner.prefixes.size() > 24) runner.prefixes.pop_back();
+  }
+  const double factor = (runner.mode == "slow" ? 6.0 : 1.0) * (world.now() < runner.cold_until ? 2.0 : 1.0);
+  world.after(Span(static_cast<std::int64_t>((1.0 + fresh / 1024.0 * 2.0) * factor * 1000)), [this, id, leg, life = life_, &town = town_] {
+    if (life->alive) step(id, leg);
+    else free(town, leg, "orphaned");
+  });
+}
+
+void SimulatedExchange::free(Town& town, const LegPointer& leg, const std::string& how) {
+  if (!leg->began || leg->ended) return;
+  leg->ended = true;
+  RunnerModel& runner = *leg->runner;
+  if (runner.life != leg->runner_life) return;
+  --runner.active;
+  runner.busy_microseconds += (town.world.now() - leg->began_at).count();
+  town.world.write({{"what", "end"}, {"id", leg->id}, {"run", leg->run}, {"how", how}});
+  while (!runner.waiting.empty() && runner.active < runner.slots) {
+    Task next = std::move(runner.waiting.front());
+    runner.waiting.pop_front();
+    next();
+  }
+}
+
+void SimulatedExchange::step(Id id, const LegPointer& leg) {
+  RunnerModel& runner = *leg->runner;
+  World& world = town_.world;
+  if (leg->ended || runner.life != leg->runner_life) return;
+  const double factor = (runner.mode == "slow" ? 6.0 : 1.0) * (world.now() < runner.cold_until ? 2.0 : 1.0);
+  const Span beat(static_cast<std::int64_t>(8000 * factor));
+  auto next = [this, id, leg, life = life_, &town = town_] {
+    if (life->alive) step(id, leg);
+    else free(town, leg, "orphaned");
+  };
+  if (leg->pieces == 0) {
+    if (leg->given++ == 0) return world.after(beat * 4, next);
+    free(town_, leg, "whole");
+    const std::string text = json::serialize(json::object{{"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
+    return give(id, leg, [this, id, leg, text] {
+      leg->watcher->on_head(200, {});
+      if (legs_.contains(id)) leg->watcher->on_piece(text);
+      if (legs_.contains(id)) finish(id, leg, LegEnd::whole);
+    });
+  }
+  if (runner.mode == "truncate" && leg->given >= leg->pieces / 2) {
+    free(town_, leg, "truncated");
+    return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  }
+  if (leg->given == leg->pieces) {
+    free(town_, leg, "whole");
+    return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::whole); });
+  }
+  const std::string text = leg->id + " " + leg->run + " " + std::to_string(leg->given) + " " + std::to_string(leg->pieces) + "\n";
+  const bool first = leg->given++ == 0;
+  give(id, leg, [this, id, leg, text, first] {
+    if (first) leg->watcher->on_head(200, {});
+    if (!legs_.contains(id)) return;
+    guard(id, leg, leg->request.between_pieces);
+    leg->watcher->on_piece(text);
+  });
+  world.after(beat, next);
+}
+
+// Something travels back from the runner; pieces of one leg keep their order, since it is one stream.
+void SimulatedExchange::give(Id id, const LegPointer& leg, std::function<void()> what) {
+  World& world = town_.world;
+  if (world.is_cut(leg->runner->name, leg->runner->hall, place_, hall_)) return;
+  const Span way = leg->runner->hall == hall_ ? Span(100) : Span(1200);
+  world.at(way, life_, [this, id, what = std::move(what)] {
+    if (legs_.contains(id)) what();
+  });
+}
+
+void SimulatedExchange::finish(Id id, const LegPointer& leg, LegEnd end) {
+  if (legs_.erase(id) == 0) return;
+  leg->watcher->on_end(end);
+}
+
+void SimulatedExchange::cancel(Id id) {
+  auto found = legs_.find(id);
+  if (found == legs_.end()) return;
+  const LegPointer leg = found->second;
+  legs_.erase(found);
+  // The runner notices a closed stream at its next piece; here at once, as an event of its own.
+  town_.world.after(Span(1500), [leg, &town = town_] { free(town, leg, "cancelled"); });
+}
+
+// ---- the town
+
+class Town::Caller : public CallerSide {
+ public:
+  Caller(Town& town, std::uint64_t call, std::function<void(int, const std::vector<Header>&, const std::string&, bool)> over) : town_(town), call_(call), over_(std::move(over)) {}
+  void head(int status, const std::vector<Header>& headers) override { status_ = status; headers_ = headers; }
+  void piece(View piece) override { text_.append(piece); }
+  void end() override { finish(true); }
+  void break_off() override { finish(false); }
+  std::size_t backlog() const override { return 0; }
+  void lost() { finish(false); }
+
+ private:
+  void finish(bool whole) {
+    if (done_) return;
+    done_ = true;
+    town_.world.after(Span(300), [over = over_, status = status_, headers = headers_, text = text_, whole] { over(status, headers, text, whole); });
+    // The table entry goes as an event of its own: this may run while the calls are walked over.
+    town_.world.after(Span{0}, [&town = town_, call = call_] { town.calls_.erase(call); });
+  }
+  Town& town_;
+  std::uint64_t call_;
+  std::function<void(int, const std::vector<Header>&, const std::string&, bool)> over_;
+  int status_ = 0;
+  std::vector<Header> headers_;
+  std::string text_;
+  bool done_ = false;
+};
+
+Town::Town(World& given, Shape given_shape) : world(given), shape(std::move(given_shape)) {
+  for (std::size_t index = 0; index < shape.machines.size(); ++index) {
+    const MachineShape& machine = shape.machines[index];
+    machines.push_back(std::make_unique<Machine>(*this, "machine-" + std::to_string(index), machine.hall, machine.disk, Address("10.0.0." + std::to_string(index + 1) + ":7000")));
+  }
+  for (std::size_t index = 0; index < shape.runners.size(); ++index) {
+    const RunnerShape& each = shape.runners[index];
+    auto runner = std::make_unique<RunnerModel>();
+    runner->name = each.name;
+    runner->kind = each.kind;
+    runner->hall = each.hall;
+    runner->slots = each.slots;
+    runner->address = Address("10.0.1." + std::to_string(index + 1) + ":8000");
+    runners.push_back(std::move(runner));
+  }
+}
+
+Machine* Town::machine_at(const Address& address) {
+  for (auto& machine : machines)
+    if (machine->address == address) return machine.get();
+  return nullptr;
+}
+
+RunnerModel* Town::runner_at(const Address& address) {
+  for (auto& runner : runners)
+    if (runner->address == address) return runner.get();
+  return nullptr;
+}
+
+std::vector<Machine*> Town::holders() {
+  std::vector<Machine*> list;
+  for (auto& machine : machines)
+    if (machine->has_disk) list.push_back(machine.get());
+  return list;
+}
+
+Machine& Town::any_alive() {
+  std::vector<Machine*> list;
+  for (auto& machine : machines)
+    if (machine->alive() && !machine->frozen()) list.push_back(machine.get());
+  return list.empty() ? *machines[0] : *list[world.chance.below(list.size())];
+}
+
+void Town::start() {
+  for (auto& machine : machines) machine->start();
+  auto documents = std::make_shared<std::vector<std::pair<std::string, std::string>>>();
+  for (const auto& [key, spec] : shape.resources) documents->emplace_back(key, json::serialize(spec));
+  for (const auto& runner : runners) documents->emplace_back("runner/" + runner->name, json::serialize(json::object{{"kind", runner->kind}, {"address", runner->address.text}, {"hall", runner->hall}, {"slots", runner->slots}}));
+  apply_all(documents, 0);
+  watch_rules();
+}
+
+void Town::apply_all(std::shared_ptr<std::vector<std::pair<std::string, std::string>>> documents, std::size_t index) {
+  if (index == documents->size()) {
+    ready_ = true;
+    return world.history("the policy is applied");
+  }
+  apply((*documents)[index].first, (*documents)[index].second, [this, documents, index](Stamp) { apply_all(documents, index + 1); });
+}
+
+void Town::control(Machine& machine, const std::string& method, const std::string& target, const std::string& body, std::function<void(int, const std::string&)> then, bool callers) {
+  const std::uint64_t number = ++last_call_;
+  auto done = std::make_shared<bool>(false);
+  auto finish = [this, done, then, number](int status, const std::string& text) {
+    if (*done) return;
+    *done = true;
+    world.after(Span(300), [then, status, text] { then(status, text); });
+    world.after(Span{0}, [this, number] { calls_.erase(number); });
+  };
+  if (!machine.alive()) {
+    world.after(Span(500), [then] { then(0, ""); });
+    return;
+  }
+  calls_[number] = Call{&machine, machine.life(), [finish] { finish(0, ""); }};
+  world.after(std::chrono::seconds(8), [finish] { finish(0, ""); });
+  world.at(Span(300), machine.life(), [&machine, method, target, body, callers, finish] {
+    if (machine.control() == nullptr) return;
+    machine.control()->handle(ControlRequest{method, target, body, callers}, [finish](ControlReply reply) { finish(reply.status, json::serialize(reply.body)); });
+  });
+}
+
+void Town::gone(Machine& machine) {
+  std::vector<std::function<void()>> lost;
+  for (const auto& [number, call] : calls_)
+    if (call.machine == &machine && !call.life->alive) lost.push_back(call.lost);
+  for (auto& each : lost) each();
+}
+
+void Town::apply(const std::string& key, const std::string& document, std::function<void(Stamp)> then) { try_apply(key, document, std::move(then)); }
+
+void Town::try_apply(const std::string& key, const std::string& document, std::function<void(Stamp)> then) {
+  const std::string path = "/v1/resources/" + key;
+  Machine& machine = any_alive();
+  auto again = [this, key, document, then] { world.after(milliseconds(200), [this, key, document, then] { try_apply(key, document, then); }); };
+  control(machine, "GET", path, "", [this, &machine, path, key, document, then, again](int status, const std::string& text) {
+    if (status != 200 && status != 404) return again();
+    std::uint64_t version = 0;
+    if (status == 200) version = std::get<json::value>(parse_json(text)).at("version").to_number<std::uint64_t>();
+    control(machine, "PUT", path + "?version=" + std::to_string(version), document, [this, key, then, again](int put_status, const std::string& put_text) {
+      if (put_status != 200) return again();
+      const json::value reply = std::get<json::value>(parse_json(put_text));
+      const Stamp stamp{Epoch{reply.at("epoch").to_number<std::uint64_t>()}, Version{reply.at("version").to_number<std::uint64_t>()}};
+      acknowledged.push_back(Acknowledged{key, stamp, world.now()});
+      then(stamp);
+    });
+  });
+}
+
+void Town::operator_change(const std::string& key, const std::string& document, std::function<void(Stamp)> then) {
+  world.history("operator changes " + key + " to " + document);
+  apply(key, document, [this, key, then](Stamp stamp) {
+    world.history("acknowledged " + key + " at epoch " + std::to_string(stamp.epoch.value) + " version " + std::to_string(stamp.version.value));
+    then(stamp);
+  });
+}
+
+void Town::crash_runner(RunnerModel& runner) {
+  world.history(runner.name + " crashes");
+  runner.down = true;
+  ++runner.life;
+  runner.active = 0;
+  runner.waiting.clear();
+  runner.prefixes.clear();
+}
+
+void Town::return_runner(RunnerModel& runner, Span cold) {
+  world.history(runner.name + " returns cold");
+  runner.down = false;
+  runner.cold_until = world.now() + cold;
+}
+
+void Town::disturb_all() {
+  for (auto& machine : machines) machine->undisturbed_since = world.now();
+}
+
+// Every 50 ms: each undisturbed live machine has, 2 s after an acknowledgement, taken that version or a later one; and
+// no machine goes back to a lower stamp while it lives.
+void Town::watch_rules() {
+  const Moment now = world.now();
+  for (auto& machine : machines) {
+    if (!machine->alive() || machine->frozen()) continue;
+    const auto policy = machine->board().policy.get();
+    auto& highest = highest_[machine->name + "/" + std::to_string(machine->incarnation())];
+    auto see = [&](const std::string& key, Stamp stamp) {
+      Stamp& before = highest[key];
+      if (stamp < before) broken.push_back("fell back: " + machine->name + " has " + key + " at an older version at " + std::to_string(world.milliseconds()) + " ms");
+      before = stamp;
+    };
+    for (const auto& [name, entry] : policy->lanes) see("lane/" + name, entry.stamp);
+    for (const auto& [name, entry] : policy->runners) see("runner/" + name, entry.stamp);
+    for (const auto& [name, entry] : policy->halls) see("hall/" + name, entry.stamp);
+    for (const auto& [name, entry] : policy->circles) see("circle/" + name, entry.stamp);
+    for (const auto& change : acknowledged) {
+      const Span since = now - std::max(change.when, machine->undisturbed_since);
+      if (since < milliseconds(2000) || now - change.when > std::chrono::seconds(20)) continue;
+      // A machine that was started or woken after the change owes it once it serves.
+      if (change.when < machine->undisturbed_since && !machine->board().permitted(now)) continue;
+      if (highest[change.key] < change.stamp) {
+        broken.push_back("routing change late: " + machine->name + " lacks " + change.key + " " + std::to_string(since.count() / 1000) + " ms after");
+        highest[change.key] = change.stamp;
+      }
+    }
+  }
+  world.after(milliseconds(50), [this] { watch_rules(); });
+}
+
+// ---- callers
+
+void Town::load(Span length) {
+  const Moment end = world.now() + length;
+  for (const auto& load : shape.streams) pace(load.rate, [this, &load](std::uint64_t number) { send_stream(load, number); }, 0, end);
+  for (const auto& load : shape.lots) pace(load.rate, [this, &load, end](std::uint64_t number) { hand_in(load, number, end); }, 0, end);
+}
+
+void Town::pace(double rate, std::function<void(std::uint64_t)> send, std::uint64_t number, Moment end) {
+  if (rate <= 0) return;
+  const Span gap(static_cast<std::int64_t>(-std::log(1.0 - world.chance.uniform()) * 1e6 / rate));
+  world.after(gap, [this, rate, send, number, end] {
+    if (world.now() >= end) return;
+    send(number);
+    pace(rate, send, number + 1, end);
+  });
+}
+
+void Town::send_stream(const StreamLoad& load, std::uint64_t number) {
+  const std::string id = load.name + "-" + std::to_string(number) + "-" + std::to_string(world.milliseconds());
+  // A machine that is down refuses the connection, and the caller goes to another; one that is frozen takes it in.
+  Machine* machine = machines[world.chance.below(machines.size())].get();
+  if (!machine->alive()) machine = &any_alive();
+  if (!machine->alive()) return;
+  LiveRequest request{"POST", load.path, {{"X-Request-Id", id}}, nullptr};
+  if (load.pieces > 0) request.headers.push_back({"X-Pieces", std::to_string(load.pieces)});
+  std::string body;
+  if (load.prefix_bytes > 0) {
+    const std::string word = load.name + "-prefix-" + std::to_string(world.chance.below(load.prefixes)) + " ";
+    while (body.size() < load.prefix_bytes) body += word;
+    body.resize(load.prefix_bytes);
+  }
+  body += std::string(load.body_bytes, 'b');
+  request.body = std::make_shared<const Bytes>(std::move(body));
+  const std::uint64_t call = ++last_call_;
+  const std::int64_t sent = world.milliseconds();
+  auto caller = std::make_shared<Caller>(*this, call, [this, &load, id, sent](int status, const std::vector<Header>& headers, const std::string& text, bool whole) {
+    std::string given, retry_after, run, fault, outcome = "broken";
+    for (const auto& header : headers) {
+      if (header.name == "X-Mothwalk-Outcome") given = header.value;
+      if (header.name == "Retry-After") retry_after = header.value;
+    }
+    if (given == "refused" || given == "unknown") outcome = given;
+    else if (whole && given == "answer") outcome = "answer";
+    if (given == "answer" && status == 200) {
+      std::istringstream lines(text);
+      std::string line;
+      std::uint32_t next = 0;
+      while (load.pieces > 0 && std::getline(lines, line)) {
+        std::istringstream words(line);
+        std::string got_id, got_run;
+        std::uint32_t index = 0;
+        words >> got_id >> got_run >> index;
+        if (got_id != id) fault = "another's answer: " + line;
+        if (run.empty()) run = got_run;
+        if (got_run != run) fault = "spliced runs";
+        if (index != next++) fault = "a piece is lost or repeated";
+      }
+      if (load.pieces > 0 && whole && next != load.pieces) fault = "a partial answer looks whole";
+      if (load.pieces == 0 && whole) {
+        auto parsed = parse_json(text);
+        if (fault_of(parsed) || std::get<json::value>(parsed).at("id").as_string() != id) fault = "another's answer";
+        else run = std::string(std::get<json::value>(parsed).at("run").as_string());
+      }
+    }
+    world.write({{"what", "request"}, {"id", id}, {"load", load.name}, {"repeatable", load.repeatable}, {"sent", sent}, {"took", world.milliseconds() - sent}, {"status", status}, {"outcome", outcome}, {"fault", fault}, {"run", run}, {"retry_after", retry_after}, {"reason", outcome == "answer" ? "" : text}});
+  });
+  calls_[call] = Call{machine, machine->life(), [caller] { caller->lost(); }};
+  world.at(Span(300), machine->life(), [machine, request, caller] {
+    if (machine->entries() != nullptr) machine->entries()->arrive(request, caller);
+  });
+}
+
+struct Town::LotState {
+  std::string id, body;
+  const LotLoad* load = nullptr;
+  bool acknowledged = false;
+  std::vector<std::string> seen;
+  std::int64_t handed_in = 0;
+  Moment give_up;
+  std::uint32_t tries = 0;
+};
+
+void Town::hand_in(const LotLoad& load, std::uint64_t number, Moment end) {
+  auto lot = std::make_shared<LotState>();
+  lot->id = load.name + "-" + std::to_string(number) + "-" + std::to_string(world.milliseconds());
+  lot->load = &load;
+  json::array items;
+  for (std::uint32_t item = 0; item < load.items; ++item) items.push_back(json::value(json::string(lot->id + " " + std::to_string(item))));
+  lot->body = json::serialize(json::object{{"lane", load.lane}, {"horizon", load.horizon.count() / 1000}, {"items", items}});
+  lot->handed_in = world.milliseconds();
+  lot->give_up = end + std::chrono::seconds(30);
+  submit(lot);
+  if (load.cancel_every > 0 && number % load.cancel_every == load.cancel_every - 1) world.after(milliseconds(200), [this, lot] { cancel(lot); });
+}
+
+void Town::submit(std::shared_ptr<LotState> lot) {
+  control(any_alive(), "PUT", "/lots/" + lot->id, lot->body, [this, lot](int status, const std::string& text) {
+    if (status == 200) {
+      lot->acknowledged = true;
+      world.write({{"what", "lot"}, {"id", lot->id}, {"items", lot->load->items}, {"repeatable", lot->load->repeatable}, {"took", world.milliseconds() - lot->handed_in}});
+      return poll(lot);
+    }
+    world.write({{"what", "lot_try"}, {"id", lot->id}, {"status", status}, {"reason", text}});
+    if (world.now() < lot->give_up) return world.after(milliseconds(300), [this, lot] { submit(lot); });
+    world.write({{"what", "lot_given_up"}, {"id", lot->id}});
+  }, true);
+}
+
+void Town::cancel(std::shared_ptr<LotState> lot) {
+  if (!lot->acknowledged) return;
+  control(any_alive(), "DELETE", "/lots/" + lot->id, "", [this, lot](int status, const std::string&) {
+    if (status == 200) world.write({{"what", "cancelled"}, {"id", lot->id}});
+    else if (world.now() < lot->give_up) world.after(milliseconds(300), [this, lot] { cancel(lot); });
+  }, true);
+}
+
+void Town::poll(std::shared_ptr<LotState> lot) {
+  control(any_alive(), "GET", "/lots/" + lot->id + "/results?after=" + std::to_string(lot->seen.size()) + "&limit=500", "", [this, lot](int status, const std::string& text) {
+    if (status == 404) return world.write({{"what", "lot_vanished"}, {"id", lot->id}});
+    if (status == 200) take_results(lot, text);
+    if (lot->seen.size() >= lot->load->items) {
+      // Once more from the beginning, by another daemon: listed results neither move nor change.
+      control(any_alive(), "GET", "/lots/" + lot->id + "/results?after=0&limit=1000", "", [this, lot](int again, const std::string& all) {
+        if (again == 200) take_results(lot, all);
+        if (again == 404) world.write({{"what", "lot_vanished"}, {"id", lot->id}});
+        world.write({{"what", "lot_done"}, {"id", lot->id}, {"took", world.milliseconds() - lot->handed_in}});
+      }, true);
+      return;
+    }
+    if (world.now() >= lot->give_up) return world.write({{"what", "lot_unfinished"}, {"id", lot->id}, {"results", lot->seen.size()}, {"items", lot->load->items}});
+    world.after(milliseconds(250), [this, lot] { poll(lot); });
+  }, true);
+}
+
+void Town::take_results(std::shared_ptr<LotState> lot, const std::string& text) {
+  const json::value page = std::get<json::value>(parse_json(text));
+  for (const auto& value : page.at("results").as_array()) {
+    const std::size_t position = value.at("position").to_number<std::size_t>();
+    const std::string whole = json::serialize(value);
+    if (position < lot->seen.size()) {
+      if (lot->seen[position] != whole) world.write({{"what", "result_moved"}, {"id", lot->id}, {"before", lot->seen[position]}, {"after", whole}});
+      continue;
+    }
+    lot->seen.push_back(whole);
+    const std::string item = lot->id + "/" + std::to_string(value.at("item").to_number<std::size_t>());
+    const std::string outcome(value.at("outcome").as_string());
+    std::string run, fault;
+    if (outcome == "answer" && value.at("status").as_int64() == 200) {
+      auto parsed = parse_json(std::string(value.at("body").as_string()));
+      if (fault_of(parsed) || std::get<json::value>(parsed).at("id").as_string() != item) fault = "another's answer";
+      else run = std::string(std::get<json::value>(parsed).at("run").as_string());
+    }
+    world.write({{"what", "result"}, {"id", item}, {"lot", lot->id}, {"repeatable", lot->load->repeatable}, {"outcome", outcome}, {"run", run}, {"fault", fault}, {"after", world.milliseconds() - lot->handed_in}});
+  }
+}
+
+}  // namespace mothwalk::simulate
--- /dev/null
+++ b/source/simulate/town.hpp
@@ -0,0 +1,177 @@
+// A town: machines, runners and callers in the simulated world, built from the same shapes as the real fleets.
+#pragma once
+#include "circle/circle.hpp"
+#include "control/control.hpp"
+#include "lots/lots.hpp"
+#include "lots/placing.hpp"
+#include "news/news.hpp"
+#include "routes/entries.hpp"
+#include "sessions/sessions.hpp"
+#include "simulate/world.hpp"
+#include "stand_ins/shapes.hpp"
+
+namespace mothwalk::simulate {
+
+class Town;
+
+struct RunnerModel {
+  std::string name, kind, hall;
+  Address address;
+  std::uint32_t slots = 4;
+  bool down = false;
+  std::string mode = "sound";            // sound, dark, slow, truncate, nonsense
+  Moment cold_until;
+  std::uint64_t life = 1, runs = 0;
+  std::uint32_t active = 0;
+  std::deque<Task> waiting;
+  std::uint32_t most_offered_cold = 0, most_active = 0;
+  std::int64_t busy_microseconds = 0;
+  std::deque<std::uint64_t> prefixes;
+  std::uint64_t hits = 0, misses = 0;
+};
+
+class SimulatedExchange : public Exchange {
+ public:
+  SimulatedExchange(Town& town, std::string place, std::string hall, LifePointer life) : town_(town), place_(std::move(place)), hall_(std::move(hall)), life_(std::move(life)) {}
+  Id start(const LegRequest& request, std::shared_ptr<LegWatcher> watcher) override;
+  void cancel(Id id) override;
+
+ private:
+  struct Leg {
+    LegRequest request;
+    std::shared_ptr<LegWatcher> watcher;
+    RunnerModel* runner = nullptr;
+    std::uint64_t runner_life = 0;
+    std::string id, run;
+    std::uint32_t pieces = 0, given = 0;
+    bool began = false, ended = false, any_piece = false;
+    Moment began_at;
+    std::uint64_t beat = 0;              // grows with every sign of life, for the budgets
+  };
+  using LegPointer = std::shared_ptr<Leg>;
+  void arrive(Id id, const LegPointer& leg);
+  void begin(Id id, const LegPointer& leg);
+  void step(Id id, const LegPointer& leg);
+  void give(Id id, const LegPointer& leg, std::function<void()> what);
+  void finish(Id id, const LegPointer& leg, LegEnd end);
+  static void free(Town& town, const LegPointer& leg, const std::string& how);
+  void guard(Id id, const LegPointer& leg, Span budget);
+
+  Town& town_;
+  std::string place_, hall_;
+  LifePointer life_;
+  std::map<Id, LegPointer> legs_;
+  Id last_ = 0;
+};
+
+class Machine : public Wire {
+ public:
+  Machine(Town& town, std::string name, std::string hall, bool disk, Address address);
+  void send(const Address& to, Envelope envelope) override;
+  void take(Envelope envelope);
+  void start();
+  void kill(bool wipe);
+  bool alive() const { return life_ && life_->alive; }
+  bool frozen() const { return alive() && life_->frozen; }
+  void freeze();
+  std::uint64_t incarnation() const { return incarnation_; }
+  // Nothing is owed by a machine that is cut off, until it is joined again.
+  void cut_off() { undisturbed_since = Moment{INT64_MAX / 4}; }
+  void joined();
+  void wake();
+
+  const std::string name, hall;
+  const bool has_disk;
+  const Address address;
+  Board& board() { return *board_; }
+  SimulatedDisk& disk() { return disk_; }
+  LifePointer life() { return life_; }
+  Entries* entries() { return duties_ ? duties_->entries.get() : nullptr; }
+  Control* control() { return duties_ ? duties_->control.get() : nullptr; }
+  Kept* kept() { return duties_ ? duties_->kept.get() : nullptr; }
+  std::uint64_t frames = 0, bytes = 0;
+  Moment undisturbed_since;              // since when nothing was done to it
+
+ private:
+  struct Duties {
+    std::map<std::string, std::unique_ptr<Post>> posts;
+    std::unique_ptr<SimulatedExchange> live_exchange, lot_exchange;
+    std::unique_ptr<Sessions> sessions;
+    std::unique_ptr<News> news;
+    std::unique_ptr<Kept> kept;
+    std::unique_ptr<CircleDuty> circle;
+    std::unique_ptr<Lots> lots;
+    std::unique_ptr<Placing> placing;
+    std::unique_ptr<Entries> entries;
+    std::unique_ptr<Control> control;
+  };
+  Town& town_;
+  LifePointer life_;
+  std::unique_ptr<Board> board_ = std::make_unique<Board>();
+  std::unique_ptr<SimulatedSchedule> schedule_;
+  SimulatedDisk disk_;
+  std::unique_ptr<Duties> duties_;
+  std::uint64_t incarnation_ = 0;
+};
+
+class Town {
+ public:
+  Town(World& given, Shape given_shape);
+  World& world;
+  Shape shape;
+  std::vector<std::unique_ptr<Machine>> machines;
+  std::vector<std::unique_ptr<RunnerModel>> runners;
+
+  Machine* machine_at(const Address& address);
+  RunnerModel* runner_at(const Address& address);
+  std::vector<Machine*> holders();
+  Machine& any_alive();
+
+  void start();                                    // all machines, then the policy
+  void load(Span length);                          // callers, from now on
+  void control(Machine& machine, const std::string& method, const std::string& target, const std::string& body, std::function<void(int, const std::string&)> then, bool callers = false);
+  // Applies a document, again and again until acknowledged; tells the stamp's version.
+  void apply(const std::string& key, const std::string& document, std::function<void(Stamp)> then);
+  void operator_change(const std::string& key, const std::string& document, std::function<void(Stamp)> then = [](Stamp) {});
+  void crash_runner(RunnerModel& runner);
+  void return_runner(RunnerModel& runner, Span cold);
+  bool ready() const { return ready_; }
+  void gone(Machine& machine);                     // its callers' streams break
+
+  struct Acknowledged {
+    std::string key;
+    Stamp stamp;
+    Moment when;
+  };
+  std::vector<Acknowledged> acknowledged;
+  std::vector<std::string> broken;                 // rules that the town itself watches
+  void disturb_all();                              // the network was touched: freshness is not owed by anyone for a while
+  void watch_rules();
+  std::map<std::string, std::vector<std::int64_t>> observed;
+  std::uint64_t open_calls() const { return calls_.size(); }
+
+ private:
+  class Caller;
+  struct Call {
+    Machine* machine = nullptr;
+    LifePointer life;
+    std::function<void()> lost;
+  };
+  struct LotState;
+  void pace(double rate, std::function<void(std::uint64_t)> send, std::uint64_t number, Moment end);
+  void send_stream(const StreamLoad& load, std::uint64_t number);
+  void hand_in(const LotLoad& load, std::uint64_t number, Moment end);
+  void submit(std::shared_ptr<LotState> lot);
+  void poll(std::shared_ptr<LotState> lot);
+  void cancel(std::shared_ptr<LotState> lot);
+  void take_results(std::shared_ptr<LotState> lot, const std::string& text);
+  void apply_all(std::shared_ptr<std::vector<std::pair<std::string, std::string>>> documents, std::size_t index);
+  void try_apply(const std::string& key, const std::string& document, std::function<void(Stamp)> then);
+
+  std::map<std::uint64_t, Call> calls_;
+  std::uint64_t last_call_ = 0;
+  bool ready_ = false;
+  std::map<std::string, std::map<std::string, Stamp>> highest_;  // per machine's life and key
+};
+
+}  // namespace mothwalk::simulate
--- /dev/null
+++ b/source/simulate/world.hpp
@@ -0,0 +1,131 @@
+// The simulated world: virtual time, one queue of events, a seeded network, and the ledger that the judge reads. All
+// duties of all machines run on it as the very objects that the daemon runs.
+#pragma once
+#include <deque>
+#include <queue>
+
+#include "coding/json.hpp"
+#include "seams/seams.hpp"
+
+namespace mothwalk::simulate {
+
+// One life of a process: what belongs to it happens only while it lives, and not while it is frozen.
+struct Life {
+  bool alive = true, frozen = false;
+  std::vector<std::pair<std::uint64_t, Task>> deferred;
+};
+using LifePointer = std::shared_ptr<Life>;
+
+class SeededChance : public Chance {
+ public:
+  explicit SeededChance(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t next() override {
+    state_ += 0x9E3779B97F4A7C15ULL;
+    std::uint64_t mixed = state_;
+    mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
+    return mixed ^ (mixed >> 31);
+  }
+  double uniform() { return static_cast<double>(next() >> 11) / 9007199254740992.0; }
+
+ private:
+  std::uint64_t state_;
+};
+
+class World {
+ public:
+  explicit World(std::uint64_t seed) : chance(seed) {}
+  Moment now() const { return now_; }
+  std::int64_t milliseconds() const { return now_.microseconds / 1000; }
+  void at(Span span, LifePointer life, Task task);
+  void after(Span span, Task task) { at(span, nullptr, std::move(task)); }
+  void run_until(Moment end);
+  void freeze(const LifePointer& life) { life->frozen = true; }
+  void wake(const LifePointer& life);
+
+  // The network. Places are machines and runners; a cut names groups of halls or single places, one way or both.
+  Span delay(const std::string& from_hall, const std::string& to_hall);
+  void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+  void mend() { cuts_.clear(); }
+  bool is_cut(const std::string& from, const std::string& from_hall, const std::string& to, const std::string& to_hall) const;
+  double loss = 0;                 // share of messages between machines that vanish
+
+  void write(json::object line);
+  const std::vector<json::object>& ledger() const { return ledger_; }
+  void history(const std::string& line);
+  const std::vector<std::string>& story() const { return story_; }
+
+  // Numbered points: messages sent, appends begun and appends finished by the kept state. The armed number strikes.
+  void point(const std::string& place);
+  std::uint64_t points = 0;
+  std::optional<std::uint64_t> armed;
+  std::function<void(const std::string&)> strike;
+
+  SeededChance chance;
+  std::uint64_t events = 0;
+  std::vector<std::shared_ptr<void>> graveyard;  // what died inside its own event; cleared between events
+
+ private:
+  struct Event {
+    Moment time;
+    std::uint64_t order;
+    LifePointer life;
+    std::shared_ptr<Task> task;
+    bool operator>(const Event& other) const { return std::tie(time, order) > std::tie(other.time, other.order); }
+  };
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
+  Moment now_{1};
+  std::uint64_t order_ = 0;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::vector<json::object> ledger_;
+  std::vector<std::string> story_;
+};
+
+class SimulatedSchedule : public Schedule {
+ public:
+  SimulatedSchedule(World& world, LifePointer life) : world_(world), life_(std::move(life)) {}
+  Moment now() const override { return world_.now(); }
+  Id after(Span span, Task task) override;
+  void cancel(Id id) override { live_->erase(id); }
+
+ private:
+  World& world_;
+  LifePointer life_;
+  std::shared_ptr<std::set<Id>> live_ = std::make_shared<std::set<Id>>();
+  Id last_ = 0;
+};
+
+// A disk outlives the processes that use it. What is not synced when a process dies is lost, save for a torn piece.
+class SimulatedDisk : public Disk {
+ public:
+  SimulatedDisk(World& world, std::string place) : world_(world), place_(std::move(place)) {}
+  void own(LifePointer life) { life_ = std::move(life); busy_until_ = world_.now(); orders_.clear(); }
+  Result<Bytes> read_all() override { return synced_; }
+  void append(Bytes bytes, std::function<void(bool)> done) override { order(false, std::move(bytes), std::move(done)); }
+  void rewrite(Bytes bytes, std::function<void(bool)> done) override { order(true, std::move(bytes), std::move(done)); }
+  void wipe() { synced_.clear(); }
+  void damage();
+  Span sync_time = std::chrono::microseconds(400);
+  bool stalled = false, failing = false;
+  double torn = 0.3;
+  void tear();
+  std::size_t size() const { return synced_.size(); }
+
+ private:
+  void order(bool whole, Bytes bytes, std::function<void(bool)> done);
+  struct Order {
+    LifePointer life;
+    bool whole;
+    Bytes bytes;
+    std::function<void(bool)> done;
+  };
+  void complete();
+  World& world_;
+  std::string place_;
+  LifePointer life_;
+  Bytes synced_;
+  Moment busy_until_;
+  std::deque<Order> orders_;
+};
+
+}  // namespace mothwalk::simulate
--- a/source/stand_ins/caller.cpp
+++ b/source/stand_ins/caller.cpp
@@ -11,6 +11,7 @@
 
 #include "host/tcp_wire.hpp"
 #include "stand_ins/ledger.hpp"
+#include "stand_ins/shapes.hpp"
 
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -18,22 +19,6 @@
 
 namespace {
 
-struct StreamLoad {
-  std::string name, path;
-  double rate = 1;
-  std::uint32_t pieces = 8, body_bytes = 200, prefix_bytes = 0, prefixes = 4;
-  bool repeatable = false;
-  MOTHWALK_FIELDS(name, path, rate, pieces, body_bytes, prefix_bytes, prefixes, repeatable)
-};
-struct LotLoad {
-  std::string name, lane;
-  double rate = 1;
-  std::uint32_t items = 10, item_bytes = 100;
-  Span horizon = std::chrono::seconds(8);
-  bool repeatable = true;
-  std::uint32_t cancel_every = 0;
-  MOTHWALK_FIELDS(name, lane, rate, items, item_bytes, horizon, repeatable, cancel_every)
-};
 struct Plan {
   std::vector<Address> targets;
   std::string ledger;
--- a/source/stand_ins/fleet.cpp
+++ b/source/stand_ins/fleet.cpp
@@ -1,4 +1,4 @@
-// The shapes of the fleets and the handling of their processes.
+// The handling of a fleet's processes and the operator's calls to it.
 #include "stand_ins/fleet.hpp"
 
 #include <signal.h>
@@ -31,84 +31,14 @@
 
 Address local(int port) { return Address("127.0.0.1:" + std::to_string(port)); }
 
-json::object kind_spec(int cycle, int floor, int reserve, bool all, int ramp) {
-  return json::object{{"circle", json::object{{"cycle", cycle}, {"floor", floor}, {"reserve", reserve}, {"all", all}, {"ramp", ramp}}}, {"refusals", json::array{429}}};
-}
-
-json::object stream(View name, View path, double rate, int pieces, int body, int prefix, int prefixes, bool repeatable) {
-  return json::object{{"name", name}, {"path", path}, {"rate", rate}, {"pieces", pieces}, {"body_bytes", body}, {"prefix_bytes", prefix}, {"prefixes", prefixes}, {"repeatable", repeatable}};
-}
-
-void add_machines(Shape& shape, int count, const std::vector<std::string>& halls, int disks) {
-  for (int index = 0; index < count; ++index) shape.machines.push_back(Machine{halls[static_cast<std::size_t>(index) % halls.size()], index < disks, {}, {}, {}, {}, 0});
-}
-
-void add_runners(Shape& shape, const std::string& kind, int count, const std::vector<std::string>& halls, std::uint32_t slots) {
-  for (int index = 0; index < count; ++index) shape.runners.push_back(RunnerProcess{kind + "-" + std::to_string(index + 1), kind, halls[static_cast<std::size_t>(index) % halls.size()], {}, slots, 0, 0});
-}
-
 }  // namespace
 
-Shape thin_shape() {
-  Shape shape;
-  shape.name = "thin";
-  add_machines(shape, 4, {"north", "south"}, 3);
-  add_runners(shape, "model", 4, {"north", "south"}, 4);
-  shape.resources = {{"kind/model", kind_spec(2000, 2, 1, false, 500)},
-                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 512}}},
-                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}}};
-  shape.streams = {stream("audits", "/audits", 40, 6, 200, 1024, 2, false)};
-  shape.lots = {json::object{{"name", "lines"}, {"lane", "lines"}, {"rate", 10}, {"items", 10}, {"horizon", 0}}};
-  return shape;
-}
-
-Shape altiplano_shape(double share) {
-  Shape shape;
-  shape.name = "altiplano";
-  const std::vector<std::string> halls{"alto", "bajo", "centro", "este"};
-  // Four storage machines and four edge machines with disks, then nine edge machines without.
-  add_machines(shape, 17, halls, 8);
-  add_runners(shape, "model", 12, halls, 4);
-  add_runners(shape, "notice", 4, halls, 8);
-  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
-                     {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
-                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
-                     {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
-                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
-                     {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
-  shape.streams = {stream("audits", "/audits", 5 * share, 40, 500, 6000, 4, false),
-                   stream("suggestions", "/suggestions", 18 * share, 10, 200, 0, 0, false),
-                   stream("notices", "/notices", 55 * share, 0, 150, 0, 0, true)};
-  shape.lots = {json::object{{"name", "lines"}, {"lane", "lines"}, {"rate", 2 * share}, {"items", 40}, {"horizon", 8000}, {"cancel_every", 10}}};
-  return shape;
-}
-
-Shape sestavna_shape(double share) {
-  Shape shape;
-  shape.name = "sestavna";
-  const std::vector<std::string> halls{"one", "two", "three"};
-  add_machines(shape, 15, halls, 6);
-  add_runners(shape, "model", 12, halls, 4);
-  add_runners(shape, "index", 3, halls, 8);
-  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
-                     {"kind/index", kind_spec(5000, 1, 0, true, 500)},
-                     {"lane/reviews", json::object{{"path", "/reviews"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
-                     {"lane/triage", json::object{{"path", "/triage"}, {"kind", "model"}}},
-                     {"lane/sweeps", json::object{{"path", "/sweeps"}, {"kind", "model"}, {"repeatable", true}}},
-                     {"lane/lookups", json::object{{"path", "/lookups"}, {"kind", "index"}, {"repeatable", true}, {"first_piece", 2000}}}};
-  shape.streams = {stream("reviews", "/reviews", 4 * share, 50, 2000, 8000, 3, false),
-                   stream("triage", "/triage", 16 * share, 12, 300, 0, 0, false),
-                   stream("lookups", "/lookups", 55 * share, 0, 80, 0, 0, true)};
-  shape.lots = {json::object{{"name", "sweeps"}, {"lane", "sweeps"}, {"rate", 1 * share}, {"items", 80}, {"horizon", 15000}, {"cancel_every", 10}}};
-  return shape;
-}
-
 Fleet::Fleet(Shape given, std::string programs, std::string place) : shape(std::move(given)), folder(std::move(place)), programs_(std::move(programs)) {
   std::filesystem::create_directories(folder);
   const auto ports = free_ports(shape.machines.size() * 3 + shape.runners.size());
   std::size_t next = 0;
   for (std::size_t index = 0; index < shape.machines.size(); ++index) {
-    Machine& machine = shape.machines[index];
+    MachineShape& machine = shape.machines[index];
     machine.address = local(ports[next++]);
     machine.callers = local(ports[next++]);
     machine.control = local(ports[next++]);
@@ -144,7 +74,7 @@
 }
 
 void Fleet::start_machine(std::size_t index) {
-  Machine& machine = shape.machines[index];
+  MachineShape& machine = shape.machines[index];
   // The first three machines with disks are the seeds.
   const std::string seeds = shape.machines[0].address.text + "," + shape.machines[1].address.text + "," + shape.machines[2].address.text;
   std::vector<std::string> words{"mothwalk-daemon", "--address", machine.address.text, "--callers", machine.callers.text, "--control", machine.control.text, "--hall", machine.hall, "--seeds", seeds, "--log-file", folder + "/daemon-" + std::to_string(index) + ".log", "--drain", "5000"};
@@ -156,7 +86,7 @@
 }
 
 void Fleet::start_runner(std::size_t index, double cold) {
-  RunnerProcess& runner = shape.runners[index];
+  RunnerShape& runner = shape.runners[index];
   runner.pid = start({"stand-in-runner", "--address", runner.address.text, "--name", runner.name, "--slots", std::to_string(runner.slots), "--ledger", runner_ledger(), "--cold", std::to_string(cold)});
 }
 
@@ -170,7 +100,7 @@
 }
 
 void Fleet::end_machine(std::size_t index, int signal) {
-  Machine& machine = shape.machines[index];
+  MachineShape& machine = shape.machines[index];
   if (machine.pid == 0) return;
   ::kill(machine.pid, signal);
   wait_for(machine.pid);
@@ -178,7 +108,7 @@
 }
 
 void Fleet::end_runner(std::size_t index, int signal) {
-  RunnerProcess& runner = shape.runners[index];
+  RunnerShape& runner = shape.runners[index];
   if (runner.pid == 0) return;
   ::kill(runner.pid, signal);
   wait_for(runner.pid);
@@ -186,7 +116,7 @@
 }
 
 int Fleet::end_politely(std::size_t index) {
-  Machine& machine = shape.machines[index];
+  MachineShape& machine = shape.machines[index];
   ::kill(machine.pid, SIGTERM);
   const int code = wait_for(machine.pid);
   machine.pid = 0;
@@ -278,7 +208,7 @@
 std::string Fleet::write_plan(Span length, Span settle, std::uint32_t most) {
   json::array targets;
   for (const auto& machine : shape.machines) targets.push_back(json::value(json::string(machine.callers.text)));
-  const json::object plan{{"targets", targets}, {"ledger", caller_ledger()}, {"length", length.count() / 1000}, {"settle", settle.count() / 1000}, {"most", most}, {"streams", shape.streams}, {"lots", shape.lots}};
+  const json::object plan{{"targets", targets}, {"ledger", caller_ledger()}, {"length", length.count() / 1000}, {"settle", settle.count() / 1000}, {"most", most}, {"streams", to_json(shape.streams)}, {"lots", to_json(shape.lots)}};
   const std::string path = folder + "/plan.json";
   std::ofstream(path) << json::serialize(plan);
   return path;
--- a/source/stand_ins/fleet.hpp
+++ b/source/stand_ins/fleet.hpp
@@ -7,37 +7,10 @@
 #include "host/http_client.hpp"
 #include "policy/resources.hpp"
 #include "stand_ins/ledger.hpp"
+#include "stand_ins/shapes.hpp"
 
 namespace mothwalk {
 
-struct Machine {
-  std::string hall;
-  bool disk = false;
-  Address address, callers, control;
-  std::string folder;
-  pid_t pid = 0;
-};
-
-struct RunnerProcess {
-  std::string name, kind, hall;
-  Address address;
-  std::uint32_t slots = 4;
-  double cold = 0;
-  pid_t pid = 0;
-};
-
-struct Shape {
-  std::string name;
-  std::vector<Machine> machines;
-  std::vector<RunnerProcess> runners;
-  std::vector<std::pair<std::string, json::object>> resources;  // "type/name" and spec, in the order to apply
-  json::array streams, lots;                                    // the callers' plan
-};
-
-Shape thin_shape();
-Shape altiplano_shape(double share);
-Shape sestavna_shape(double share);
-
 class Fleet {
  public:
   Fleet(Shape shape, std::string programs, std::string folder);
--- a/source/stand_ins/platform.cpp
+++ b/source/stand_ins/platform.cpp
@@ -133,7 +133,7 @@
 
 void run_fault(Fleet& fleet, Ledger& ledger, const std::string& fault, int round) {
   std::cout << "fault   " << fault << std::endl;
-  const std::size_t holders = static_cast<std::size_t>(std::count_if(fleet.shape.machines.begin(), fleet.shape.machines.end(), [](const Machine& machine) { return machine.disk; }));
+  const std::size_t holders = static_cast<std::size_t>(std::count_if(fleet.shape.machines.begin(), fleet.shape.machines.end(), [](const MachineShape& machine) { return machine.disk; }));
   const std::size_t holder = static_cast<std::size_t>(round) % holders;
   if (fault == "kill" || fault == "wipe") {
     fleet.end_machine(holder, SIGKILL);
@@ -156,7 +156,7 @@
   } else if (fault == "leaving" || fault == "evacuate") {
     json::array names;
     const std::string hall = fleet.shape.runners[static_cast<std::size_t>(round) % 3].hall;
-    const RunnerProcess leaver = fleet.shape.runners[static_cast<std::size_t>(round + 5) % 12];
+    const RunnerShape leaver = fleet.shape.runners[static_cast<std::size_t>(round + 5) % 12];
     const std::size_t machine = live_machine(fleet, static_cast<std::size_t>(round) * 3);
     json::object runner_spec{{"kind", leaver.kind}, {"address", leaver.address.text}, {"hall", leaver.hall}, {"slots", leaver.slots}, {"leaving", true}};
     const bool evacuation = fault == "evacuate";
@@ -242,7 +242,7 @@
   if (options.folder.empty()) options.folder = (std::filesystem::temp_directory_path() / ("mothwalk-" + std::to_string(::getpid()))).string();
   if (options.fleet != "thin" && options.fleet != "altiplano" && options.fleet != "sestavna") return std::cerr << "stand-in-platform: the fleet is thin, altiplano or sestavna\n", 2;
   {
-    Fleet fleet(options.fleet == "thin" ? thin_shape() : options.fleet == "altiplano" ? altiplano_shape(options.share) : sestavna_shape(options.share), options.programs, options.folder);
+    Fleet fleet(shape_named(options.fleet, options.share), options.programs, options.folder);
     if (options.fleet == "thin") {
       thin(fleet);
     } else {
--- /dev/null
+++ b/source/stand_ins/shapes.cpp
@@ -0,0 +1,103 @@
+// The three shapes. Rates are those of the brief where it states them; their share of it is the caller's to choose.
+#include "stand_ins/shapes.hpp"
+
+namespace mothwalk {
+
+namespace {
+
+json::object kind_spec(int cycle, int floor, int reserve, bool all, int ramp) {
+  return json::object{{"circle", json::object{{"cycle", cycle}, {"floor", floor}, {"reserve", reserve}, {"all", all}, {"ramp", ramp}}}, {"refusals", json::array{429}}};
+}
+
+void add_machines(Shape& shape, int count, const std::vector<std::string>& halls, int disks) {
+  for (int index = 0; index < count; ++index) shape.machines.push_back(MachineShape{halls[static_cast<std::size_t>(index) % halls.size()], index < disks, {}, {}, {}, {}, 0});
+}
+
+void add_runners(Shape& shape, const std::string& kind, int count, const std::vector<std::string>& halls, std::uint32_t slots) {
+  for (int index = 0; index < count; ++index) shape.runners.push_back(RunnerShape{kind + "-" + std::to_string(index + 1), kind, halls[static_cast<std::size_t>(index) % halls.size()], {}, slots, 0, 0});
+}
+
+}  // namespace
+
+Shape thin_shape() {
+  Shape shape;
+  shape.name = "thin";
+  add_machines(shape, 4, {"north", "south"}, 3);
+  add_runners(shape, "model", 4, {"north", "south"}, 4);
+  shape.resources = {{"kind/model", kind_spec(2000, 2, 1, false, 500)},
+                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 512}}},
+                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}}};
+  shape.streams = {StreamLoad{"audits", "/audits", 40, 6, 200, 1024, 2, false}};
+  shape.lots = {LotLoad{"lines", "lines", 10, 10, 100, std::chrono::milliseconds(0), true, 0}};
+  return shape;
+}
+
+Shape small_shape() {
+  Shape shape;
+  shape.name = "small";
+  const std::vector<std::string> halls{"north", "south", "west"};
+  add_machines(shape, 9, halls, 6);
+  add_runners(shape, "model", 6, halls, 4);
+  add_runners(shape, "notice", 3, halls, 8);
+  shape.resources = {{"kind/model", kind_spec(5000, 2, 1, false, 2000)},
+                     {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
+                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 1024}}},
+                     {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
+                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
+                     {"lane/payments", json::object{{"path", "/payments"}, {"kind", "model"}, {"repeatable", false}}},
+                     {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  shape.streams = {StreamLoad{"audits", "/audits", 3, 20, 200, 3000, 3, false},
+                   StreamLoad{"suggestions", "/suggestions", 8, 6, 200, 0, 0, false},
+                   StreamLoad{"notices", "/notices", 15, 0, 150, 0, 0, true}};
+  shape.lots = {LotLoad{"lines", "lines", 0.7, 20, 100, std::chrono::milliseconds(0), true, 6},
+                LotLoad{"payments", "payments", 0.4, 8, 100, std::chrono::milliseconds(0), false, 0}};
+  return shape;
+}
+
+Shape altiplano_shape(double share) {
+  Shape shape;
+  shape.name = "altiplano";
+  const std::vector<std::string> halls{"alto", "bajo", "centro", "este"};
+  // Four storage machines and four edge machines with disks, then nine edge machines without.
+  add_machines(shape, 17, halls, 8);
+  add_runners(shape, "model", 12, halls, 4);
+  add_runners(shape, "notice", 4, halls, 8);
+  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
+                     {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
+                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
+                     {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
+                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
+                     {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  shape.streams = {StreamLoad{"audits", "/audits", 5 * share, 40, 500, 6000, 4, false},
+                   StreamLoad{"suggestions", "/suggestions", 18 * share, 10, 200, 0, 0, false},
+                   StreamLoad{"notices", "/notices", 55 * share, 0, 150, 0, 0, true}};
+  shape.lots = {LotLoad{"lines", "lines", 2 * share, 40, 100, std::chrono::milliseconds(8000), true, 10}};
+  return shape;
+}
+
+Shape sestavna_shape(double share) {
+  Shape shape;
+  shape.name = "sestavna";
+  const std::vector<std::string> halls{"one", "two", "three"};
+  add_machines(shape, 15, halls, 6);
+  add_runners(shape, "model", 12, halls, 4);
+  add_runners(shape, "index", 3, halls, 8);
+  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
+                     {"kind/index", kind_spec(5000, 1, 0, true, 500)},
+                     {"lane/reviews", json::object{{"path", "/reviews"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
+                     {"lane/triage", json::object{{"path", "/triage"}, {"kind", "model"}}},
+                     {"lane/sweeps", json::object{{"path", "/sweeps"}, {"kind", "model"}, {"repeatable", true}}},
+                     {"lane/lookups", json::object{{"path", "/lookups"}, {"kind", "index"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  shape.streams = {StreamLoad{"reviews", "/reviews", 4 * share, 50, 2000, 8000, 3, false},
+                   StreamLoad{"triage", "/triage", 16 * share, 12, 300, 0, 0, false},
+                   StreamLoad{"lookups", "/lookups", 55 * share, 0, 80, 0, 0, true}};
+  shape.lots = {LotLoad{"sweeps", "sweeps", 1 * share, 80, 100, std::chrono::milliseconds(15000), true, 10}};
+  return shape;
+}
+
+Shape shape_named(const std::string& name, double share) {
+  if (name == "small") return small_shape();
+  return name == "altiplano" ? altiplano_shape(share) : name == "sestavna" ? sestavna_shape(share) : thin_shape();
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/stand_ins/shapes.hpp
@@ -0,0 +1,58 @@
+// The shapes of the fleets: machines, runners, policy and callers of each deployment, for real processes and for the
+// simulator alike.
+#pragma once
+#include "coding/json.hpp"
+#include "policy/resources.hpp"
+
+namespace mothwalk {
+
+struct StreamLoad {
+  std::string name, path;
+  double rate = 1;
+  std::uint32_t pieces = 8, body_bytes = 200, prefix_bytes = 0, prefixes = 4;
+  bool repeatable = false;
+  MOTHWALK_FIELDS(name, path, rate, pieces, body_bytes, prefix_bytes, prefixes, repeatable)
+};
+struct LotLoad {
+  std::string name, lane;
+  double rate = 1;
+  std::uint32_t items = 10, item_bytes = 100;
+  Span horizon = std::chrono::seconds(8);
+  bool repeatable = true;
+  std::uint32_t cancel_every = 0;
+  MOTHWALK_FIELDS(name, lane, rate, items, item_bytes, horizon, repeatable, cancel_every)
+};
+
+struct MachineShape {
+  std::string hall;
+  bool disk = false;
+  Address address, callers, control;
+  std::string folder;
+  int pid = 0;
+};
+
+struct RunnerShape {
+  std::string name, kind, hall;
+  Address address;
+  std::uint32_t slots = 4;
+  double cold = 0;
+  int pid = 0;
+};
+
+struct Shape {
+  std::string name;
+  std::vector<MachineShape> machines;
+  std::vector<RunnerShape> runners;
+  std::vector<std::pair<std::string, json::object>> resources;  // "type/name" and spec, in the order to apply
+  std::vector<StreamLoad> streams;
+  std::vector<LotLoad> lots;
+};
+
+Shape thin_shape();
+Shape small_shape();   // the simulator's default: three halls, six holders of which five vote
+Shape altiplano_shape(double share);
+Shape sestavna_shape(double share);
+
+Shape shape_named(const std::string& name, double share);
+
+}  // namespace mothwalk
