--- /dev/null
+++ b/tests/coding_test.cpp
@@ -0,0 +1,117 @@
+// Forms of records: round trips, strict reading with field paths, and foreign bytes.
+#include <catch2/catch.hpp>
+
+#include "coding/cbor.hpp"
+#include "control/control.hpp"
+#include "coding/json.hpp"
+#include "lots/messages.hpp"
+#include "seams/seams.hpp"
+
+using namespace mothwalk;
+
+TEST_CASE("a record comes back from CBOR as it was, and fields that are not known are passed over") {
+  LotEntry entry;
+  entry.what = "result";
+  entry.item = 7;
+  entry.elapsed = Span{-5};
+  entry.status = -3;
+  entry.body = Bytes("a\0b", 3);
+  auto back = from_cbor<LotEntry>(to_cbor(entry));
+  REQUIRE(back);
+  CHECK(back->what == "result");
+  CHECK(back->elapsed == Span{-5});
+  CHECK(back->status == -3);
+  CHECK(back->body == Bytes("a\0b", 3));
+  // A newer daemon's message read by an older one: only the fields that both know.
+  auto shorter = from_cbor<ItemName>(to_cbor(entry));
+  REQUIRE(shorter);
+  CHECK(shorter->item == 7);
+}
+
+TEST_CASE("every truncation and every flipped byte of an envelope is refused or read, never worse") {
+  Envelope envelope{Address("10.0.0.1:1"), 5, "kept", "lots", "kept.write", 9, false, Bytes(40, 'x')};
+  const Bytes bytes = to_cbor(envelope);
+  for (std::size_t length = 0; length < bytes.size(); ++length) CHECK_FALSE(from_cbor<Envelope>(View(bytes).substr(0, length)));
+  for (std::size_t at = 0; at < bytes.size(); ++at)
+    for (int flip : {0x01, 0x20, 0x80, 0xff}) {
+      Bytes bad = bytes;
+      bad[at] = static_cast<char>(bad[at] ^ flip);
+      (void)from_cbor<Envelope>(bad);
+    }
+  CHECK_FALSE(from_cbor<Envelope>("GET / HTTP/1.1\r\n\r\n"));
+  // An array that claims 2^60 members.
+  CHECK_FALSE(from_cbor<std::vector<std::string>>(Bytes("\x9b\x10\x00\x00\x00\x00\x00\x00\x00", 9)));
+}
+
+TEST_CASE("JSON is read strictly and a fault names the field and the remedy") {
+  const PolicyView empty;
+  PolicyView view;
+  const Bytes kind = R"({})";
+  REQUIRE(put_in_view(view, "kind/model", &kind, Stamp{}));
+  struct Bad {
+    std::string type, name, text, field;
+  };
+  const std::vector<Bad> cases{
+      {"lane", "a", R"({"path":"/a","kind":"model","retires":1})", "retires"},
+      {"lane", "a", R"({"path":7,"kind":"model"})", "path"},
+      {"lane", "a", R"({"path":"a","kind":"model"})", "path"},
+      {"lane", "a", R"({"path":"/lots/x","kind":"model"})", "path"},
+      {"lane", "a", R"({"path":"/a","kind":"nobody"})", "kind"},
+      {"lane", "a", R"({"path":"/a","kind":"model","retries":11})", "retries"},
+      {"lane", "a", R"({"path":"/a","kind":"model","retries":-1})", "retries"},
+      {"lane", "a", R"({"path":"/a","kind":"model","waiting":0})", "waiting"},
+      {"lane", "a", R"({"path":"/a","kind":"model","first_piece":9000,"whole":100})", "whole"},
+      {"lane", "b c", R"({"path":"/a","kind":"model"})", "name"},
+      {"kind", "k", R"({"circle":{"target":0}})", "circle.target"},
+      {"kind", "k", R"({"circle":{"flor":1}})", "circle.flor"},
+      {"kind", "k", R"({"refusals":[429,200]})", "refusals[1]"},
+      {"runner", "r", R"({"kind":"model","address":"somewhere:80","hall":"h"})", "address"},
+      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:99999","hall":"h"})", "address"},
+      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:80","hall":""})", "hall"},
+      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:80","hall":"h","slots":0})", "slots"},
+      {"lots", "other", R"({})", "name"},
+      {"lane", "a", R"({"path":)", "body"},
+      {"lane", "a", R"([])", ""},
+  };
+  for (const auto& each : cases) {
+    auto checked = check_document(each.type, each.name, each.text, view);
+    INFO(each.text);
+    REQUIRE(fault_of(checked) != nullptr);
+    CHECK(fault_of(checked)->field == each.field);
+    CHECK_FALSE(fault_of(checked)->remedy.empty());
+  }
+  CHECK(fault_of(check_document("lane", "a", R"({"path":"/a","kind":"model"})", view)) == nullptr);
+  CHECK(fault_of(check_document("lane", "a", R"({"path":"/a","kind":"model"})", empty)) != nullptr);
+  CHECK(fault_of(check_document("teapot", "a", "{}", view))->kind == FaultKind::unknown_name);
+  CHECK(fault_of(read_lot(R"({"lane":"a","items":[1],"due":5})"))->field == "due");
+  CHECK(fault_of(read_lot(R"({"lane":"a"})"))->field == "items");
+  std::string deep(100, '[');
+  CHECK(fault_of(parse_json(deep)) != nullptr);
+}
+
+TEST_CASE("the last hall that has runners can't be evacuated, and a kind in use can't be removed") {
+  PolicyView view;
+  const Bytes kind = "{}", runner = R"({"kind":"model","address":"10.0.0.1:80","hall":"north"})", lane = R"({"path":"/a","kind":"model"})";
+  REQUIRE(put_in_view(view, "kind/model", &kind, Stamp{}));
+  REQUIRE(put_in_view(view, "runner/one", &runner, Stamp{}));
+  CHECK(fault_of(check_document("hall", "north", R"({"evacuated":true})", view))->kind == FaultKind::conflict);
+  CHECK(fault_of(check_document("hall", "south", R"({"evacuated":true})", view)) == nullptr);
+  CHECK(fault_of(check_removal("kind", "model", view))->kind == FaultKind::conflict);
+  REQUIRE(put_in_view(view, "lane/a", &lane, Stamp{}));
+  REQUIRE(put_in_view(view, "runner/one", nullptr, Stamp{}));
+  CHECK(fault_of(check_removal("kind", "model", view))->message.find("lane 'a'") != std::string::npos);
+}
+
+TEST_CASE("a path leads to the lane with the longest matching path") {
+  PolicyView view;
+  for (auto [key, value] : {std::pair<const char*, const char*>{"lane/a", R"({"path":"/a","kind":"k"})"}, {"lane/ab", R"({"path":"/a/b","kind":"k"})"}}) {
+    const Bytes bytes = value;
+    REQUIRE(put_in_view(view, key, &bytes, Stamp{}));
+  }
+  std::string name;
+  REQUIRE(view.lane_for("/a/b/c", &name));
+  CHECK(name == "ab");
+  REQUIRE(view.lane_for("/a?x=1", &name));
+  CHECK(name == "a");
+  CHECK(view.lane_for("/abc", &name) == nullptr);
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,3 @@
+// The entry point of the unit tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,68 @@
+// Settings and flags: what is at fault is named, and a flag overrides the file.
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+#include "host/file_disk.hpp"
+#include "host/settings.hpp"
+
+using namespace mothwalk;
+
+namespace {
+Result<CommandLine> read(std::vector<std::string> words) {
+  std::vector<char*> pointers;
+  words.insert(words.begin(), "mothwalk-daemon");
+  for (auto& word : words) pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+  return read_command_line(static_cast<int>(words.size()), pointers.data());
+}
+const std::vector<std::string> good{"--address", "127.0.0.1:7001", "--callers", "127.0.0.1:7002", "--control", "127.0.0.1:7003", "--hall", "north", "--seeds", "127.0.0.1:7001,127.0.0.1:7101,127.0.0.1:7201"};
+std::vector<std::string> with(std::vector<std::string> more) {
+  auto words = good;
+  words.insert(words.end(), more.begin(), more.end());
+  return words;
+}
+struct Folder {
+  std::filesystem::path path = std::filesystem::temp_directory_path() / ("mothwalk-test-" + std::to_string(::getpid()));
+  Folder() { std::filesystem::create_directories(path); }
+  ~Folder() { std::filesystem::remove_all(path); }
+};
+}  // namespace
+
+TEST_CASE("good settings are taken, faulty ones are named") {
+  CHECK(fault_of(read(good)) == nullptr);
+  CHECK(fault_of(read({}))->field == "address");
+  CHECK(fault_of(read(with({"--seeds", "127.0.0.1:7001"})))->field == "seeds");
+  CHECK(fault_of(read(with({"--seeds", "127.0.0.1:7001,nowhere,127.0.0.1:7201"})))->field == "seeds[1]");
+  CHECK(fault_of(read(with({"--seeds", "127.0.0.1:7001,127.0.0.1:7001,127.0.0.1:7201"})))->field == "seeds[1]");
+  CHECK(fault_of(read(with({"--callers", "127.0.0.1:0"})))->field == "callers");
+  CHECK(fault_of(read(with({"--callers", "127.0.0.1:7001"})))->field == "address");
+  CHECK(fault_of(read(with({"--log-level", "loud"})))->field == "log_level");
+  CHECK(fault_of(read(with({"--drain", "soon"})))->field == "drain");
+  CHECK(fault_of(read(with({"--colour", "red"})))->field == "flags");
+  CHECK(fault_of(read(with({"extra"})))->field == "flags");
+  CHECK(fault_of(read(with({"--settings", "/nowhere/at/all"})))->field == "settings");
+  CHECK(std::get<CommandLine>(read({"--help"})).help);
+}
+
+TEST_CASE("a flag overrides the settings file, and the file's unknown key is refused by name") {
+  Folder folder;
+  const std::string path = folder.path / "settings.json";
+  std::ofstream(path) << R"({"address":"127.0.0.1:1001","callers":"127.0.0.1:1002","control":"127.0.0.1:1003","hall":"south","seeds":["127.0.0.1:1","127.0.0.1:2","127.0.0.1:3"],"drain":50})";
+  auto line = read({"--settings", path, "--hall", "west"});
+  REQUIRE(fault_of(line) == nullptr);
+  CHECK(std::get<CommandLine>(line).settings.hall.text == "west");
+  CHECK(std::get<CommandLine>(line).settings.drain == std::chrono::milliseconds(50));
+  std::ofstream(path) << R"({"hal":"south"})";
+  CHECK(fault_of(read({"--settings", path}))->field == "hal");
+}
+
+TEST_CASE("a data folder is used by one daemon at a time, and must be writable") {
+  Folder folder;
+  auto ignore = [](Task) {};
+  FileDisk first(folder.path / "data", ignore), second(folder.path / "data", ignore), nowhere("/proc/none/data", ignore);
+  CHECK(fault_of(first.open()) == nullptr);
+  CHECK(fault_of(second.open())->field == "data_folder");
+  CHECK(fault_of(nowhere.open())->field == "data_folder");
+}
