--- a/source/operator/main.cpp
+++ b/source/operator/main.cpp
@@ -1,1 +1,315 @@
-int main() { return 0; }
+// mothwalk-operator: the command line over the whole fleet. It speaks to any daemon's control side, shows tables or
+// JSON, and ends with a code that tells what went wrong.
+#include <getopt.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "coding/json.hpp"
+#include "host/http_client.hpp"
+#include "operator/planner.hpp"
+#include "policy/resources.hpp"
+
+using namespace mothwalk;
+
+namespace {
+
+constexpr const char* help = R"(mothwalk-operator [--control IP:PORT[,IP:PORT...]] [--json] COMMAND
+
+  get TYPE [NAME]        resources of a type, or one with who has taken it
+  apply FILE             documents {"type","name","spec"[,"version"]}, one or a list; "-" reads standard input
+  delete TYPE NAME
+  watch [COUNT]          prints changes as they come; ends after COUNT of them
+  evacuate HALL          no work to the hall's runners; "restore HALL" takes it back
+  restore HALL
+  retire ADDRESS         takes the holder's seat away; "reinstate ADDRESS" takes it back
+  reinstate ADDRESS
+  lots [ID]              kept lots, or one
+  cancel ID              cancels a lot
+  circle [KIND]          who takes live prompts, and why
+  soundness              every daemon's state
+  members                who is there
+  check FILE             checks documents with the daemon's own code, without changing anything
+  plan FILE              shows what applying the documents would change
+
+Types: lane, kind, runner, hall, lots, holder, circle. The control addresses may also stand in MOTHWALK_CONTROL.
+Exit codes: 0 done, 1 refused or not found, 2 wrong use, 3 no daemon answered, 4 the outcome is not known.
+)";
+
+struct Tool {
+  std::vector<Address> controls;
+  bool as_json = false;
+
+  int say(const Fault& fault) const {
+    if (as_json) std::cerr << json::serialize(fault_to_json(fault)) << "\n";
+    else std::cerr << "mothwalk-operator: " << (fault.field.empty() ? "" : fault.field + ": ") << fault.message << "; " << fault.remedy << ".\n";
+    return fault.kind == FaultKind::lost ? 3 : fault.kind == FaultKind::unknown ? 4 : fault.kind == FaultKind::invalid && fault.field == "command" ? 2 : 1;
+  }
+
+  // Goes to the first daemon that answers; a call that may have taken effect is not sent to a second one.
+  Result<json::value> call(View method, const std::string& target, View body = "") const {
+    Fault last{FaultKind::lost, "control", "no control address is given", "name one with --control or MOTHWALK_CONTROL"};
+    for (const auto& control : controls) {
+      auto answer = http_call(control, method, target, body, std::chrono::seconds(25));
+      if (auto fault = fault_of(answer)) {
+        last = *fault;
+        if (fault->kind != FaultKind::lost && method != "GET") return last;
+        continue;
+      }
+      const HttpAnswer& given = std::get<HttpAnswer>(answer);
+      auto parsed = parse_json(given.body);
+      if (auto fault = fault_of(parsed)) return *fault;
+      json::value value = std::get<json::value>(parsed);
+      if (given.status == 200) return value;
+      Fault fault{given.status == 404 ? FaultKind::unknown_name : given.status == 504 ? FaultKind::unknown : FaultKind::refused, "", "the daemon answered " + std::to_string(given.status), "see its logs"};
+      if (value.is_object() && value.as_object().contains("message")) {
+        fault.field = std::string(value.at("field").as_string());
+        fault.message = std::string(value.at("message").as_string());
+        fault.remedy = std::string(value.at("remedy").as_string());
+      }
+      return fault;
+    }
+    return last;
+  }
+
+  void table(const std::vector<std::vector<std::string>>& rows) const {
+    std::vector<std::size_t> widths;
+    for (const auto& row : rows)
+      for (std::size_t column = 0; column < row.size(); ++column) {
+        if (widths.size() <= column) widths.push_back(0);
+        widths[column] = std::max(widths[column], row[column].size());
+      }
+    for (const auto& row : rows) {
+      std::string line;
+      for (std::size_t column = 0; column < row.size(); ++column) line += row[column] + (column + 1 < row.size() ? std::string(widths[column] - row[column].size() + 2, ' ') : "");
+      std::cout << line << "\n";
+    }
+  }
+};
+
+std::string plain(const json::value& value) { return value.is_string() ? std::string(value.as_string()) : json::serialize(value); }
+
+// The fields of a list of objects as a table.
+int show_list(const Tool& tool, const json::value& whole, const json::array& list, const std::vector<std::string>& fields) {
+  if (tool.as_json) return std::cout << json::serialize(whole) << "\n", 0;
+  std::vector<std::vector<std::string>> rows{fields};
+  for (const auto& each : list) {
+    std::vector<std::string> row;
+    for (const auto& field : fields) row.push_back(each.as_object().contains(field) ? plain(each.at(field)) : "");
+    rows.push_back(row);
+  }
+  tool.table(rows);
+  return 0;
+}
+
+int get(const Tool& tool, const std::string& type, const std::string& name) {
+  auto answer = tool.call("GET", "/v1/resources/" + type + (name.empty() ? "" : "/" + name));
+  if (auto fault = fault_of(answer)) return tool.say(*fault);
+  const json::value& value = std::get<json::value>(answer);
+  if (name.empty()) return show_list(tool, value, value.at("resources").as_array(), {"type", "name", "version", "spec"});
+  if (tool.as_json) return std::cout << json::serialize(value) << "\n", 0;
+  tool.table({{"type", plain(value.at("type"))}, {"name", plain(value.at("name"))}, {"version", plain(value.at("version"))}, {"spec", plain(value.at("spec"))}, {"taken", plain(value.at("status").at("taken")) + " of " + plain(value.at("status").at("members"))}, {"waiting", plain(value.at("status").at("waiting"))}});
+  return 0;
+}
+
+int put(const Tool& tool, const std::string& type, const std::string& name, const json::value& spec, std::optional<std::uint64_t> version) {
+  const std::string path = "/v1/resources/" + type + "/" + name;
+  if (!version) {
+    auto current = tool.call("GET", path);
+    if (auto fault = fault_of(current)) {
+      if (fault->kind != FaultKind::unknown_name || fault->field != "name") return tool.say(*fault);
+      version = 0;
+    } else {
+      const json::value& value = std::get<json::value>(current);
+      version = value.at("version").to_number<std::uint64_t>();
+      if (value.at("spec") == spec) return std::cout << type << "/" << name << " is so already, at version " << *version << "\n", 0;
+    }
+  }
+  auto answer = tool.call("PUT", path + "?version=" + std::to_string(*version), json::serialize(spec));
+  if (auto fault = fault_of(answer)) return tool.say(*fault);
+  const json::value& value = std::get<json::value>(answer);
+  if (tool.as_json) std::cout << json::serialize(value) << "\n";
+  else std::cout << type << "/" << name << " is at version " << plain(value.at("version")) << "\n";
+  return 0;
+}
+
+Result<std::vector<Document>> documents_of(const std::string& file) {
+  std::string text;
+  if (file == "-") {
+    text.assign(std::istreambuf_iterator<char>(std::cin), {});
+  } else {
+    std::ifstream stream(file);
+    if (!stream) return Fault{FaultKind::invalid, "command", "the file '" + file + "' can't be read", "give a readable file"};
+    text.assign(std::istreambuf_iterator<char>(stream), {});
+  }
+  return read_documents(text);
+}
+
+Result<PolicyView> current_view(const Tool& tool) {
+  auto answer = tool.call("GET", "/v1/watch");
+  if (auto fault = fault_of(answer)) return *fault;
+  PolicyView view;
+  for (const auto& each : std::get<json::value>(answer).at("resources").as_array()) {
+    const Bytes spec = json::serialize(each.at("spec"));
+    put_in_view(view, plain(each.at("type")) + "/" + plain(each.at("name")), &spec, Stamp{Epoch{}, Version{each.at("version").to_number<std::uint64_t>()}});
+  }
+  return view;
+}
+
+int check_or_plan(const Tool& tool, const std::string& file, bool plan_it) {
+  auto documents = documents_of(file);
+  if (auto fault = fault_of(documents)) return tool.say(*fault);
+  PolicyView view;
+  if (plan_it || !tool.controls.empty()) {
+    auto current = current_view(tool);
+    if (auto fault = fault_of(current)) return tool.say(*fault);
+    view = std::get<PolicyView>(current);
+  }
+  auto made = plan(std::get<std::vector<Document>>(documents), view);
+  if (auto fault = fault_of(made)) return tool.say(*fault);
+  const Plan& found = std::get<Plan>(made);
+  if (!plan_it) return std::cout << std::get<std::vector<Document>>(documents).size() << " documents are good.\n", 0;
+  if (tool.as_json) return std::cout << json::serialize(to_json(found)) << "\n", 0;
+  for (const auto& line : found.changes) std::cout << line << "\n";
+  for (const auto& line : found.warnings) std::cout << "beware: " << line << "\n";
+  if (found.changes.empty()) std::cout << "Nothing would change.\n";
+  return 0;
+}
+
+int apply(const Tool& tool, const std::string& file) {
+  auto documents = documents_of(file);
+  if (auto fault = fault_of(documents)) return tool.say(*fault);
+  // All are checked before the first is sent: a faulty file changes nothing.
+  auto view = current_view(tool);
+  if (auto fault = fault_of(view)) return tool.say(*fault);
+  auto made = plan(std::get<std::vector<Document>>(documents), std::get<PolicyView>(view));
+  if (auto fault = fault_of(made)) return tool.say(*fault);
+  for (const auto& document : std::get<std::vector<Document>>(documents)) {
+    auto checked = parse_json(document.canonical);
+    if (const int code = put(tool, document.type, document.name, std::get<json::value>(checked), document.version); code != 0) return code;
+  }
+  return 0;
+}
+
+int remove(const Tool& tool, const std::string& type, const std::string& name) {
+  const std::string path = "/v1/resources/" + type + "/" + name;
+  auto current = tool.call("GET", path);
+  if (auto fault = fault_of(current)) return tool.say(*fault);
+  auto answer = tool.call("DELETE", path + "?version=" + plain(std::get<json::value>(current).at("version")));
+  if (auto fault = fault_of(answer)) return tool.say(*fault);
+  return std::cout << type << "/" << name << " is removed\n", 0;
+}
+
+int watch(const Tool& tool, std::uint64_t count) {
+  std::map<std::string, std::string> known;
+  std::string digest;
+  for (bool first = true; count > 0; first = false) {
+    auto answer = tool.call("GET", "/v1/watch" + (digest.empty() ? "" : "?digest=" + digest));
+    if (auto fault = fault_of(answer)) return tool.say(*fault);
+    const json::value& value = std::get<json::value>(answer);
+    digest = plain(value.at("digest"));
+    std::map<std::string, std::string> now;
+    for (const auto& each : value.at("resources").as_array()) now[plain(each.at("type")) + "/" + plain(each.at("name"))] = plain(each.at("version")) + " " + plain(each.at("spec"));
+    auto print = [&](const std::string& line) {
+      if (count == 0) return;
+      std::cout << line << std::endl;
+      if (!first) --count;
+    };
+    for (const auto& [key, text] : now)
+      if (auto before = known.find(key); before == known.end() || before->second != text) print(key + " version " + text);
+    for (const auto& [key, text] : known)
+      if (!now.contains(key)) print(key + " removed");
+    known = std::move(now);
+  }
+  return 0;
+}
+
+int soundness(const Tool& tool) {
+  auto members = tool.call("GET", "/v1/members");
+  if (auto fault = fault_of(members)) return tool.say(*fault);
+  json::array list;
+  int code = 0;
+  for (const auto& member : std::get<json::value>(members).at("members").as_array()) {
+    Tool one{{Address(plain(member.at("control")))}, tool.as_json};
+    auto answer = one.call("GET", "/v1/soundness");
+    if (fault_of(answer)) {
+      list.push_back(json::object{{"address", member.at("address")}, {"hall", member.at("hall")}, {"state", "no answer"}});
+      code = 1;
+      continue;
+    }
+    list.push_back(std::get<json::value>(answer));
+    if (plain(list.back().at("state")) != "serving") code = 1;
+  }
+  show_list(tool, json::value(list), list, {"address", "hall", "state", "seated", "slots", "members", "roster", "stalled", "digest"});
+  return code;
+}
+
+int run(const Tool& tool, const std::vector<std::string>& words) {
+  const std::string& command = words[0];
+  auto wrong = [&](const std::string& what) { return tool.say(Fault{FaultKind::invalid, "command", what, "see mothwalk-operator --help"}); };
+  const std::string first = words.size() > 1 ? words[1] : "", second = words.size() > 2 ? words[2] : "";
+  auto needs = [&](std::size_t least, std::size_t most) { return words.size() - 1 >= least && words.size() - 1 <= most; };
+  if (command == "get" && needs(1, 2)) return get(tool, first, second);
+  if (command == "apply" && needs(1, 1)) return apply(tool, first);
+  if (command == "check" && needs(1, 1)) return check_or_plan(tool, first, false);
+  if (command == "plan" && needs(1, 1)) return check_or_plan(tool, first, true);
+  if (command == "delete" && needs(2, 2)) return remove(tool, first, second);
+  if (command == "evacuate" && needs(1, 1)) return put(tool, "hall", first, json::object{{"evacuated", true}}, std::nullopt);
+  if (command == "restore" && needs(1, 1)) return put(tool, "hall", first, json::object{{"evacuated", false}}, std::nullopt);
+  if (command == "retire" && needs(1, 1)) return put(tool, "holder", first, json::object{{"retired", true}}, std::nullopt);
+  if (command == "reinstate" && needs(1, 1)) return put(tool, "holder", first, json::object{{"retired", false}}, std::nullopt);
+  if (command == "circle" && needs(0, 1)) return get(tool, "circle", first);
+  if (command == "soundness" && needs(0, 0)) return soundness(tool);
+  if (command == "watch" && needs(0, 1)) {
+    if (!first.empty() && (first.size() > 9 || first.find_first_not_of("0123456789") != std::string::npos)) return wrong("'" + first + "' is not a count");
+    return watch(tool, first.empty() ? UINT64_MAX : std::stoull(first));
+  }
+  if (command == "members" && needs(0, 0)) {
+    auto answer = tool.call("GET", "/v1/members");
+    if (auto fault = fault_of(answer)) return tool.say(*fault);
+    const json::value& value = std::get<json::value>(answer);
+    return show_list(tool, value, value.at("members").as_array(), {"address", "hall", "callers", "control", "holder", "roster", "version"});
+  }
+  if (command == "lots" && needs(0, 1)) {
+    auto answer = tool.call("GET", "/lots" + (first.empty() ? "" : "/" + first));
+    if (auto fault = fault_of(answer)) return tool.say(*fault);
+    const json::value& value = std::get<json::value>(answer);
+    if (first.empty()) {
+      if (!tool.as_json && !value.at("whole").as_bool()) std::cerr << "mothwalk-operator: some holders did not answer; the list is not whole.\n";
+      const int code = show_list(tool, value, value.at("lots").as_array(), {"id", "lane", "state", "items", "results", "started"});
+      return value.at("whole").as_bool() ? code : 1;
+    }
+    return show_list(tool, value, json::array{value}, {"id", "lane", "state", "items", "results", "started"});
+  }
+  if (command == "cancel" && needs(1, 1)) {
+    auto answer = tool.call("DELETE", "/lots/" + first);
+    if (auto fault = fault_of(answer)) return tool.say(*fault);
+    return std::cout << "lot " << first << " is " << plain(std::get<json::value>(answer).at("state")) << "\n", 0;
+  }
+  return wrong("'" + command + "' is not a command, or its words are too few or too many");
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Tool tool;
+  std::string controls = ::getenv("MOTHWALK_CONTROL") == nullptr ? "" : ::getenv("MOTHWALK_CONTROL");
+  const option flags[] = {{"control", 1, nullptr, 'c'}, {"json", 0, nullptr, 'j'}, {"help", 0, nullptr, 'h'}, {nullptr, 0, nullptr, 0}};
+  for (int found = 0; (found = getopt_long(count, words, "", flags, nullptr)) != -1;) {
+    if (found == 'c') controls = optarg;
+    else if (found == 'j') tool.as_json = true;
+    else if (found == 'h') return std::cout << help, 0;
+    else return 2;
+  }
+  while (!controls.empty()) {
+    const auto comma = std::min(controls.find(','), controls.size());
+    tool.controls.push_back(Address(controls.substr(0, comma)));
+    controls.erase(0, comma + 1);
+  }
+  if (optind >= count) return std::cerr << help, 2;
+  return run(tool, std::vector<std::string>(words + optind, words + count));
+}
