--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -127,7 +127,7 @@
   std::set<std::string> full;
   for (auto& [id, record] : table_) {
     if (record.state != State::waiting) continue;
-    std::string why = "permit";
+    std::string why = may_send ? "busy" : "permit";
     if (may_send && !full.contains(record.lane_name)) {
       if (auto runner = match(record, *policy, &why)) {
         send(record, *runner, *policy);
--- /dev/null
+++ b/tests/entries_test.cpp
@@ -0,0 +1,290 @@
+// Live requests against a mocked exchange: the three outcomes, when another leg is allowed, and what callers see.
+#include <catch2/catch.hpp>
+#include <trompeloeil.hpp>
+
+#include "routes/entries.hpp"
+#include "simulate/world.hpp"
+
+using namespace mothwalk;
+using trompeloeil::_;
+
+namespace {
+
+class MockExchange : public Exchange {
+ public:
+  MAKE_MOCK2(start, Id(const LegRequest&, std::shared_ptr<LegWatcher>), override);
+  MAKE_MOCK1(cancel, void(Id), override);
+};
+
+class SilentWire : public Wire {
+ public:
+  void send(const Address&, Envelope) override {}
+};
+
+struct Seen {
+  int status = 0;
+  std::string outcome, retry_after, text;
+  bool ended = false, broken = false;
+};
+
+class SeeingCaller : public CallerSide {
+ public:
+  explicit SeeingCaller(std::shared_ptr<Seen> seen) : seen_(std::move(seen)) {}
+  void head(int status, const std::vector<Header>& headers) override {
+    CHECK(seen_->status == 0);
+    seen_->status = status;
+    for (const auto& header : headers) {
+      if (header.name == "X-Mothwalk-Outcome") seen_->outcome = header.value;
+      if (header.name == "Retry-After") seen_->retry_after = header.value;
+    }
+  }
+  void piece(View piece) override { seen_->text.append(piece); }
+  void end() override { seen_->ended = true; }
+  void break_off() override { seen_->broken = true; }
+  std::size_t backlog() const override { return backlog_; }
+  std::size_t backlog_ = 0;
+
+ private:
+  std::shared_ptr<Seen> seen_;
+};
+
+struct Stage {
+  simulate::World world{7};
+  simulate::LifePointer life = std::make_shared<simulate::Life>();
+  simulate::SimulatedSchedule schedule{world, life};
+  SilentWire wire;
+  Post post{wire, schedule, Address("10.0.0.1:1"), 1, "routes"};
+  Board board;
+  MockExchange exchange;
+  Entries entries{post, board, exchange, world.chance, self()};
+  struct Leg {
+    LegRequest request;
+    std::shared_ptr<LegWatcher> watcher;
+  };
+  std::vector<Leg> legs;
+
+  static Member self() {
+    Member member;
+    member.address = Address("10.0.0.1:1");
+    member.hall = HallId("north");
+    return member;
+  }
+  PolicyView view;
+  void put(const std::string& key, const Bytes& value) {
+    REQUIRE(put_in_view(view, key, &value, Stamp{}));
+    board.policy.set(view);
+  }
+  Stage() {
+    put("kind/model", R"({"refusals":[429]})");
+    put("lane/pay", R"({"path":"/pay","kind":"model","retries":2,"waiting":500})");
+    put("lane/tell", R"({"path":"/tell","kind":"model","repeatable":true,"retries":2,"waiting":500})");
+    for (const char* name : {"one", "two", "three", "outside"}) put(std::string("runner/") + name, std::string(R"({"kind":"model","address":"10.0.1.)") + std::to_string(view.runners.size() + 1) + R"(:80","hall":"north","slots":2})");
+    put("circle/model", R"({"members":["one","three","two"],"warm":["one","three","two"]})");
+    Members members;
+    members.all[self().address] = self();
+    board.members.set(members);
+    world.run_until(Moment{10000000});
+    permit();
+    board.news_tick = 0;
+    entries.start();
+  }
+  void permit() { board.permit_until = (world.now() + std::chrono::hours(1)).microseconds; }
+  void wait(Span span) { world.run_until(world.now() + span); }
+  std::shared_ptr<Seen> ask(const std::string& target, Entries::Id* id = nullptr, std::shared_ptr<SeeingCaller>* caller = nullptr) {
+    auto seen = std::make_shared<Seen>();
+    auto side = std::make_shared<SeeingCaller>(seen);
+    if (caller != nullptr) *caller = side;
+    const auto given = entries.arrive(LiveRequest{"POST", target, {{"Connection", "keep-alive"}, {"X-Request-Id", "r"}}, std::make_shared<const Bytes>("body")}, side);
+    if (id != nullptr) *id = given;
+    return seen;
+  }
+};
+
+#define EXPECT_LEGS(stage, count)                                                                                   \
+  REQUIRE_CALL((stage).exchange, start(_, _)).TIMES(count).LR_SIDE_EFFECT((stage).legs.push_back({_1, _2})).LR_RETURN((stage).legs.size())
+
+}  // namespace
+
+TEST_CASE("the runner's answer is given as it came, within the circle, without hop-by-hop headers") {
+  Stage stage;
+  EXPECT_LEGS(stage, 6);
+  std::vector<std::shared_ptr<Seen>> all;
+  for (int count = 0; count < 6; ++count) all.push_back(stage.ask("/pay"));
+  REQUIRE(stage.legs.size() == 6);
+  std::map<std::string, int> spread;
+  for (auto& leg : stage.legs) {
+    ++spread[leg.request.to.text];
+    for (const auto& header : leg.request.headers) CHECK(header.name == "X-Request-Id");
+  }
+  // Even over the circle, and nothing outside it.
+  CHECK(spread.size() == 3);
+  for (const auto& [address, count] : spread) CHECK((count == 2 && address != "10.0.1.4:80"));
+  stage.legs[0].watcher->on_head(418, {{"X-Own", "1"}});
+  stage.legs[0].watcher->on_piece("short and stout");
+  stage.legs[0].watcher->on_end(LegEnd::whole);
+  CHECK((all[0]->status == 418 && all[0]->outcome == "answer" && all[0]->text == "short and stout" && all[0]->ended && !all[0]->broken));
+}
+
+TEST_CASE("unrepeatable work that may have run is unknown and is never sent again") {
+  for (auto [end, status] : {std::pair{LegEnd::broken, 502}, {LegEnd::late, 504}}) {
+    Stage stage;
+    EXPECT_LEGS(stage, 1);
+    auto seen = stage.ask("/pay");
+    stage.legs[0].watcher->on_end(end);
+    CHECK((seen->status == status && seen->outcome == "unknown" && seen->ended));
+    stage.wait(std::chrono::seconds(2));
+  }
+}
+
+TEST_CASE("work that was not sent, or that the runner refused, goes to another runner; then it is refused") {
+  for (bool refusal : {false, true}) {
+    Stage stage;
+    ALLOW_CALL(stage.exchange, cancel(_));
+    EXPECT_LEGS(stage, 3);
+    auto seen = stage.ask("/pay");
+    for (std::size_t leg = 0; leg < 3; ++leg) {
+      REQUIRE(stage.legs.size() == leg + 1);
+      if (refusal) stage.legs[leg].watcher->on_head(429, {});
+      else stage.legs[leg].watcher->on_end(LegEnd::not_sent);
+    }
+    CHECK((seen->status == 503 && seen->outcome == "refused" && !seen->retry_after.empty() && seen->ended));
+    std::set<std::string> used;
+    for (const auto& leg : stage.legs) used.insert(leg.request.to.text);
+    CHECK(used.size() == 3);
+  }
+}
+
+TEST_CASE("repeatable work goes again until its retries are used; never once a piece was passed on") {
+  Stage stage;
+  EXPECT_LEGS(stage, 4);
+  auto seen = stage.ask("/tell");
+  for (std::size_t leg = 0; leg < 3; ++leg) stage.legs[leg].watcher->on_end(LegEnd::broken);
+  CHECK((seen->status == 502 && seen->outcome == "unknown"));
+  stage.wait(std::chrono::seconds(3));
+  auto other = stage.ask("/tell");
+  stage.legs[3].watcher->on_head(200, {});
+  stage.legs[3].watcher->on_piece("half");
+  stage.legs[3].watcher->on_end(LegEnd::broken);
+  CHECK((other->text == "half" && other->broken && !other->ended));
+}
+
+TEST_CASE("overload is refused at the end of the waiting budget at the latest, with when to come back") {
+  Stage stage;
+  stage.put("lane/pay", R"({"path":"/pay","kind":"model","waiting":500,"waiting_room":2})");
+  EXPECT_LEGS(stage, 9);
+  std::vector<std::shared_ptr<Seen>> all;
+  // Three runners of two slots take nine with the overcommit; three more wait, and the next finds the room full.
+  for (int count = 0; count < 13; ++count) all.push_back(stage.ask("/pay"));
+  CHECK(stage.legs.size() == 9);
+  CHECK((all[12]->status == 503 && all[12]->outcome == "refused" && all[12]->ended));
+  CHECK(all[9]->status == 0);
+  stage.wait(std::chrono::milliseconds(540));
+  CHECK((all[9]->status == 503 && !all[9]->retry_after.empty()));
+  CHECK(stage.entries.counts().refusals.at("busy") == 2);
+}
+
+TEST_CASE("a caller that left has its leg cancelled and frees the runner") {
+  Stage stage;
+  EXPECT_LEGS(stage, 1);
+  Entries::Id id = 0;
+  auto seen = stage.ask("/pay", &id);
+  REQUIRE_CALL(stage.exchange, cancel(_)).TIMES(1);
+  stage.entries.gone(id);
+  CHECK(stage.entries.open() == 0);
+  CHECK(seen->status == 0);
+}
+
+TEST_CASE("a caller that does not take its stream is broken off instead of filling the memory") {
+  Stage stage;
+  EXPECT_LEGS(stage, 1);
+  std::shared_ptr<SeeingCaller> caller;
+  auto seen = stage.ask("/pay", nullptr, &caller);
+  stage.legs[0].watcher->on_head(200, {});
+  caller->backlog_ = 5u << 20;
+  REQUIRE_CALL(stage.exchange, cancel(_)).TIMES(1);
+  stage.legs[0].watcher->on_piece("more");
+  CHECK((seen->broken && !seen->ended));
+}
+
+TEST_CASE("without a permit nothing is sent; a daemon that finds no control daemon goes on with what it knows") {
+  Stage stage;
+  stage.board.permit_until = stage.world.now().microseconds - 1;
+  auto seen = stage.ask("/pay");
+  stage.wait(std::chrono::milliseconds(100));
+  CHECK(seen->status == 0);
+  EXPECT_LEGS(stage, 1);
+  // The search has gone on for over a second while news ran all the time.
+  stage.board.permit_sought = stage.world.now().microseconds - 1100000;
+  stage.board.news_tick = stage.world.now().microseconds;
+  stage.wait(std::chrono::milliseconds(100));
+  CHECK(stage.legs.size() == 1);
+}
+
+TEST_CASE("a daemon that was never whole refuses, and one that was frozen waits") {
+  Stage stage;
+  stage.board.permit_until = -1;
+  CHECK(stage.ask("/pay")->status == 503);
+  stage.permit();
+  stage.board.permit_until = 5;
+  stage.board.permit_sought = 6;      // sought long ago, but news has not run since: a freeze
+  stage.board.news_tick = 6;
+  stage.wait(std::chrono::seconds(2));
+  auto seen = stage.ask("/pay");
+  stage.wait(std::chrono::milliseconds(100));
+  CHECK(seen->status == 0);
+}
+
+TEST_CASE("a path without a lane and a daemon that drains answer at once") {
+  Stage stage;
+  CHECK(stage.ask("/nothing")->status == 404);
+  stage.board.draining = true;
+  auto seen = stage.ask("/pay");
+  CHECK((seen->status == 503 && seen->outcome == "refused" && !seen->retry_after.empty()));
+}
+
+TEST_CASE("a warming runner gets no more from all daemons together than its growing limit") {
+  // Six daemons with no news of each other, and one cold runner of sixteen slots that all of them would send to.
+  std::size_t at_first = 0, halfway = 0;
+  for (int index = 1; index <= 6; ++index) {
+    simulate::World world{3};
+    simulate::SimulatedSchedule schedule{world, std::make_shared<simulate::Life>()};
+    SilentWire wire;
+    Member self = Stage::self();
+    self.address = Address("10.0.0." + std::to_string(index) + ":1");
+    Post post{wire, schedule, self.address, 1, "routes"};
+    Board board;
+    PolicyView view;
+    for (auto [key, value] : {std::pair<const char*, const char*>{"kind/model", R"({"circle":{"ramp":10000}})"}, {"lane/pay", R"({"path":"/pay","kind":"model"})"}, {"runner/one", R"({"kind":"model","address":"10.0.1.1:80","hall":"north","slots":16})"}, {"circle/model", R"({"members":["one"],"warm":[]})"}}) {
+      const Bytes bytes = value;
+      REQUIRE(put_in_view(view, key, &bytes, Stamp{}));
+    }
+    board.policy.set(view);
+    Members members;
+    for (int other = 1; other <= 6; ++other) {
+      Member member = self;
+      member.address = Address("10.0.0." + std::to_string(other) + ":1");
+      members.all[member.address] = member;
+    }
+    board.members.set(members);
+    board.permit_until = INT64_MAX / 2;
+    MockExchange exchange;
+    Entries entries{post, board, exchange, world.chance, self};
+    entries.start();
+    std::size_t offered = 0;
+    ALLOW_CALL(exchange, start(_, _)).LR_SIDE_EFFECT(++offered).RETURN(1);
+    ALLOW_CALL(exchange, cancel(_));
+    std::vector<Entries::Id> ids;
+    auto ask_often = [&] {
+      for (int count = 0; count < 5; ++count) ids.push_back(entries.arrive(LiveRequest{"POST", "/pay", {}, std::make_shared<const Bytes>("")}, std::make_shared<SeeingCaller>(std::make_shared<Seen>())));
+    };
+    ask_often();
+    at_first += offered;
+    for (const auto id : ids) entries.gone(id);
+    world.run_until(world.now() + std::chrono::seconds(5));
+    offered = 0;
+    ask_often();
+    halfway += offered;
+  }
+  CHECK(at_first == 4);    // a quarter of the slots
+  CHECK(halfway == 10);    // five eighths of them
+}
