Circle: usage totals are told once a second, as often as their reports come

Cause: the circle duty told every member its totals at each 250 ms tick though reports come once a second.

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -8,6 +8,7 @@
 namespace {
 using std::chrono::milliseconds;
 constexpr Span tick_span = milliseconds(250);
+constexpr Span totals_span = milliseconds(1000);
 constexpr Span aged = milliseconds(3000);
 constexpr Span early_gap = milliseconds(5000);
 constexpr Span settle = milliseconds(2500);
@@ -105,7 +106,11 @@
     for (const auto& [name, usage] : entry->second.usage.runners) open[name] += usage.open;
     ++entry;
   }
-  for (const auto& [address, member] : members->all) post_.tell(address, UsageTotals{kind, open});
+  // No oftener than the reports that the totals are made of.
+  if (now - state.totals_told >= totals_span) {
+    state.totals_told = now;
+    for (const auto& [address, member] : members->all) post_.tell(address, UsageTotals{kind, open});
+  }
 
   std::vector<std::string> current;
   for (const auto& member : before.members)
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -51,6 +51,7 @@
     Moment pending_heard;
     std::uint32_t pending = 0;
     std::map<std::string, Moment> dark_until;
+    Moment totals_told;
   };
   void tick();
   void run(const std::string& kind, const Kind& settings, State& state);
