Routing: a lane's affinity goes before its own hall within the circle

Cause: with the own hall first, a circle of three over four halls gave each runner every prefix that its hall's callers use, so the caches (three prefixes a runner) missed. Conclusion: kept, since a lane asks for affinity to save prefill; lanes without it stay in their hall.

--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -200,7 +200,7 @@
   for (const auto& each : choices) mean += each.usage / static_cast<double>(choices.size());
   if (record.affinity != 0) {
     std::sort(choices.begin(), choices.end(), [&](const Choice& left, const Choice& right) {
-      return std::make_tuple(!left.here, hash_of(*left.name, record.affinity)) < std::make_tuple(!right.here, hash_of(*right.name, record.affinity));
+      return hash_of(*left.name, record.affinity) < hash_of(*right.name, record.affinity);
     });
     for (const auto& each : choices)
       if (each.usage <= mean * bounded_load + 1.0 / each.runner->slots && each.usage < 1.0) return *each.name;
