--- a/source/kept/kept.cpp
+++ b/source/kept/kept.cpp
@@ -15,6 +15,7 @@
 constexpr Span founding_pause = milliseconds(1500);
 constexpr Span replace_after = std::chrono::seconds(10);
 constexpr std::size_t wanted_seats = 5;
+constexpr std::size_t most_removed_lots = 200;
 constexpr std::size_t rewrite_floor = 8u << 20;
 
 bool newsy(View key) { return !key.starts_with("lot/"); }
@@ -34,7 +35,7 @@
   post_.on_ask<Found>([this](const Address&, Found found, Answer<WhoReply> answer) {
     if (roster_.seats.empty() && found.roster.seated(identity_)) {
       roster_ = found.roster;
-      return persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}}, [this, answer] { answer(WhoReply{identity_, self_.address, self_.hall, roster_}); });
+      return persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}}, [this, answer] { answer(WhoReply{identity_, self_.address, self_.hall, roster_}); });
     }
     answer(WhoReply{identity_, self_.address, self_.hall, roster_});
   });
@@ -47,7 +48,7 @@
     held.promised = promise.epoch;
     held.promised_to = promise.owner;
     if (promise.owner != identity_ && owned_[promise.slot].state != Owned::State::none) step_down(promise.slot, milliseconds(500));
-    DiskEntry entry{.what = "promise", .holder = promise.owner, .roster = {}, .slot = promise.slot, .epoch = promise.epoch, .change = {}, .records = {}};
+    DiskEntry entry{.what = "promise", .holder = promise.owner, .roster = {}, .slot = promise.slot, .epoch = promise.epoch, .change = {}, .records = {}, .address = {}};
     persist(std::move(entry), [this, promise, answer] {
       const Held& kept = held_[promise.slot];
       PromiseReply reply{kept.promised == promise.epoch, kept.promised, kept.installed, roster_, {}};
@@ -68,7 +69,7 @@
     held.promised = epoch;
     held.promised_to = owner;
     if (owner != identity_ && owned_[slot].state != Owned::State::none) step_down(slot, milliseconds(500));
-    persist(DiskEntry{.what = "promise", .holder = owner, .roster = {}, .slot = slot, .epoch = epoch, .change = {}, .records = {}}, [] {});
+    persist(DiskEntry{.what = "promise", .holder = owner, .roster = {}, .slot = slot, .epoch = epoch, .change = {}, .records = {}, .address = {}}, [] {});
   };
   post_.on_ask<Store>([this, gate, raise](const Address&, Store store, Answer<StoreReply> answer) {
     if (!gate(store.target, store.owner, store.slot, store.epoch, store.roster, answer)) return;
@@ -80,7 +81,7 @@
     if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}});
     apply(held, store.change);
     const bool roster_change = store.change.key == "roster" && store.change.head;
-    DiskEntry entry{.what = "change", .holder = {}, .roster = {}, .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change), .records = {}};
+    DiskEntry entry{.what = "change", .holder = {}, .roster = {}, .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change), .records = {}, .address = {}};
     if (roster_change)
       if (auto next = from_json<Roster>(*entry.change.head); !fault_of(next)) adopt(std::get<Roster>(next));
     persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}}); });
@@ -91,9 +92,9 @@
     Held& held = held_[install.slot];
     held.installed = install.epoch;
     held.records.clear();
-    held.digest = 0;
+    held.digest = held.removed_lots = 0;
     for (const auto& record : install.records) put_record(held, record);
-    DiskEntry entry{.what = "install", .holder = install.owner, .roster = {}, .slot = install.slot, .epoch = install.epoch, .change = {}, .records = std::move(install.records)};
+    DiskEntry entry{.what = "install", .holder = install.owner, .roster = {}, .slot = install.slot, .epoch = install.epoch, .change = {}, .records = std::move(install.records), .address = {}};
     persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}}); });
   });
   post_.on_ask<Confirm>([gate](const Address&, Confirm confirm, Answer<StoreReply> answer) {
@@ -169,14 +170,16 @@
   for (auto& entry : file.entries) {
     if (entry.slot >= slot_count) return Fault{FaultKind::damaged, "record_file", "a record names slot " + std::to_string(entry.slot), "empty the data folder so that this machine joins as a new holder"};
     Held& held = held_[entry.slot];
-    if (entry.what == "identity") identity_ = entry.holder;
-    else if (entry.what == "roster") roster_ = entry.roster;
+    if (entry.what == "identity") {
+      if (entry.address != self_.address) return Fault{FaultKind::conflict, "data_folder", "the folder belongs to the holder at " + entry.address.text, "give this machine its own folder, or empty this one so that it joins as a new holder"};
+      identity_ = entry.holder;
+    } else if (entry.what == "roster") roster_ = entry.roster;
     else if (entry.what == "promise") { held.promised = entry.epoch; held.promised_to = entry.holder; }
     else if (entry.what == "change") apply(held, entry.change);
     else if (entry.what == "install") {
       held.installed = entry.epoch;
       held.records.clear();
-      held.digest = 0;
+      held.digest = held.removed_lots = 0;
       for (auto& record : entry.records) put_record(held, std::move(record));
     } else return Fault{FaultKind::damaged, "record_file", "a record is of the unknown kind '" + entry.what + "'", "run the version of mothwalk that wrote this folder"};
   }
@@ -208,14 +211,14 @@
 }
 
 Bytes Kept::snapshot() const {
-  Bytes whole = frame_entry(DiskEntry{.what = "identity", .holder = identity_, .roster = {}, .slot = 0, .epoch = {}, .change = {}, .records = {}});
-  if (!roster_.seats.empty()) whole += frame_entry(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}});
+  Bytes whole = frame_entry(DiskEntry{.what = "identity", .holder = identity_, .roster = {}, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = self_.address});
+  if (!roster_.seats.empty()) whole += frame_entry(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}});
   for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
     const Held& held = held_[slot];
-    DiskEntry install{.what = "install", .holder = {}, .roster = {}, .slot = slot, .epoch = held.installed, .change = {}, .records = {}};
+    DiskEntry install{.what = "install", .holder = {}, .roster = {}, .slot = slot, .epoch = held.installed, .change = {}, .records = {}, .address = {}};
     for (const auto& [key, record] : held.records) install.records.push_back(record);
     if (!install.records.empty() || held.installed.value > 0) whole += frame_entry(install);
-    if (held.promised.value > 0) whole += frame_entry(DiskEntry{.what = "promise", .holder = held.promised_to, .roster = {}, .slot = slot, .epoch = held.promised, .change = {}, .records = {}});
+    if (held.promised.value > 0) whole += frame_entry(DiskEntry{.what = "promise", .holder = held.promised_to, .roster = {}, .slot = slot, .epoch = held.promised, .change = {}, .records = {}, .address = {}});
   }
   return whole;
 }
@@ -247,6 +250,7 @@
 void Kept::put_record(Held& held, Record record) {
   Record& place = held.records[record.key];
   if (!place.key.empty()) held.digest ^= record_hash(place);
+  if (record.key.starts_with("lot/")) held.removed_lots += static_cast<std::size_t>(record.removed) - static_cast<std::size_t>(place.removed);
   held.digest ^= record_hash(record);
   place = std::move(record);
 }
@@ -267,7 +271,7 @@
 void Kept::adopt(const Roster& roster) {
   if (roster.version <= roster_.version) return;
   roster_ = roster;
-  persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}}, [] {});
+  persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}}, [] {});
 }
 
 template <class Message, class Then> void Kept::ask_seat(const Seat& seat, Message message, Span horizon, Then then) {
@@ -305,7 +309,7 @@
       const Seat* first = slot_owner(roster_, *members, slot);
       if (first != nullptr && first->holder == identity_) take(slot);
     }
-    if (ticks_ % 10 == 0) { repair(); roster_duty(); }
+    if (ticks_ % 10 == 0) { repair(); roster_duty(); forget_removed_lots(); }
   }
   rewrite_when_long();
   post_.schedule().after(tick_span, [this] { tick(); });
@@ -386,6 +390,8 @@
     }
   Install install{{}, {}, slot, epoch, roster_.version, {}};
   for (auto& [key, record] : newest) {
+    // The hand-over forgets removed lots: what older copies still hold of them is below its epoch and counts no more.
+    if (record.removed && key.starts_with("lot/")) continue;
     record.stamp.epoch = epoch;
     install.records.push_back(std::move(record));
   }
@@ -599,6 +605,18 @@
     });
 }
 
+std::size_t Kept::removed_lots() const {
+  std::size_t count = 0;
+  for (const auto& held : held_) count += held.removed_lots;
+  return count;
+}
+
+// A slot with many removed lots is handed over to its owner itself, under a higher epoch, which forgets them.
+void Kept::forget_removed_lots() {
+  for (std::uint32_t slot = 0; slot < slot_count; ++slot)
+    if (owned_[slot].state == Owned::State::owned && held_[slot].removed_lots >= most_removed_lots) step_down(slot, Span{});
+}
+
 void Kept::repair() {
   std::vector<Seat> others;
   for (const auto& seat : roster_.seats)
@@ -628,7 +646,7 @@
             if (record.stamp.epoch != held.promised || (mine != held.records.end() && mine->second.stamp >= record.stamp) || slot_of(record.key) != slot) continue;
             Change change{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token};
             apply(held, change);
-            persist(DiskEntry{.what = "change", .holder = {}, .roster = {}, .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change), .records = {}}, [] {});
+            persist(DiskEntry{.what = "change", .holder = {}, .roster = {}, .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change), .records = {}, .address = {}}, [] {});
           }
         });
       });
--- a/source/kept/kept.hpp
+++ b/source/kept/kept.hpp
@@ -22,6 +22,7 @@
   void start();
   std::uint64_t syncs() const { return syncs_; }
   std::uint64_t commits() const { return commits_; }
+  std::size_t removed_lots() const;
 
  private:
   using Records = std::map<std::string, Record>;
@@ -30,6 +31,7 @@
     Epoch promised, installed;
     HolderId promised_to;
     std::uint64_t digest = 0;
+    std::size_t removed_lots = 0;
   };
   struct Pending {
     Write write;
@@ -71,6 +73,7 @@
   void confirm(std::uint32_t slot, std::function<void(bool)> then);
   void confirm_round(std::uint32_t slot);
   void spread(const std::vector<const Record*>& records);
+  void forget_removed_lots();
   void repair();
   void roster_duty();
   void change_roster(Roster next);
--- a/source/kept/record_file.hpp
+++ b/source/kept/record_file.hpp
@@ -13,7 +13,8 @@
   Epoch epoch;
   Change change;
   std::vector<Record> records;
-  MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records)
+  Address address;   // of the holder, with its identity
+  MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records, address)
 };
 
 struct ReadFile {
--- a/source/seams/seams.hpp
+++ b/source/seams/seams.hpp
@@ -19,6 +19,8 @@
 
 // An envelope goes to one slice of one daemon; its kind begins with the slice it is for. Replies go back to the
 // sender's slice under the call's number.
+inline constexpr std::uint32_t protocol_number = 1;
+
 struct Envelope {
   Address from;
   std::uint64_t incarnation = 0;
@@ -26,7 +28,8 @@
   std::uint64_t call = 0;
   bool reply = false;
   Bytes body;
-  MOTHWALK_FIELDS(from, incarnation, slice, sender, kind, call, reply, body)
+  std::uint32_t protocol = protocol_number;  // what daemons of other versions may not speak
+  MOTHWALK_FIELDS(from, incarnation, slice, sender, kind, call, reply, body, protocol)
 };
 
 class Wire {
--- a/source/sessions/post.cpp
+++ b/source/sessions/post.cpp
@@ -4,13 +4,13 @@
 namespace mothwalk {
 
 void Post::send(const Address& to, View kind, std::uint64_t call, Bytes body) {
-  Envelope envelope{self_, incarnation_, std::string(kind.substr(0, kind.find('.'))), slice_, std::string(kind), call, false, std::move(body)};
+  Envelope envelope{self_, incarnation_, std::string(kind.substr(0, kind.find('.'))), slice_, std::string(kind), call, false, std::move(body), protocol_number};
   wire_.send(to, std::move(envelope));
 }
 
 void Post::reply(const Address& to, const std::string& slice, std::uint64_t call, View kind, Bytes body) {
   if (call == 0) return;
-  wire_.send(to, Envelope{self_, incarnation_, slice, slice_, std::string(kind), call, true, std::move(body)});
+  wire_.send(to, Envelope{self_, incarnation_, slice, slice_, std::string(kind), call, true, std::move(body), protocol_number});
 }
 
 void Post::finish(std::uint64_t call, Result<Bytes> result) {
@@ -23,6 +23,9 @@
 }
 
 void Post::take(Envelope envelope) {
+  // Versions that do not agree refuse each other cleanly; the refusal itself is readable to all.
+  if (envelope.protocol != protocol_number && !(envelope.reply && envelope.kind == "fault"))
+    return envelope.reply ? void() : reply(envelope.from, envelope.sender, envelope.call, "fault", to_cbor(WireFault{static_cast<std::int32_t>(FaultKind::refused), "protocol", "this daemon speaks protocol " + std::to_string(protocol_number) + ", the other one " + std::to_string(envelope.protocol), "run versions of mothwalk that speak one protocol"}));
   if (envelope.reply) {
     auto found = waiting_.find(envelope.call);
     if (found == waiting_.end() || found->second.to != envelope.from) return;
--- a/source/sessions/sessions.cpp
+++ b/source/sessions/sessions.cpp
@@ -8,8 +8,7 @@
 Sessions::Sessions(Post& post, Board& board, Member self, std::vector<Address> seeds)
     : post_(post), board_(board), self_(std::move(self)), seeds_(std::move(seeds)) {
   post_.on_ask<Beat>([this](const Address& from, Beat beat, Answer<BeatReply> answer) {
-    if (beat.protocol != protocol_number || beat.member.address != from)
-      return answer(Fault{FaultKind::refused, "protocol", "this daemon speaks protocol " + std::to_string(protocol_number) + ", the member " + std::to_string(beat.protocol), "run a version of mothwalk that speaks the fleet's protocol"});
+    if (beat.member.address != from) return answer(Fault{FaultKind::invalid, "member.address", "the beat comes from another address than it names", "give each daemon the address that it is reached by"});
     BeatReply reply;
     if (control()) {
       Session& session = sessions_[from];
@@ -24,7 +23,7 @@
     answer(std::move(reply));
   });
   post_.on_tell<Share>([this](const Address& from, Share share) {
-    if (!control() || share.protocol != protocol_number || share.member.address != from || from == self_.address) return;
+    if (!control() || share.member.address != from || from == self_.address) return;
     Peer& peer = peers_[from];
     if (peer.member.incarnation > share.member.incarnation) return;
     peer = Peer{std::move(share.member), post_.schedule().now(), std::move(share.sessions)};
@@ -57,7 +56,7 @@
 
 void Sessions::share() {
   const Moment now = post_.schedule().now();
-  Share share{protocol_number, self_, {}};
+  Share share{self_, {}};
   for (auto entry = sessions_.begin(); entry != sessions_.end();) {
     if (now - entry->second.heard > stand_span) { entry = sessions_.erase(entry); continue; }
     share.sessions.push_back(SessionShare{entry->second.member, now - entry->second.heard});
@@ -106,7 +105,7 @@
   const bool standing = !home_.empty() && post_.schedule().now() - home_heard_ < stand_span;
   const Address to = standing ? home_ : list[turn_++ % list.size()];
   asking_ = true;
-  post_.ask(to, Beat{protocol_number, self_, digest_}, std::chrono::milliseconds(300), [this, to](Result<BeatReply> result) {
+  post_.ask(to, Beat{self_, digest_}, std::chrono::milliseconds(300), [this, to](Result<BeatReply> result) {
     asking_ = false;
     auto* reply = std::get_if<BeatReply>(&result);
     if (reply == nullptr) {
--- a/source/sessions/sessions.hpp
+++ b/source/sessions/sessions.hpp
@@ -6,8 +6,6 @@
 
 namespace mothwalk {
 
-inline constexpr std::uint32_t protocol_number = 1;
-
 struct BeatReply {
   bool accepted = false, changed = false;
   std::vector<Member> members;
@@ -16,10 +14,9 @@
 struct Beat {
   static constexpr View kind = "sessions.beat";
   using Reply = BeatReply;
-  std::uint32_t protocol = protocol_number;
   Member member;
   std::uint64_t digest = 0;
-  MOTHWALK_FIELDS(protocol, member, digest)
+  MOTHWALK_FIELDS(member, digest)
 };
 struct SessionShare {
   Member member;
@@ -28,10 +25,9 @@
 };
 struct Share {
   static constexpr View kind = "sessions.share";
-  std::uint32_t protocol = protocol_number;
   Member member;
   std::vector<SessionShare> sessions;
-  MOTHWALK_FIELDS(protocol, member, sessions)
+  MOTHWALK_FIELDS(member, sessions)
 };
 
 class Sessions {
--- a/source/simulate/town.cpp
+++ b/source/simulate/town.cpp
@@ -205,6 +205,9 @@
   runner.most_active = std::max(runner.most_active, runner.active);
   leg->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
   world.write({{"what", "run"}, {"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
+  runner.on_crash[leg->run] = [this, id, leg, life = life_] {
+    if (life->alive && legs_.contains(id)) give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  };
   const std::string& body = *leg->request.body;
   double fresh = static_cast<double>(body.size());
   if (body.size() >= 512) {
@@ -229,6 +232,7 @@
   RunnerModel& runner = *leg->runner;
   if (runner.life != leg->runner_life) return;
   --runner.active;
+  runner.on_crash.erase(leg->run);
   runner.busy_microseconds += (town.world.now() - leg->began_at).count();
   town.world.write({{"what", "end"}, {"id", leg->id}, {"run", leg->run}, {"how", how}});
   while (!runner.waiting.empty() && runner.active < runner.slots) {
@@ -250,6 +254,10 @@
   };
   if (leg->pieces == 0) {
     if (leg->given++ == 0) return world.after(beat * 4, next);
+    if (runner.mode == "truncate") {
+      free(town_, leg, "truncated");
+      return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+    }
     free(town_, leg, "whole");
     const std::string text = json::serialize(json::object{{"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
     return give(id, leg, [this, id, leg, text] {
@@ -457,6 +465,9 @@
   runner.active = 0;
   runner.waiting.clear();
   runner.prefixes.clear();
+  auto streams = std::move(runner.on_crash);
+  runner.on_crash.clear();
+  for (auto& [run, breaks] : streams) breaks();
 }
 
 void Town::return_runner(RunnerModel& runner, Span cold) {
--- a/source/simulate/town.hpp
+++ b/source/simulate/town.hpp
@@ -24,6 +24,7 @@
   std::uint64_t life = 1, runs = 0;
   std::uint32_t active = 0;
   std::deque<Task> waiting;
+  std::map<std::string, Task> on_crash;   // by run: the stream that breaks
   std::uint32_t most_offered_cold = 0, most_active = 0;
   std::int64_t busy_microseconds = 0;
   std::deque<std::uint64_t> prefixes;
--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -48,6 +48,7 @@
                      {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
   shape.streams = {StreamLoad{"audits", "/audits", 3, 20, 200, 3000, 3, false},
                    StreamLoad{"suggestions", "/suggestions", 8, 6, 200, 0, 0, false},
+                   StreamLoad{"filings", "/payments", 6, 0, 200, 0, 0, false},
                    StreamLoad{"notices", "/notices", 15, 0, 150, 0, 0, true}};
   shape.lots = {LotLoad{"lines", "lines", 0.7, 20, 100, std::chrono::milliseconds(0), true, 6},
                 LotLoad{"payments", "payments", 0.4, 8, 100, std::chrono::milliseconds(0), false, 0}};
--- a/tests/coding_test.cpp
+++ b/tests/coding_test.cpp
@@ -29,7 +29,7 @@
 }
 
 TEST_CASE("every truncation and every flipped byte of an envelope is refused or read, never worse") {
-  Envelope envelope{Address("10.0.0.1:1"), 5, "kept", "lots", "kept.write", 9, false, Bytes(40, 'x')};
+  Envelope envelope{Address("10.0.0.1:1"), 5, "kept", "lots", "kept.write", 9, false, Bytes(40, 'x'), protocol_number};
   const Bytes bytes = to_cbor(envelope);
   for (std::size_t length = 0; length < bytes.size(); ++length) CHECK_FALSE(from_cbor<Envelope>(View(bytes).substr(0, length)));
   for (std::size_t at = 0; at < bytes.size(); ++at)
--- /dev/null
+++ b/tests/kept_test.cpp
@@ -0,0 +1,124 @@
+// The kept state in the simulated town: what no scenario looks at from inside.
+#include <catch2/catch.hpp>
+
+#include "simulate/town.hpp"
+
+using namespace mothwalk;
+using namespace mothwalk::simulate;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+bool make_ready(Town& town) {
+  town.start();
+  for (int count = 0; count < 400 && !town.ready(); ++count) town.world.run_until(town.world.now() + milliseconds(100));
+  return town.ready();
+}
+}  // namespace
+
+TEST_CASE("removed lots do not gather: the owner's own hand-over forgets them, and ids stay usable") {
+  World world(5);
+  Town town(world, shape_named("small", 1.0));
+  REQUIRE(make_ready(town));
+  bool applied = false;
+  town.apply("lots/default", R"({"retention":50})", [&](Stamp) { applied = true; });
+  world.run_until(world.now() + seconds(1));
+  REQUIRE(applied);
+  // One slot's worth of lots: all ids that hash to one slot.
+  std::vector<std::string> ids;
+  for (int number = 0; ids.size() < 260; ++number)
+    if (const std::string id = "lot-" + std::to_string(number); slot_of("lot/" + id) == 3) ids.push_back(id);
+  int taken = 0;
+  for (std::size_t index = 0; index < ids.size(); ++index)
+    world.after(milliseconds(40) * static_cast<int>(index), [&, index] {
+      town.control(*town.machines[index % 9], "PUT", "/lots/" + ids[index], R"({"lane":"lines","items":["x"]})", [&](int status, const std::string&) { taken += status == 200; }, true);
+    });
+  std::size_t most = 0;
+  for (int count = 0; count < 200; ++count) {
+    world.run_until(world.now() + milliseconds(100));
+    for (Machine* holder : town.holders()) most = std::max(most, holder->kept()->removed_lots());
+  }
+  CHECK(taken == 260);
+  CHECK(most >= 200);
+  for (Machine* holder : town.holders())
+    if (town.any_alive().board().policy.get()->roster.seated(holder->kept()->identity())) CHECK(holder->kept()->removed_lots() < 100);
+  int again = 0;
+  town.control(*town.machines[4], "PUT", "/lots/" + ids[0], R"({"lane":"lines","items":["x"]})", [&](int status, const std::string&) { again = status; }, true);
+  world.run_until(world.now() + seconds(1));
+  CHECK(again == 200);
+}
+
+TEST_CASE("the same lot handed in twice is one lot; another body under its id is a conflict") {
+  World world(6);
+  Town town(world, shape_named("small", 1.0));
+  REQUIRE(make_ready(town));
+  std::map<int, int> statuses;
+  auto count = [&](int status, const std::string&) { ++statuses[status]; };
+  // A race of six equal submissions and two others, each at another daemon.
+  for (std::size_t index = 0; index < 8; ++index)
+    town.control(*town.machines[index], "PUT", "/lots/raced", index < 6 ? R"({"lane":"lines","items":["x"]})" : R"({"lane":"lines","items":["y"]})", count, true);
+  world.run_until(world.now() + seconds(3));
+  CHECK(((statuses[200] == 6 && statuses[409] == 2) || (statuses[200] == 2 && statuses[409] == 6)));
+  std::string page;
+  town.control(*town.machines[0], "GET", "/lots/raced/results", "", [&](int, const std::string& text) { page = text; }, true);
+  world.run_until(world.now() + seconds(1));
+  CHECK(std::get<json::value>(parse_json(page)).at("results").as_array().size() == 1);
+}
+
+TEST_CASE("a data folder of another holder is refused, and one's own is taken again with its identity") {
+  World world(7);
+  Town town(world, shape_named("small", 1.0));
+  SimulatedDisk disk(world, "somewhere");
+  auto life = std::make_shared<Life>();
+  disk.own(life);
+  SimulatedSchedule schedule(world, life);
+  Board board;
+  auto open = [&](const std::string& address, HolderId* identity) {
+    Member self;
+    self.address = Address(address);
+    Post post(*town.machines[0], schedule, self.address, 1, "kept");
+    Kept kept(post, board, disk, world.chance, self, {}, Kept::Report{});
+    auto loaded = kept.load();
+    *identity = kept.identity();
+    if (fault_of(loaded) == nullptr) {
+      kept.start();
+      world.run_until(world.now() + milliseconds(5));
+    }
+    const auto* fault = fault_of(loaded);
+    life->alive = false;
+    life = std::make_shared<Life>();
+    disk.own(life);
+    return fault == nullptr ? std::string() : fault->field;
+  };
+  HolderId first, second, third;
+  CHECK(open("10.0.0.1:7000", &first).empty());
+  CHECK(open("10.0.0.2:7000", &second) == "data_folder");
+  CHECK(open("10.0.0.1:7000", &third).empty());
+  CHECK((first == third && !first.empty()));
+}
+
+TEST_CASE("daemons of another protocol are refused cleanly, in words that they can read") {
+  class Catcher : public Wire {
+   public:
+    void send(const Address&, Envelope envelope) override { sent.push_back(std::move(envelope)); }
+    std::vector<Envelope> sent;
+  } wire;
+  World world(8);
+  SimulatedSchedule schedule(world, std::make_shared<Life>());
+  Post post(wire, schedule, Address("10.0.0.1:1"), 1, "news");
+  Board board;
+  News news(post, board, world.chance, false);
+  post.take(Envelope{Address("10.0.0.2:1"), 1, "news", "news", "news.compare", 5, false, to_cbor(Compare{}), protocol_number + 1});
+  REQUIRE(wire.sent.size() == 1);
+  CHECK((wire.sent[0].reply && wire.sent[0].kind == "fault" && wire.sent[0].call == 5));
+  CHECK(from_cbor<WireFault>(wire.sent[0].body)->field == "protocol");
+  // And the other way: a refusal of a newer daemon reaches the one who asked.
+  std::string heard;
+  post.ask(Address("10.0.0.2:1"), Compare{}, milliseconds(100), [&](Result<CompareReply> result) { heard = fault_of(result)->field; });
+  Envelope refusal = wire.sent[0];
+  refusal.from = Address("10.0.0.2:1");
+  refusal.call = 1;
+  refusal.protocol = protocol_number + 1;
+  post.take(refusal);
+  CHECK(heard == "protocol");
+}
