--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -199,6 +199,22 @@
     town.world.after(seconds(4), [&town] { cut_hall(town, town.machines[town.world.chance.below(3)]->hall, seconds(6), true); });
     town.world.after(seconds(6), [&town] { town.operator_change("lane/extra", R"({"path":"/extra","kind":"model"})"); });
   });
+  add("cut-owner-then-wipe", "an owner cut off with its hall is asked to change its key, then its disk is lost", [](Town& town) {
+    town.world.after(seconds(4), [&town] {
+      Machine& owner = pick(town, true);
+      std::string key;
+      for (int number = 0; number < 400 && key.empty(); ++number)
+        if (const std::string each = "lane/lonely-" + std::to_string(number); owner.board().owned.get()->slots.contains(slot_of(each))) key = each;
+      if (key.empty()) return;
+      cut_hall(town, owner.hall, seconds(4), true);
+      town.control(owner, "PUT", "/v1/resources/" + key + "?version=0", R"({"path":"/lonely","kind":"model"})", [&town, key](int status, const std::string& text) {
+        if (status != 200) return;
+        const json::value reply = std::get<json::value>(parse_json(text));
+        town.acknowledged.push_back(Town::Acknowledged{key, Stamp{Epoch{reply.at("epoch").to_number<std::uint64_t>()}, Version{reply.at("version").to_number<std::uint64_t>()}}, town.world.now()});
+      });
+      town.world.after(seconds(2), [&town, &owner] { kill_and_restart(town, owner, true, seconds(3)); });
+    });
+  });
   add("cut-core", "every hall cut from every other, for 5 s", [](Town& town) {
     town.world.after(seconds(4), [&town] {
       town.world.history("the core is down");
