Lots: an owner waves a report away only after a majority confirms that it still owns

Cause: an owner that came back from a cut had not yet heard of its successor; asked to take a report about a lot it did not know, it said that the report no longer counted. The placer dropped it, the successor asked the placer, was told that it held nothing, and started four unrepeatable items again. Ruled out by the trace: lost starts (all on a majority), late fetch answers (start permit held), the placers' own bookkeeping. Change: negative answers about a lot, like reads, wait for a majority's confirmation.

--- a/source/lots/lots.cpp
+++ b/source/lots/lots.cpp
@@ -198,11 +198,22 @@
   });
 }
 
+template <class Reply> void Lots::if_still_owner(const std::string& id, Answer<Reply> answer, std::function<void(Lot*)> then) {
+  const std::uint32_t number = slot_of(key_of(id));
+  if (!slots_[number].ready) return answer(loading());
+  const Epoch epoch = slots_[number].epoch;
+  post_.ask(post_.self(), ConfirmSlot{number, epoch}, milliseconds(1500), [this, id, number, epoch, answer, then](Result<ConfirmReply> result) {
+    if (fault_of(result) != nullptr || slots_[number].epoch != epoch || !slots_[number].ready) return answer(loading());
+    then(find_under(id, epoch));
+  });
+}
+
 void Lots::cancel(const std::string& id, Answer<LotStatus> answer) {
   bool ready = false;
   Lot* lot = find(id, &ready);
-  if (lot == nullptr) return answer(ready ? no_lot() : loading());
-  if (lot->cancelled || lot->finished()) return answer(status(*lot));
+  if (!ready) return answer(loading());
+  if (lot == nullptr || lot->cancelled || lot->finished())
+    return if_still_owner<LotStatus>(id, answer, [this, answer](Lot* now_lot) { now_lot == nullptr ? answer(no_lot()) : answer(status(*now_lot)); });
   lot->cancelling = true;
   LotEntry entry;
   entry.what = "cancel";
@@ -218,12 +229,7 @@
 }
 
 void Lots::read(ReadLot read, Answer<LotPage> answer) {
-  const std::uint32_t number = slot_of(key_of(read.id));
-  if (!slots_[number].ready) return answer(loading());
-  const Epoch epoch = slots_[number].epoch;
-  post_.ask(post_.self(), ConfirmSlot{number, epoch}, milliseconds(1500), [this, read, number, epoch, answer](Result<ConfirmReply> result) {
-    if (fault_of(result) != nullptr || slots_[number].epoch != epoch || !slots_[number].ready) return answer(loading());
-    Lot* now_lot = find_under(read.id, epoch);
+  if_still_owner<LotPage>(read.id, answer, [this, read, answer](Lot* now_lot) {
     if (now_lot == nullptr) return answer(no_lot());
     LotPage page;
     page.lot = status(*now_lot);
@@ -339,11 +345,12 @@
   bool ready = false;
   Lot* lot = find(finish.lot, &ready);
   if (!ready) return answer(loading());
-  // A lot that is gone, an item that is finished or has a later leg: this report comes too late to count.
-  if (lot == nullptr || finish.item >= lot->items.size()) return answer(FinishReply{false});
+  // A lot that is gone, an item that is finished or has another leg: the report does not count. An owner that was cut off
+  // and has not heard of its successor must not say so, or the placer would drop what the successor waits for.
+  if (lot == nullptr || finish.item >= lot->items.size() || lot->items[finish.item].state == ItemState::finished || lot->items[finish.item].leg != finish.leg)
+    return if_still_owner<FinishReply>(finish.lot, answer, [answer](Lot*) { answer(FinishReply{false}); });
   Item& item = lot->items[finish.item];
   if (item.state == ItemState::finishing) return answer(loading());
-  if (item.state == ItemState::finished || item.leg != finish.leg) return answer(FinishReply{false});
   if (item.state == ItemState::starting) return answer(loading());
   if (finish.outcome == "not_run") {
     if (item.state == ItemState::started) requeue(*lot, item);
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -49,6 +49,8 @@
   Lot* find(const std::string& id, bool* ready);
   Lot* find_under(const std::string& id, Epoch epoch);
   void append(const Lot& lot, std::vector<LotEntry> entries, std::function<void(Lot*, bool)> then);
+  // Goes on only after a majority has said that the slot still is owned under the epoch that the lots were read in.
+  template <class Reply> void if_still_owner(const std::string& id, Answer<Reply> answer, std::function<void(Lot*)> then);
   void submit(SubmitLot submit, Answer<LotStatus> answer);
   void cancel(const std::string& id, Answer<LotStatus> answer);
   void read(ReadLot read, Answer<LotPage> answer);
--- /dev/null
+++ b/tests/lots_test.cpp
@@ -0,0 +1,51 @@
+// The owner of lots against a scripted kept state: what it may say without a majority's word.
+#include <catch2/catch.hpp>
+
+#include "lots/lots.hpp"
+#include "simulate/world.hpp"
+
+using namespace mothwalk;
+
+namespace {
+class Catcher : public Wire {
+ public:
+  void send(const Address&, Envelope envelope) override { sent.push_back(std::move(envelope)); }
+  const Envelope* last(const std::string& kind) const {
+    for (auto each = sent.rbegin(); each != sent.rend(); ++each)
+      if (each->kind == kind) return &*each;
+    return nullptr;
+  }
+  std::vector<Envelope> sent;
+};
+}  // namespace
+
+TEST_CASE("an owner that can't confirm itself never waves a report away or denies a lot") {
+  Catcher wire;
+  simulate::World world(3);
+  simulate::SimulatedSchedule schedule(world, std::make_shared<simulate::Life>());
+  const Address self("10.0.0.1:1"), placer("10.0.0.2:1");
+  Post post(wire, schedule, self, 1, "lots");
+  Board board;
+  Lots lots(post, board);
+  const std::uint32_t slot = slot_of("lot/unheard-of");
+  board.owned.set(Ownership{{{slot, Epoch{4}}}, Version{1}});
+  lots.start();
+  auto reply_to = [&](const Envelope& asked, bool fault) {
+    post.take(Envelope{self, 1, "lots", "kept", fault ? "fault" : "reply", asked.call, true, fault ? to_cbor(WireFault{static_cast<std::int32_t>(FaultKind::busy), "slot", "moved", "ask again"}) : asked.kind == "kept.list" ? to_cbor(RecordsReply{}) : to_cbor(ConfirmReply{}), protocol_number});
+  };
+  REQUIRE(wire.last("kept.list") != nullptr);
+  reply_to(*wire.last("kept.list"), false);
+  for (bool still_owner : {false, true}) {
+    post.take(Envelope{placer, 1, "lots", "placing", "lots.finish", 77, false, to_cbor(FinishItem{"unheard-of", 0, 1, "answer", 200, "done"}), protocol_number});
+    REQUIRE(wire.last("kept.confirmslot") != nullptr);
+    reply_to(*wire.last("kept.confirmslot"), !still_owner);
+    CHECK(wire.sent.back().call == 77);
+    CHECK(wire.sent.back().kind == (still_owner ? "reply" : "fault"));
+    post.take(Envelope{placer, 1, "lots", "control", "lots.cancel", 78, false, to_cbor(CancelLot{"unheard-of"}), protocol_number});
+    reply_to(*wire.last("kept.confirmslot"), !still_owner);
+    CHECK(wire.sent.back().call == 78);
+    const auto fault = from_cbor<WireFault>(wire.sent.back().body);
+    REQUIRE(fault);
+    CHECK(fault->kind == static_cast<std::int32_t>(still_owner ? FaultKind::unknown_name : FaultKind::busy));
+  }
+}
