--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -77,11 +77,13 @@
 }
 
 void leaving(Town& town, RunnerModel& runner) {
+  if (runner.leaving) return;
+  runner.leaving = true;
   town.operator_change("runner/" + runner.name, runner_document(town, runner, true), [&town, &runner](Stamp) {
     const std::int64_t acknowledged = town.world.milliseconds();
     town.world.after(seconds(6), [&town, &runner, acknowledged] {
       town.world.write({{"what", "leaving"}, {"runners", json::array{json::value(json::string(runner.name))}}, {"acknowledged", acknowledged}, {"until", town.world.milliseconds()}});
-      town.operator_change("runner/" + runner.name, runner_document(town, runner, false));
+      town.operator_change("runner/" + runner.name, runner_document(town, runner, false), [&runner](Stamp) { runner.leaving = false; });
     });
   });
 }
@@ -354,6 +356,14 @@
     });
     town.world.after(seconds(10), [&town] { for (auto& load : town.shape.lots) load.rate /= 4; });
   }, seconds(20), seconds(45));
+  add("cancel", "lots larger than the runners can work off at once, every other one cancelled", [](Town& town) {
+    for (auto& load : town.shape.lots) {
+      load.items = 700;
+      load.rate = 0.5;
+      load.cancel_every = 2;
+    }
+    town.world.after(seconds(10), [&town] { for (auto& load : town.shape.lots) load.rate = 0.001; });
+  }, seconds(20), seconds(60));
   add("replace-holder", "a holder dies for good; the spare takes its seat", [](Town& town) {
     town.world.after(seconds(3), [&town] { pick(town, true).kill(true); });
     town.world.after(seconds(20), [&town] { town.operator_change("lane/extra", R"({"path":"/extra","kind":"model"})"); });
--- a/source/simulate/town.hpp
+++ b/source/simulate/town.hpp
@@ -18,7 +18,7 @@
   std::string name, kind, hall;
   Address address;
   std::uint32_t slots = 4;
-  bool down = false;
+  bool down = false, leaving = false;    // leaving: a scenario plays with it, and no other one may
   std::string mode = "sound";            // sound, dark, slow, truncate, nonsense
   Moment cold_until;
   std::uint64_t life = 1, runs = 0;
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -97,6 +97,94 @@
   CHECK((first == third && !first.empty()));
 }
 
+TEST_CASE("a holder that was restarted keeps its promises: lower epochs are refused from disk") {
+  World world(9);
+  class Catcher : public Wire {
+   public:
+    void send(const Address&, Envelope envelope) override { if (envelope.reply) last = std::move(envelope); }
+    Envelope last;
+  } wire;
+  SimulatedDisk disk(world, "place");
+  const Address self("10.0.0.1:1"), owner("10.0.0.2:1");
+  const HolderId mine("mine"), theirs("theirs");
+  HolderId identity;
+  Roster roster;
+  for (int life_number = 0; life_number < 2; ++life_number) {
+    auto life = std::make_shared<Life>();
+    disk.own(life);
+    SimulatedSchedule schedule(world, life);
+    Board board;
+    Post post(wire, schedule, self, 1, "kept");
+    Member member;
+    member.address = self;
+    Kept kept(post, board, disk, world.chance, member, {}, Kept::Report{});
+    REQUIRE(fault_of(kept.load()) == nullptr);
+    if (life_number == 0) identity = kept.identity();
+    CHECK(kept.identity() == identity);
+    kept.start();
+    world.run_until(world.now() + milliseconds(20));
+    roster = Roster{Version{1}, {Seat{identity, self, HallId("h")}, Seat{theirs, owner, HallId("h")}}};
+    auto say = [&](const auto& message) {
+      post.take(Envelope{owner, 1, "kept", "kept", std::string(std::decay_t<decltype(message)>::kind), 5, false, to_cbor(message), protocol_number});
+      world.run_until(world.now() + milliseconds(20));
+    };
+    Change change;
+    change.key = "lane/x";
+    change.stamp = Stamp{Epoch{7}, Version{1}};
+    change.full = true;
+    change.head = "new";
+    if (life_number == 0) {
+      say(Promise{identity, theirs, 3, Epoch{7}, roster});
+      CHECK(from_cbor<PromiseReply>(wire.last.body)->granted);
+      say(Store{identity, theirs, 3, Epoch{7}, Version{1}, change});
+      CHECK(from_cbor<StoreReply>(wire.last.body)->outcome == "stored");
+    }
+    // The same and lower epochs are refused, before and after the restart; another identity gets no word at all.
+    say(Promise{identity, mine, 3, Epoch{7}, roster});
+    CHECK_FALSE(from_cbor<PromiseReply>(wire.last.body)->granted);
+    change.stamp = Stamp{Epoch{6}, Version{9}};
+    say(Store{identity, theirs, 3, Epoch{6}, Version{1}, change});
+    CHECK(from_cbor<StoreReply>(wire.last.body)->outcome == "refused");
+    say(Promise{HolderId("wiped"), theirs, 3, Epoch{99}, roster});
+    CHECK(wire.last.kind == "fault");
+    say(Range{3});
+    const auto range = from_cbor<RangeReply>(wire.last.body);
+    REQUIRE(range->stamps.size() == 1);
+    CHECK(range->stamps[0].stamp == Stamp{Epoch{7}, Version{1}});
+    life->alive = false;
+  }
+}
+
+TEST_CASE("news never goes back to a lower stamp, in whatever order it comes") {
+  class Silent : public Wire {
+   public:
+    void send(const Address&, Envelope) override {}
+  } wire;
+  World world(10);
+  SimulatedSchedule schedule(world, std::make_shared<Life>());
+  Post post(wire, schedule, Address("10.0.0.1:1"), 1, "news");
+  Board board;
+  News news(post, board, world.chance, false);
+  auto tell = [&](std::uint64_t epoch, std::uint64_t version, bool removed) {
+    Spread spread;
+    spread.items.push_back(NewsItem{"hall/h", Stamp{Epoch{epoch}, Version{version}}, removed, version % 2 == 0 ? R"({"evacuated":true})" : "{}"});
+    post.take(Envelope{Address("10.0.0.2:1"), 1, "news", "news", "news.spread", 0, false, to_cbor(spread), protocol_number});
+  };
+  auto evacuated = [&] { return board.policy.get()->evacuated(HallId("h")); };
+  tell(2, 4, false);
+  CHECK(evacuated());
+  tell(2, 3, false);
+  tell(1, 9, false);
+  CHECK(evacuated());
+  tell(3, 1, true);
+  CHECK_FALSE(evacuated());
+  // A removal is remembered: what was removed does not come back.
+  tell(2, 4, false);
+  CHECK_FALSE(evacuated());
+  tell(3, 2, false);
+  CHECK(evacuated());
+}
+
 TEST_CASE("daemons of another protocol are refused cleanly, in words that they can read") {
   class Catcher : public Wire {
    public:
