Routing: a runner that comes back after failures is ramped up again by each daemon

Cause: a circle member that crashed and was back before the circle left it out kept its place as warm, and its first answer opened it fully. Each daemon now ramps it within its own share, as a new member.

--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -148,11 +148,12 @@
   Sight& sight = sights_[name];
   if (now < sight.not_before || (sight.failures > 0 && sight.open > 0)) return false;
   const double limit = runner.slots * kind.overcommit;
-  if (warm) {
+  if (warm && sight.came_back && now - *sight.ramp_since >= kind.circle.ramp) sight.came_back = false;
+  if (warm && !sight.came_back) {
     sight.ramp_since.reset();
     return sight.open + sight.others < limit;
   }
-  // A warming runner: its limit grows from a quarter over the ramp, and each daemon keeps within a share of it that
+  // A warming or returning runner: its limit grows from a quarter over the ramp, and each daemon keeps within a share of it that
   // does not depend on news of the others, so the sum over all daemons stays below the limit.
   if (!sight.ramp_since) sight.ramp_since = now;
   const double progress = std::min(1.0, static_cast<double>((now - *sight.ramp_since).count()) / static_cast<double>(std::max<std::int64_t>(1, kind.circle.ramp.count())));
@@ -251,6 +252,11 @@
   Sight& sight = sights_[record.runner];
   if (sight.open > 0) --sight.open;
   if (sound) {
+    // It failed more than once and answers again: it may have been started anew, with nothing cached.
+    if (sight.failures >= 2) {
+      sight.came_back = true;
+      sight.ramp_since = post_.schedule().now();
+    }
     sight.failures = 0;
   } else {
     sight.failures = std::min(sight.failures + 1, 6u);
--- a/source/routes/entries.hpp
+++ b/source/routes/entries.hpp
@@ -60,7 +60,8 @@
   struct Sight {                               // what this daemon sees of a runner
     std::uint32_t open = 0, others = 0, failures = 0;
     Moment not_before, last_sent;
-    std::optional<Moment> ramp_since;
+    std::optional<Moment> ramp_since;          // since when it warms, as a new member or as one that came back
+    bool came_back = false;
   };
   class Watcher;
 
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -428,7 +428,7 @@
   outcome.verdict = judge(world.ledger());
   for (const auto& each : town.broken) outcome.verdict.broken.push_back(each);
   for (auto& runner : town.runners)
-    if (runner->most_offered_cold > runner->slots * 2) outcome.verdict.broken.push_back("a cold runner was flooded: " + runner->name + " had " + std::to_string(runner->most_offered_cold) + " at once");
+    if (runner->most_offered_cold > runner->slots + runner->slots / 2) outcome.verdict.broken.push_back("a cold runner was flooded: " + runner->name + " had " + std::to_string(runner->most_offered_cold) + " at once");
   for (auto& machine : town.machines) {
     outcome.frames += machine->frames;
     outcome.bytes += machine->bytes;
