--- a/source/policy/resources.cpp
+++ b/source/policy/resources.cpp
@@ -80,7 +80,18 @@
   return std::nullopt;
 }
 
-Checked check(const HolderMark&, View, const PolicyView&) { return std::nullopt; }
+Checked check(const HolderMark& mark, View name, const PolicyView& view) {
+  if (!mark.retired) return std::nullopt;
+  bool seated = false;
+  std::size_t others = 0;
+  for (const auto& seat : view.roster.seats) {
+    auto other = view.holders.find(seat.address.text);
+    if (seat.address.text == name) seated = true;
+    else others += other == view.holders.end() || !other->second.spec.retired;
+  }
+  if (seated && others < 3) return Fault{FaultKind::conflict, "retired", "only " + std::to_string(others) + " seats would remain, too few to lose one more", "start another holder and wait until it is seated"};
+  return std::nullopt;
+}
 
 template <class T> Result<Bytes> check_as(View name, View text, const PolicyView& view) {
   auto read = from_json<T>(text);
--- a/tests/coding_test.cpp
+++ b/tests/coding_test.cpp
@@ -102,6 +102,18 @@
   CHECK(fault_of(check_removal("kind", "model", view))->message.find("lane 'a'") != std::string::npos);
 }
 
+TEST_CASE("a holder is not retired where fewer than three seats would remain") {
+  PolicyView view;
+  for (const char* address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}) view.roster.seats.push_back(Seat{HolderId(address), Address(address), HallId("h")});
+  CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view))->kind == FaultKind::conflict);
+  CHECK(fault_of(check_document("holder", "10.0.0.9:1", R"({"retired":true})", view)) == nullptr);
+  view.roster.seats.push_back(Seat{HolderId("x"), Address("10.0.0.4:1"), HallId("h")});
+  CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view)) == nullptr);
+  const Bytes retired = R"({"retired":true})";
+  REQUIRE(put_in_view(view, "holder/10.0.0.4:1", &retired, Stamp{}));
+  CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view)) != nullptr);
+}
+
 TEST_CASE("a path leads to the lane with the longest matching path") {
   PolicyView view;
   for (auto [key, value] : {std::pair<const char*, const char*>{"lane/a", R"({"path":"/a","kind":"k"})"}, {"lane/ab", R"({"path":"/a/b","kind":"k"})"}}) {
