--- a/source/stand_ins/platform.cpp
+++ b/source/stand_ins/platform.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <thread>
 
+#include "host/tcp_wire.hpp"
 #include "stand_ins/fleet.hpp"
 #include "stand_ins/judge.hpp"
 
@@ -36,6 +37,51 @@
   return lines;
 }
 
+// Sends bytes as they are and gives what comes back until the other side closes.
+std::string raw_exchange(const Address& to, const std::string& bytes) {
+  boost::asio::io_context context(1);
+  boost::asio::ip::tcp::socket socket(context);
+  boost::system::error_code error;
+  socket.connect(*endpoint_of(to), error);
+  if (error) return "no connection";
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+// No input ends a daemon, and each fault is told in its way.
+void bad_input(Fleet& fleet) {
+  const MachineShape& machine = fleet.shape.machines[1];
+  auto status = [&](const Address& to, View method, const std::string& target, View body) {
+    auto answer = http_call(to, method, target, body, std::chrono::seconds(30));
+    return fault_of(answer) ? 0 : std::get<HttpAnswer>(answer).status;
+  };
+  raw_exchange(machine.address, std::string("\xff\xff\xff\xff nonsense", 13));
+  raw_exchange(machine.address, std::string("\0\0\0\x05hello", 9));
+  raw_exchange(machine.address, std::string("\0\0\x01\0truncated", 13));
+  raw_exchange(machine.address, "GET / HTTP/1.1\r\n\r\n");
+  check(raw_exchange(machine.callers, "this is no HTTP\r\n\r\n").find("400") != std::string::npos, "what is no HTTP is answered 400");
+  check(raw_exchange(machine.callers, "POST /audits HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n").find("413") != std::string::npos, "a body that is too long is refused before it is read");
+  check(raw_exchange(machine.callers, "GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n").find("431") != std::string::npos, "headers that are too long are refused");
+  check(status(machine.callers, "POST", "/nowhere", "x") == 404, "a path without a lane is answered 404");
+  check(status(machine.callers, "PUT", "/lots/bad", "{\"lane\":") == 400, "a malformed lot is refused");
+  check(status(machine.callers, "PUT", "/lots/bad", R"({"lane":"nobody","items":[1]})") == 400, "a lot for no lane is refused");
+  check(status(machine.callers, "PUT", "/lots/lines-x", R"({"lane":"lines","items":["a"]})") == 200 && status(machine.callers, "PUT", "/lots/lines-x", R"({"lane":"lines","items":["b"]})") == 409, "another body under a lot's id is a conflict");
+  check(status(machine.callers, "GET", "/lots/unknown", "") == 404, "a lot that is not there is answered 404");
+  check(status(machine.callers, "GET", "/v1/members", "") == 404, "operators' calls are not taken on the callers' side");
+  check(status(machine.control, "DELETE", "/v1/resources/kind/model?version=1", "") == 409, "a kind that lanes lead to can't be removed");
+  check(status(machine.control, "PUT", "/v1/resources/teapot/x", "{}") == 404, "an unknown type is refused");
+  // Runners that answer nonsense: unknown for the caller, never a success.
+  for (const auto& runner : fleet.shape.runners) status(runner.address, "POST", "/stand-in/mode/nonsense", "");
+  auto nonsense = http_call(machine.callers, "POST", "/audits", "x", std::chrono::seconds(30));
+  check(!fault_of(nonsense) && std::get<HttpAnswer>(nonsense).status == 502 && std::get<HttpAnswer>(nonsense).headers["x-mothwalk-outcome"] == "unknown", "a runner's nonsense is a bad gateway, marked unknown");
+  for (const auto& runner : fleet.shape.runners) status(runner.address, "POST", "/stand-in/mode/sound", "");
+  check(Fleet::until([&] { return status(machine.callers, "POST", "/audits", "x") == 200; }), "and the path is back when the runners are sound");
+  check(Fleet::until([&] { return fleet.all_serving(); }), "all daemons serve after the bad input");
+}
+
 // The thin path, by events alone: every step waits for what it needs and nothing depends on speed.
 void thin(Fleet& fleet) {
   fleet.start_all();
@@ -73,6 +119,7 @@
   check(!fault_of(stale) && std::get<HttpAnswer>(stale).status == 412, "a stale version is refused");
   auto faulty = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=1", R"({"path":"/audits","kind":"model","retires":2})", std::chrono::seconds(10));
   check(!fault_of(faulty) && std::get<HttpAnswer>(faulty).status == 400 && std::get<HttpAnswer>(faulty).body.find("retires") != std::string::npos, "an unknown field is refused by its name");
+  bad_input(fleet);
   // Everything down at once and back.
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.end_machine(machine, SIGKILL);
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.start_machine(machine);
@@ -82,7 +129,7 @@
           if (fault_of(answer)) return false;
           auto parsed = parse_json(std::get<HttpAnswer>(answer).body);
           if (fault_of(parsed) || !std::get<json::value>(parsed).as_object().contains("lots")) return false;
-          return std::get<json::value>(parsed).at("lots").as_array().size() == 3;
+          return std::get<json::value>(parsed).at("lots").as_array().size() == 4;
         }), "after a total loss the lots are back");
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) check(fleet.end_politely(machine) == 0, "daemon " + std::to_string(machine) + " drained and ended with 0");
 }
--- /dev/null
+++ b/tests/replay_test.cpp
@@ -0,0 +1,19 @@
+// A run is replayed exactly by its scenario and seed.
+#include <catch2/catch.hpp>
+
+#include "simulate/scenarios.hpp"
+
+using namespace mothwalk;
+using namespace mothwalk::simulate;
+
+TEST_CASE("the same scenario and seed give the same run, another seed another one") {
+  Scenario scenario = *find_scenario("mixed");
+  scenario.load = std::chrono::seconds(8);
+  scenario.settle = std::chrono::seconds(4);
+  const Outcome first = run(scenario, 3, "small"), second = run(scenario, 3, "small"), other = run(scenario, 4, "small");
+  CHECK(first.events == second.events);
+  CHECK(first.story == second.story);
+  CHECK(first.frames == second.frames);
+  CHECK(first.bytes == second.bytes);
+  CHECK(first.events != other.events);
+}
