--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -181,6 +181,12 @@
   add("kill-plain", "daemons without disks killed", [](Town& town) {
     every(town, seconds(4), 4, [&town](int) { kill_and_restart(town, pick(town, false), false); });
   });
+  add("kill-placer", "daemons die while slow runners work on unrepeatable items that they placed", [](Town& town) {
+    for (auto& runner : town.runners) runner->mode = "slow";
+    for (auto& load : town.shape.lots) load.rate = load.repeatable ? 0.3 : 3;
+    every(town, milliseconds(1700), 9, [&town](int turn) { kill_and_restart(town, pick(town, turn % 3 == 0), false, milliseconds(1200)); });
+    town.world.after(seconds(17), [&town] { for (auto& runner : town.runners) runner->mode = "sound"; });
+  });
   add("kill-after-acknowledgement", "the owner of a key dies the moment its change is acknowledged", [](Town& town) {
     every(town, seconds(6), 3, [&town](int) { change_then_kill(town, false); });
   });
