Routing: a daemon that has just started lets callers wait for the policy instead of refusing them

Now such requests wait up to 2.5 s for the policy and are then matched, refused or answered 404 as usual.

--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 constexpr Span tick_span = milliseconds(20);
 constexpr std::uint64_t report_ticks = 50;
+constexpr Span starting_span = milliseconds(2500);
 constexpr Span static_after = milliseconds(1000);
 constexpr std::size_t longest_backlog = 4u << 20;
 constexpr double bounded_load = 1.25;
@@ -90,14 +91,18 @@
 
 bool Entries::admit(Record& record) {
   if (board_.draining) return refuse(record, "draining", "this daemon is shutting down"), false;
-  const auto policy = board_.policy.get();
-  if (board_.permit_until.load() < 0) return refuse(record, "starting", "this daemon has not taken the policy in yet"), false;
-  const Lane* lane = policy->lane_for(record.request.target, &record.lane_name);
-  if (lane == nullptr) {
-    answer(record, 404, "refused", Fault{FaultKind::unknown_name, "path", "no lane has this path", "use the path of a declared lane"}, false);
-    return false;
+  // A daemon that has just started takes the policy in within a second or two: requests may wait for it a little.
+  const bool starting = board_.permit_until.load() < 0;
+  if (!starting) {
+    const auto policy = board_.policy.get();
+    const Lane* lane = policy->lane_for(record.request.target, &record.lane_name);
+    if (lane == nullptr) {
+      answer(record, 404, "refused", Fault{FaultKind::unknown_name, "path", "no lane has this path", "use the path of a declared lane"}, false);
+      return false;
+    }
+    record.lane = *lane;
+    record.waiting_since = post_.schedule().now();
   }
-  record.lane = *lane;
   std::size_t waiting = 0;
   for (const auto& [id, other] : table_) waiting += other.state == State::waiting && other.lane_name == record.lane_name;
   if (waiting > record.lane.waiting_room) return refuse(record, "crowded", "too many requests of this lane wait in this daemon"), false;
@@ -127,6 +132,13 @@
   std::set<std::string> full;
   for (auto& [id, record] : table_) {
     if (record.state != State::waiting) continue;
+    if (record.lane_name.empty()) {
+      if (board_.permit_until.load() < 0) {
+        if (now - record.arrived >= starting_span) refuse(record, "starting", "this daemon has not taken the policy in yet");
+        continue;
+      }
+      if (!admit(record)) continue;
+    }
     std::string why = may_send ? "busy" : "permit";
     if (may_send && !full.contains(record.lane_name)) {
       if (auto runner = match(record, *policy, &why)) {
