--- a/source/kept/kept.cpp
+++ b/source/kept/kept.cpp
@@ -282,7 +282,6 @@
 
 void Kept::publish() {
   Ownership ownership;
-  ownership.roster = roster_.version;
   for (std::uint32_t slot = 0; slot < slot_count; ++slot)
     if (owned_[slot].state == Owned::State::owned) ownership.slots[slot] = owned_[slot].epoch;
   board_.owned.set(std::move(ownership));
--- a/source/kept/kept.hpp
+++ b/source/kept/kept.hpp
@@ -59,7 +59,6 @@
   void put_record(Held& held, Record record);
   void apply(Held& held, const Change& change);
   void adopt(const Roster& roster);
-  bool refuses(const Promise& message) const;
 
   void tick();
   void found();
--- a/source/sessions/board.hpp
+++ b/source/sessions/board.hpp
@@ -48,7 +48,6 @@
 
 struct Ownership {
   std::map<std::uint32_t, Epoch> slots;
-  Version roster;
 };
 
 struct Board {
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -37,8 +37,7 @@
   return *town.holders()[0];
 }
 
-std::string runner_document(const Town& town, const RunnerModel& runner, bool leaving) {
-  (void)town;
+std::string runner_document(const RunnerModel& runner, bool leaving) {
   return json::serialize(json::object{{"kind", runner.kind}, {"address", runner.address.text}, {"hall", runner.hall}, {"slots", runner.slots}, {"leaving", leaving}});
 }
 
@@ -79,11 +78,11 @@
 void leaving(Town& town, RunnerModel& runner) {
   if (runner.leaving) return;
   runner.leaving = true;
-  town.operator_change("runner/" + runner.name, runner_document(town, runner, true), [&town, &runner](Stamp) {
+  town.operator_change("runner/" + runner.name, runner_document(runner, true), [&town, &runner](Stamp) {
     const std::int64_t acknowledged = town.world.milliseconds();
     town.world.after(seconds(6), [&town, &runner, acknowledged] {
       town.world.write({{"what", "leaving"}, {"runners", json::array{json::value(json::string(runner.name))}}, {"acknowledged", acknowledged}, {"until", town.world.milliseconds()}});
-      town.operator_change("runner/" + runner.name, runner_document(town, runner, false), [&runner](Stamp) { runner.leaving = false; });
+      town.operator_change("runner/" + runner.name, runner_document(runner, false), [&runner](Stamp) { runner.leaving = false; });
     });
   });
 }
@@ -302,10 +301,10 @@
     for (std::size_t index = 0; index < 4; ++index) {
       RunnerModel& runner = *town.runners[index];
       town.world.after(seconds(4) * static_cast<int>(index) + seconds(1), [&town, &runner] {
-        town.operator_change("runner/" + runner.name, runner_document(town, runner, true), [&town, &runner](Stamp) {
+        town.operator_change("runner/" + runner.name, runner_document(runner, true), [&town, &runner](Stamp) {
           town.world.after(seconds(3), [&town, &runner] {
             crash_and_return(town, runner, seconds(1));
-            town.world.after(seconds(1), [&town, &runner] { town.operator_change("runner/" + runner.name, runner_document(town, runner, false)); });
+            town.world.after(seconds(1), [&town, &runner] { town.operator_change("runner/" + runner.name, runner_document(runner, false)); });
           });
         });
       });
--- a/source/simulate/town.cpp
+++ b/source/simulate/town.cpp
@@ -200,9 +200,7 @@
   RunnerModel& runner = *leg->runner;
   World& world = town_.world;
   leg->began = true;
-  leg->began_at = world.now();
   ++runner.active;
-  runner.most_active = std::max(runner.most_active, runner.active);
   leg->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
   world.write({{"what", "run"}, {"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
   runner.on_crash[leg->run] = [this, id, leg, life = life_] {
@@ -233,7 +231,6 @@
   if (runner.life != leg->runner_life) return;
   --runner.active;
   runner.on_crash.erase(leg->run);
-  runner.busy_microseconds += (town.world.now() - leg->began_at).count();
   town.world.write({{"what", "end"}, {"id", leg->id}, {"run", leg->run}, {"how", how}});
   while (!runner.waiting.empty() && runner.active < runner.slots) {
     Task next = std::move(runner.waiting.front());
@@ -476,10 +473,6 @@
   runner.cold_until = world.now() + cold;
 }
 
-void Town::disturb_all() {
-  for (auto& machine : machines) machine->undisturbed_since = world.now();
-}
-
 // Every 50 ms: each undisturbed live machine has, 2 s after an acknowledgement, taken that version or a later one; and
 // no machine goes back to a lower stamp while it lives.
 void Town::watch_rules() {
--- a/source/simulate/town.hpp
+++ b/source/simulate/town.hpp
@@ -25,8 +25,7 @@
   std::uint32_t active = 0;
   std::deque<Task> waiting;
   std::map<std::string, Task> on_crash;   // by run: the stream that breaks
-  std::uint32_t most_offered_cold = 0, most_active = 0;
-  std::int64_t busy_microseconds = 0;
+  std::uint32_t most_offered_cold = 0;
   std::deque<std::uint64_t> prefixes;
   std::uint64_t hits = 0, misses = 0;
 };
@@ -46,7 +45,6 @@
     std::string id, run;
     std::uint32_t pieces = 0, given = 0;
     bool began = false, ended = false, any_piece = false;
-    Moment began_at;
     std::uint64_t beat = 0;              // grows with every sign of life, for the budgets
   };
   using LegPointer = std::shared_ptr<Leg>;
@@ -146,10 +144,7 @@
   };
   std::vector<Acknowledged> acknowledged;
   std::vector<std::string> broken;                 // rules that the town itself watches
-  void disturb_all();                              // the network was touched: freshness is not owed by anyone for a while
   void watch_rules();
-  std::map<std::string, std::vector<std::int64_t>> observed;
-  std::uint64_t open_calls() const { return calls_.size(); }
 
  private:
   class Caller;
--- a/source/stand_ins/fleet.cpp
+++ b/source/stand_ins/fleet.cpp
@@ -158,14 +158,6 @@
   return !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200;
 }
 
-bool Fleet::remove(std::size_t machine, const std::string& type, const std::string& name) {
-  const std::string path = "/v1/resources/" + type + "/" + name;
-  auto current = get(machine, path);
-  if (!current) return false;
-  auto answer = http_call(shape.machines[machine].control, "DELETE", path + "?version=" + std::to_string(current->at("version").to_number<std::uint64_t>()), "", std::chrono::seconds(8));
-  return !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200;
-}
-
 bool Fleet::serving(std::size_t machine) {
   auto soundness = get(machine, "/v1/soundness");
   return soundness && soundness->at("state").as_string() == "serving" && soundness->at("seats").to_number<int>() > 0;
--- a/source/stand_ins/fleet.hpp
+++ b/source/stand_ins/fleet.hpp
@@ -34,7 +34,6 @@
   std::optional<json::value> get(std::size_t machine, const std::string& target);
   // Applies a resource through a machine, reading its version first; true when acknowledged.
   bool apply(std::size_t machine, const std::string& type, const std::string& name, const json::object& spec);
-  bool remove(std::size_t machine, const std::string& type, const std::string& name);
   bool serving(std::size_t machine);
   bool all_serving();
   bool taken_by_all(std::size_t machine, const std::string& type, const std::string& name);
--- a/tests/lots_test.cpp
+++ b/tests/lots_test.cpp
@@ -28,7 +28,7 @@
   Board board;
   Lots lots(post, board);
   const std::uint32_t slot = slot_of("lot/unheard-of");
-  board.owned.set(Ownership{{{slot, Epoch{4}}}, Version{1}});
+  board.owned.set(Ownership{{{slot, Epoch{4}}}});
   lots.start();
   auto reply_to = [&](const Envelope& asked, bool fault) {
     post.take(Envelope{self, 1, "lots", "kept", fault ? "fault" : "reply", asked.call, true, fault ? to_cbor(WireFault{static_cast<std::int32_t>(FaultKind::busy), "slot", "moved", "ask again"}) : asked.kind == "kept.list" ? to_cbor(RecordsReply{}) : to_cbor(ConfirmReply{}), protocol_number});
