Front: a session ends on its own thread, never on control's

Cause: the answer handed to the control thread shared the session, so its last share could be dropped there: a socket destroyed off its event loop and a data race on the count of sessions.

--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -106,9 +106,11 @@
     watch_for_leaving();
     if (!callers_ || target == "/lots" || target.starts_with("/lots/") || target.starts_with("/lots?")) {
       ControlRequest control{std::string(request.method_string()), target, std::move(request.body()), callers_};
-      const bool taken = front_.control_(std::move(control), [self = shared_from_this(), turn = turn_](ControlReply reply) {
-        boost::asio::post(self->front_.context_, [self, turn, reply = std::move(reply)] {
-          if (self->turn_ == turn && !self->closed_) self->whole(reply);
+      // The other thread gets no share in this session, which must end on its own thread.
+      held_ = shared_from_this();
+      const bool taken = front_.control_(std::move(control), [weak = weak_from_this(), &context = front_.context_, turn = turn_](ControlReply reply) {
+        boost::asio::post(context, [weak, turn, reply = std::move(reply)] {
+          if (auto self = weak.lock(); self && self->turn_ == turn && !self->closed_) self->whole(reply);
         });
       });
       if (!taken) {
@@ -195,6 +197,7 @@
   }
 
   void answered() {
+    held_.reset();
     answering_ = false;
     live_ = false;
     done_ = true;
@@ -223,6 +226,7 @@
   void close() {
     if (closed_) return;
     closed_ = true;
+    held_.reset();
     beast::error_code ignored;
     stream_.socket().close(ignored);
     if (live_ && answering_) {
@@ -242,6 +246,7 @@
   std::size_t queued_ = 0;
   std::uint64_t turn_ = 0;
   Entries::Id entry_ = 0;
+  std::shared_ptr<Session> held_;  // itself, while control answers
   bool keep_ = true, head_request_ = false, writing_ = false, done_ = false, closed_ = false, answering_ = false, live_ = false, watching_ = false;
 };
 
