--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -87,9 +87,10 @@
   });
 }
 
-void evacuate(Town& town, const std::string& hall) {
-  town.operator_change("hall/" + hall, R"({"evacuated":true})", [&town, hall](Stamp) {
+void evacuate(Town& town, const std::string& hall, std::function<void()> when_acknowledged = [] {}) {
+  town.operator_change("hall/" + hall, R"({"evacuated":true})", [&town, hall, when_acknowledged](Stamp) {
     const std::int64_t acknowledged = town.world.milliseconds();
+    when_acknowledged();
     town.world.after(seconds(9), [&town, hall, acknowledged] {
       json::array names;
       for (auto& runner : town.runners)
@@ -106,7 +107,7 @@
   for (auto& machine : town.machines) restart_later(town, *machine, milliseconds(200 + static_cast<std::int64_t>(town.world.chance.below(500))));
   auto watch = std::make_shared<std::function<void()>>();
   std::weak_ptr<std::function<void()>> weak = watch;
-  *watch = [&town, down, keep = watch.get(), weak] {
+  *watch = [&town, down, weak] {
     bool all = true;
     for (auto& machine : town.machines) all = all && machine->alive() && machine->board().permitted(town.world.now()) && !machine->board().policy.get()->lanes.empty();
     if (all) {
@@ -320,17 +321,7 @@
   add("evacuate-and-kill", "a hall is evacuated and the owner of its key dies at once", [](Town& town) {
     const std::string hall = town.machines[town.world.chance.below(3)]->hall;
     town.world.after(seconds(3), [&town, hall] {
-      town.operator_change("hall/" + hall, R"({"evacuated":true})", [&town, hall](Stamp) {
-        const std::int64_t acknowledged = town.world.milliseconds();
-        kill_and_restart(town, owner_of(town, "hall/" + hall), town.world.chance.below(2) == 0);
-        town.world.after(seconds(9), [&town, hall, acknowledged] {
-          json::array names;
-          for (auto& runner : town.runners)
-            if (runner->hall == hall) names.push_back(json::value(json::string(runner->name)));
-          town.world.write({{"what", "evacuated"}, {"runners", names}, {"acknowledged", acknowledged}, {"until", town.world.milliseconds()}});
-          town.operator_change("hall/" + hall, R"({"evacuated":false})");
-        });
-      });
+      evacuate(town, hall, [&town, hall] { kill_and_restart(town, owner_of(town, "hall/" + hall), town.world.chance.below(2) == 0); });
     });
   }, seconds(24));
   add("policy-storm", "sixty changes in three seconds", [](Town& town) {
