--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -33,7 +33,7 @@
     if (found == states_.end()) return;
     State& state = found->second;
     const Moment now = post_.schedule().now();
-    // A leg that failed may mean a new start of the runner: that it is cold is told to all, not found out by each.
+    // A attempt that failed may mean a new start of the runner: that it is cold is told to all, not found out by each.
     bool fresh = false;
     for (const auto& [runner, seen] : usage.runners) {
       if (!seen.failed) continue;
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -9,12 +9,12 @@
 
 struct RunnerUsage {
   std::uint32_t open = 0;          // prompts, or items, dispatched and not ended, streams included
-  bool unsound = false;            // this daemon's legs to it fail
+  bool unsound = false;            // this daemon's attempts to it fail
   bool tried = false;              // this daemon has sent to it of late
-  std::optional<Span> failed;      // how long ago a leg to it failed last, or was the first to succeed after that
+  std::optional<Span> failed;      // how long ago a attempt to it failed last, or was the first to succeed after that
   MOTHWALK_FIELDS(open, unsound, tried, failed)
 };
-// From each daemon to the owner of the circle's key, about once a second and soon after a leg failed: of its live prompts
+// From each daemon to the owner of the circle's key, about once a second and soon after a attempt failed: of its live prompts
 // or, from its placing side, of its items.
 struct UsageReport {
   static constexpr View kind = "circle.usage";
--- a/source/circle/law.hpp
+++ b/source/circle/law.hpp
@@ -1,6 +1,6 @@
 // The PI law that moves the circle's size toward the medium usage, in velocity form. With usage u over n runners the
 // wanted size is n*u/target; the error is the number of runners missing. The gains and their stability argument are in
-// documents/autoscale.md.
+// docs/autoscale.md.
 #pragma once
 #include "mothwalk.hpp"
 
--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -10,7 +10,7 @@
 namespace mothwalk {
 
 namespace {
-// As many files as the system lets this process open; callers may hold half of them, since each may need a leg.
+// As many files as the system lets this process open; callers may hold half of them, since each may need a attempt.
 std::size_t most_sessions() {
   rlimit files{};
   if (::getrlimit(RLIMIT_NOFILE, &files) != 0) return 400;
--- a/source/host/settings.hpp
+++ b/source/host/settings.hpp
@@ -6,7 +6,7 @@
 
 struct Settings {
   Address address, callers, control;
-  HallId hall;
+  ZoneId hall;
   std::vector<Address> seeds;
   std::string data_folder;             // empty: this daemon holds no state
   std::string log_level = "notes";     // notes, warnings, quiet
--- a/source/kept/kept.cpp
+++ b/source/kept/kept.cpp
@@ -670,7 +670,7 @@
     return found != policy->holders.end() && found->second.spec.retired;
   };
   std::vector<const Member*> spares;
-  std::map<HallId, std::size_t> seats_in;
+  std::map<ZoneId, std::size_t> seats_in;
   std::optional<Seat> gone;
   bool gone_retired = false;
   for (const auto& seat : roster_.seats) {
--- a/source/kept/messages.hpp
+++ b/source/kept/messages.hpp
@@ -138,7 +138,7 @@
 struct WhoReply {
   HolderId holder;
   Address address;
-  HallId hall;
+  ZoneId hall;
   Roster roster;
   MOTHWALK_FIELDS(holder, address, hall, roster)
 };
--- a/source/lots/lots.cpp
+++ b/source/lots/lots.cpp
@@ -102,7 +102,7 @@
     if (entry->item >= lot.items.size()) continue;
     Item& item = lot.items[entry->item];
     if (entry->what == "start" && item.state != ItemState::finished) {
-      item = Item{ItemState::started, entry->leg, entry->placer, entry->incarnation, now, std::nullopt};
+      item = Item{ItemState::started, entry->attempt, entry->placer, entry->incarnation, now, std::nullopt};
     } else if (entry->what == "result" && item.state != ItemState::finished) {
       item.state = ItemState::finished;
       lot.results.push_back(std::move(*entry));
@@ -282,14 +282,14 @@
     for (std::uint32_t index = 0; index < lot.items.size() && wanted > 0; ++index) {
       Item& item = lot.items[index];
       if (item.state != ItemState::pending) continue;
-      item = Item{ItemState::starting, item.leg + 1, placer, incarnation, now, std::nullopt};
+      item = Item{ItemState::starting, item.attempt + 1, placer, incarnation, now, std::nullopt};
       --lot.pending;
       --wanted;
       --remaining;
       LotEntry entry;
       entry.what = "start";
       entry.item = index;
-      entry.leg = item.leg;
+      entry.attempt = item.attempt;
       entry.placer = placer;
       entry.incarnation = incarnation;
       entry.elapsed = now - lot.begun;
@@ -301,11 +301,11 @@
       for (const auto& entry : starts) {
         if (now_lot == nullptr) break;
         Item& item = now_lot->items[entry.item];
-        if (item.state != ItemState::starting || item.leg != entry.leg) continue;
+        if (item.state != ItemState::starting || item.attempt != entry.attempt) continue;
         // Without a majority the start may yet stand, but the item never left: it is free again.
         if (!good || now_lot->cancelled) { item.state = ItemState::pending; ++now_lot->pending; continue; }
         item.state = ItemState::started;
-        reply->items.push_back(PlacedItem{now_lot->id, lane, entry.item, entry.leg, now_lot->head.items[entry.item]});
+        reply->items.push_back(PlacedItem{now_lot->id, lane, entry.item, entry.attempt, now_lot->head.items[entry.item]});
       }
       finish();
     });
@@ -359,9 +359,9 @@
   bool ready = false;
   Lot* lot = find(finish.lot, &ready);
   if (!ready) return answer(loading());
-  // A lot that is gone, an item that is finished or has another leg: the report does not count. An owner that was cut off
+  // A lot that is gone, an item that is finished or has another attempt: the report does not count. An owner that was cut off
   // and has not heard of its successor must not say so, or the placer would drop what the successor waits for.
-  if (lot == nullptr || finish.item >= lot->items.size() || lot->items[finish.item].state == ItemState::finished || lot->items[finish.item].leg != finish.leg)
+  if (lot == nullptr || finish.item >= lot->items.size() || lot->items[finish.item].state == ItemState::finished || lot->items[finish.item].attempt != finish.attempt)
     return if_still_owner<FinishReply>(finish.lot, answer, [answer](Lot*) { answer(FinishReply{false}); });
   Item& item = lot->items[finish.item];
   if (item.state == ItemState::finishing) return answer(loading());
@@ -375,14 +375,14 @@
   const bool repeatable = lane != policy->lanes.end() && lane->second.spec.repeatable;
   if (finish.outcome == "stopped" || finish.outcome == "lost") {
     if (item.state == ItemState::pending) return answer(FinishReply{});
-    const bool more = repeatable && (finish.outcome == "stopped" || item.leg <= lane->second.spec.retries);
+    const bool more = repeatable && (finish.outcome == "stopped" || item.attempt <= lane->second.spec.retries);
     if (more && !lot->cancelled) {
       requeue(*lot, item);
       return answer(FinishReply{});
     }
   }
   LotEntry entry;
-  entry.leg = finish.leg;
+  entry.attempt = finish.attempt;
   entry.outcome = finish.outcome == "answer" ? "answer" : "unknown";
   entry.status = finish.status;
   entry.body = std::move(finish.body);
@@ -416,7 +416,7 @@
     Item& item = lot.items[index];
     if (item.state == ItemState::pending && (late || lot.cancelled)) {
       LotEntry entry;
-      entry.leg = item.leg;
+      entry.attempt = item.attempt;
       entry.outcome = lot.cancelled ? "cancelled" : "expired";
       give_result(lot, index, std::move(entry), [](bool) {});
       continue;
@@ -432,7 +432,7 @@
       requeue(lot, item);
     } else {
       LotEntry entry;
-      entry.leg = item.leg;
+      entry.attempt = item.attempt;
       entry.outcome = "unknown";
       give_result(lot, index, std::move(entry), [](bool) {});
     }
@@ -450,7 +450,7 @@
         if (item.state == ItemState::started && now - item.since > settled_start) {
           AskHeld& ask = asks[{item.placer, item.incarnation}];
           ask.incarnation = item.incarnation;
-          ask.items.push_back(ItemName{id, index, item.leg});
+          ask.items.push_back(ItemName{id, index, item.attempt});
         }
       }
   for (const auto& [placer, ask] : asks)
@@ -462,7 +462,7 @@
         Lot* lot = find(name.lot, &ready);
         if (lot == nullptr || name.item >= lot->items.size()) continue;
         Item& item = lot->items[name.item];
-        if (item.state == ItemState::started && item.leg == name.leg) requeue(*lot, item);
+        if (item.state == ItemState::started && item.attempt == name.attempt) requeue(*lot, item);
       }
     });
 }
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -16,7 +16,7 @@
   enum class ItemState { pending, starting, started, finishing, finished };
   struct Item {
     ItemState state = ItemState::pending;
-    std::uint32_t leg = 0;
+    std::uint32_t attempt = 0;
     Address placer;
     std::uint64_t incarnation = 0;
     Moment since;
--- a/source/lots/messages.hpp
+++ b/source/lots/messages.hpp
@@ -15,14 +15,14 @@
 // needs no wall clock and survives a change of owner.
 struct LotEntry {
   std::string what;        // start, result, cancel
-  std::uint32_t item = 0, leg = 0;
+  std::uint32_t item = 0, attempt = 0;
   Address placer;
   std::uint64_t incarnation = 0;
   Span elapsed{};
   std::string outcome;     // answer, unknown, expired, cancelled
   std::int32_t status = 0;
   Bytes body;
-  MOTHWALK_FIELDS(what, item, leg, placer, incarnation, elapsed, outcome, status, body)
+  MOTHWALK_FIELDS(what, item, attempt, placer, incarnation, elapsed, outcome, status, body)
 };
 
 struct LotStatus {
@@ -87,9 +87,9 @@
 };
 struct PlacedItem {
   std::string lot, lane;
-  std::uint32_t item = 0, leg = 0;
+  std::uint32_t item = 0, attempt = 0;
   Bytes body;
-  MOTHWALK_FIELDS(lot, lane, item, leg, body)
+  MOTHWALK_FIELDS(lot, lane, item, attempt, body)
 };
 struct ItemsReply {
   std::vector<PlacedItem> items;
@@ -107,9 +107,9 @@
 // An owner asks a placer which of the items recorded as started with it are in its hands (running or being reported).
 struct ItemName {
   std::string lot;
-  std::uint32_t item = 0, leg = 0;
+  std::uint32_t item = 0, attempt = 0;
   auto operator<=>(const ItemName&) const = default;
-  MOTHWALK_FIELDS(lot, item, leg)
+  MOTHWALK_FIELDS(lot, item, attempt)
 };
 struct HeldReply {
   std::vector<ItemName> missing;
@@ -128,11 +128,11 @@
   static constexpr View kind = "lots.finish";
   using Reply = FinishReply;
   std::string lot;
-  std::uint32_t item = 0, leg = 0;
+  std::uint32_t item = 0, attempt = 0;
   std::string outcome;
   std::int32_t status = 0;
   Bytes body;
-  MOTHWALK_FIELDS(lot, item, leg, outcome, status, body)
+  MOTHWALK_FIELDS(lot, item, attempt, outcome, status, body)
 };
 
 }  // namespace mothwalk
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -16,24 +16,24 @@
 constexpr std::size_t longest_body = 4u << 20;
 }  // namespace
 
-class Placing::Watcher : public LegWatcher {
+class Placing::Watcher : public AttemptWatcher {
  public:
-  Watcher(Placing& placing, std::uint64_t leg, std::vector<std::uint32_t> refusals) : placing_(placing), leg_(leg), refusals_(std::move(refusals)) {}
+  Watcher(Placing& placing, std::uint64_t attempt, std::vector<std::uint32_t> refusals) : placing_(placing), attempt_(attempt), refusals_(std::move(refusals)) {}
   void on_head(int status, const std::vector<Header>&) override { status_ = status; }
   void on_piece(View piece) override {
     if (body_.size() + piece.size() <= longest_body) body_.append(piece);
     else too_long_ = true;
   }
-  void on_end(LegEnd end) override {
-    if (end == LegEnd::not_sent) return placing_.ended(leg_, "not_run", 0, {});
-    if (end != LegEnd::whole || too_long_) return placing_.ended(leg_, "lost", 0, {});
-    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end()) return placing_.ended(leg_, "not_run", status_, {});
-    placing_.ended(leg_, "answer", status_, std::move(body_));
+  void on_end(AttemptEnd end) override {
+    if (end == AttemptEnd::not_sent) return placing_.ended(attempt_, "not_run", 0, {});
+    if (end != AttemptEnd::whole || too_long_) return placing_.ended(attempt_, "lost", 0, {});
+    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end()) return placing_.ended(attempt_, "not_run", status_, {});
+    placing_.ended(attempt_, "answer", status_, std::move(body_));
   }
 
  private:
   Placing& placing_;
-  std::uint64_t leg_;
+  std::uint64_t attempt_;
   std::vector<std::uint32_t> refusals_;
   int status_ = 0;
   Bytes body_;
@@ -120,10 +120,10 @@
   }
   if (++ticks_ % usage_ticks == 0) report_usage();
   std::vector<std::uint64_t> stop;
-  for (const auto& [number, leg] : legs_)
-    if (const Work& state = works_[leg.runner]; leg.repeatable && state.inside_since && now - *state.inside_since > leave_span) stop.push_back(number);
+  for (const auto& [number, attempt] : attempts_)
+    if (const Work& state = works_[attempt.runner]; attempt.repeatable && state.inside_since && now - *state.inside_since > leave_span) stop.push_back(number);
   for (const std::uint64_t number : stop) {
-    exchange_.cancel(legs_[number].exchange);
+    exchange_.cancel(attempts_[number].exchange);
     ended(number, "stopped", 0, {});
   }
   std::erase_if(sources_, [&](const auto& entry) { return now - entry.second.heard > source_span; });
@@ -164,9 +164,9 @@
       auto found = now_policy->runners.find(name);
       const bool good = found != now_policy->runners.end() && appointed(*now_policy, name, found->second.spec) && board_.permitted(now_moment) && now_moment - began < start_permit;
       for (const auto& item : reply->items) {
-        held_.insert(ItemName{item.lot, item.item, item.leg});
+        held_.insert(ItemName{item.lot, item.item, item.attempt});
         if (good) send(name, item);
-        else report(FinishItem{item.lot, item.item, item.leg, "not_run", 0, {}});
+        else report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}});
       }
       if (!reply->items.empty()) work();
     });
@@ -177,14 +177,14 @@
   const auto policy = board_.policy.get();
   auto lane = policy->lanes.find(item.lane);
   auto runner = policy->runners.find(name);
-  if (lane == policy->lanes.end() || runner == policy->runners.end()) return report(FinishItem{item.lot, item.item, item.leg, "not_run", 0, {}});
+  if (lane == policy->lanes.end() || runner == policy->runners.end()) return report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}});
   auto kind = policy->kinds.find(runner->second.spec.kind.text);
-  const std::uint64_t number = ++last_leg_;
+  const std::uint64_t number = ++last_attempt_;
   ++works_[name].open;
   works_[name].last_sent = post_.schedule().now();
-  Leg& leg = legs_[number];
-  leg = Leg{name, item, 0, lane->second.spec.repeatable};
-  LegRequest request;
+  Attempt& attempt = attempts_[number];
+  attempt = Attempt{name, item, 0, lane->second.spec.repeatable};
+  AttemptRequest request;
   request.to = runner->second.spec.address;
   request.method = "POST";
   request.target = lane->second.spec.path;
@@ -194,15 +194,15 @@
   request.first_piece = lane->second.spec.first_piece;
   request.between_pieces = lane->second.spec.between_pieces;
   auto watcher = std::make_shared<Watcher>(*this, number, kind == policy->kinds.end() ? std::vector<std::uint32_t>{} : kind->second.spec.refusals);
-  leg.exchange = exchange_.start(request, watcher);
+  attempt.exchange = exchange_.start(request, watcher);
 }
 
 void Placing::ended(std::uint64_t number, const std::string& outcome, int status, Bytes body) {
-  auto found = legs_.find(number);
-  if (found == legs_.end()) return;
-  const Leg leg = std::move(found->second);
-  legs_.erase(found);
-  Work& state = works_[leg.runner];
+  auto found = attempts_.find(number);
+  if (found == attempts_.end()) return;
+  const Attempt attempt = std::move(found->second);
+  attempts_.erase(found);
+  Work& state = works_[attempt.runner];
   --state.open;
   if (outcome == "answer") {
     state.failures = 0;
@@ -212,14 +212,14 @@
     state.failures = std::min(state.failures + 1, 5u);
     state.not_before = post_.schedule().now() + milliseconds(200 << state.failures);
   }
-  report(FinishItem{leg.item.lot, leg.item.item, leg.item.leg, outcome, status, std::move(body)});
+  report(FinishItem{attempt.item.lot, attempt.item.item, attempt.item.attempt, outcome, status, std::move(body)});
   work();
 }
 
 // A report goes on until the owner has heard it: until then the item counts as held.
 void Placing::report(FinishItem finish) {
   const std::string key = "lot/" + finish.lot;
-  const ItemName name{finish.lot, finish.item, finish.leg};
+  const ItemName name{finish.lot, finish.item, finish.attempt};
   const auto copy = std::make_shared<FinishItem>(finish);
   client_.ask_owner<FinishItem>(key, std::move(finish), post_.schedule().now() + std::chrono::seconds(30), false, [this, name, copy](Result<FinishReply> result) {
     if (fault_of(result)) return report(std::move(*copy));
--- a/source/lots/placing.hpp
+++ b/source/lots/placing.hpp
@@ -10,7 +10,7 @@
  public:
   Placing(Post& post, Board& board, Exchange& exchange, Chance& chance);
   void start();
-  std::size_t open() const { return legs_.size(); }
+  std::size_t open() const { return attempts_.size(); }
 
  private:
   struct Work {
@@ -22,7 +22,7 @@
     Moment last_sent;
     std::uint64_t term = 0;
   };
-  struct Leg {
+  struct Attempt {
     std::string runner;
     PlacedItem item;
     Exchange::Id exchange = 0;
@@ -41,7 +41,7 @@
   std::uint32_t room(const std::string& name, const Runner& runner, const Work& state) const;
   void report_usage();
   void send(const std::string& runner, const PlacedItem& item);
-  void ended(std::uint64_t leg, const std::string& outcome, int status, Bytes body);
+  void ended(std::uint64_t attempt, const std::string& outcome, int status, Bytes body);
   void report(FinishItem finish);
 
   Post& post_;
@@ -50,10 +50,10 @@
   Chance& chance_;
   KeptClient client_;
   std::map<std::string, Work> works_;
-  std::map<std::uint64_t, Leg> legs_;
+  std::map<std::uint64_t, Attempt> attempts_;
   std::set<ItemName> held_;          // from the fetch until the owner has heard the report
   std::map<Address, Source> sources_;
-  std::uint64_t last_leg_ = 0, ticks_ = 0;
+  std::uint64_t last_attempt_ = 0, ticks_ = 0;
 };
 
 }  // namespace mothwalk
--- a/source/mothwalk.hpp
+++ b/source/mothwalk.hpp
@@ -37,7 +37,7 @@
 };
 
 using Address = Name<struct AddressTag>;       // ip:port of a daemon's peer side or of a runner
-using HallId = Name<struct HallTag>;           // a zone
+using ZoneId = Name<struct HallTag>;           // a zone
 using RunnerId = Name<struct RunnerTag>;
 using KindId = Name<struct KindTag>;
 using HolderId = Name<struct HolderTag>;       // random identity of a data folder
--- a/source/policy/resources.cpp
+++ b/source/policy/resources.cpp
@@ -133,7 +133,7 @@
   return std::find(warm.begin(), warm.end(), RunnerId(runner)) != warm.end() && (known == generations.end() ? 0 : known->second) == generation;
 }
 
-bool PolicyView::evacuated(const HallId& hall) const {
+bool PolicyView::evacuated(const ZoneId& hall) const {
   auto found = halls.find(hall.text);
   return found != halls.end() && found->second.spec.evacuated;
 }
--- a/source/policy/resources.hpp
+++ b/source/policy/resources.hpp
@@ -27,7 +27,7 @@
 struct Runner {
   KindId kind;
   Address address;
-  HallId hall;
+  ZoneId hall;
   std::uint32_t slots = 4;
   bool leaving = false;
   std::uint64_t generation = 0;       // raised by the platform with each new start of the runner's process
@@ -106,7 +106,7 @@
 struct Seat {
   HolderId holder;
   Address address;
-  HallId hall;
+  ZoneId hall;
   auto operator<=>(const Seat&) const = default;
   MOTHWALK_FIELDS(holder, address, hall)
 };
@@ -137,7 +137,7 @@
   Table<Circle> circles;
   Roster roster;
   std::uint64_t digest = 0;
-  bool evacuated(const HallId& hall) const;
+  bool evacuated(const ZoneId& hall) const;
   const Lane* lane_for(View path, std::string* name) const;
   LotSettings lot_settings() const;
 };
--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -1,4 +1,4 @@
-// Admission, matching over the circle, legs, relaying and the three outcomes.
+// Admission, matching over the circle, attempts, relaying and the three outcomes.
 #include "routes/entries.hpp"
 
 #include <algorithm>
@@ -25,17 +25,17 @@
 }
 }  // namespace
 
-class Entries::Watcher : public LegWatcher {
+class Entries::Watcher : public AttemptWatcher {
  public:
-  Watcher(Entries& entries, Id id, std::uint64_t leg) : entries_(entries), id_(id), leg_(leg) {}
-  void on_head(int status, const std::vector<Header>& headers) override { entries_.leg_head(id_, leg_, status, headers); }
-  void on_piece(View piece) override { entries_.leg_piece(id_, leg_, piece); }
-  void on_end(LegEnd end) override { entries_.leg_end(id_, leg_, end); }
+  Watcher(Entries& entries, Id id, std::uint64_t attempt) : entries_(entries), id_(id), attempt_(attempt) {}
+  void on_head(int status, const std::vector<Header>& headers) override { entries_.attempt_head(id_, attempt_, status, headers); }
+  void on_piece(View piece) override { entries_.attempt_piece(id_, attempt_, piece); }
+  void on_end(AttemptEnd end) override { entries_.attempt_end(id_, attempt_, end); }
 
  private:
   Entries& entries_;
   Id id_;
-  std::uint64_t leg_;
+  std::uint64_t attempt_;
 };
 
 Entries::Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self)
@@ -250,14 +250,14 @@
   const Runner& runner = policy.runners.at(name).spec;
   record.state = State::sent;
   record.runner = name;
-  record.leg = ++last_leg_;
-  ++record.legs;
-  ++counts_.legs;
+  record.attempt = ++last_attempt_;
+  ++record.attempts;
+  ++counts_.attempts;
   ++(runner.hall == self_.hall ? counts_.own_hall : counts_.other_hall);
   Sight& sight = sights_[name];
   ++sight.open;
   sight.last_sent = post_.schedule().now();
-  LegRequest request;
+  AttemptRequest request;
   request.to = runner.address;
   request.method = record.request.method;
   request.target = record.request.target;
@@ -267,7 +267,7 @@
   request.connecting = record.lane.connecting;
   request.first_piece = record.lane.first_piece;
   request.between_pieces = record.lane.between_pieces;
-  record.exchange = exchange_.start(request, std::make_shared<Watcher>(*this, record.id, record.leg));
+  record.exchange = exchange_.start(request, std::make_shared<Watcher>(*this, record.id, record.attempt));
 }
 
 void Entries::release(Record& record, bool sound) {
@@ -289,9 +289,9 @@
   }
 }
 
-void Entries::leg_head(Id id, std::uint64_t leg, int status, const std::vector<Header>& headers) {
+void Entries::attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers) {
   auto found = table_.find(id);
-  if (found == table_.end() || found->second.leg != leg || found->second.state != State::sent) return;
+  if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::sent) return;
   Record& record = found->second;
   const auto policy = board_.policy.get();
   auto kind = policy->kinds.find(record.lane.kind.text);
@@ -313,9 +313,9 @@
   record.caller->head(status, given);
 }
 
-void Entries::leg_piece(Id id, std::uint64_t leg, View piece) {
+void Entries::attempt_piece(Id id, std::uint64_t attempt, View piece) {
   auto found = table_.find(id);
-  if (found == table_.end() || found->second.leg != leg || found->second.state != State::relaying) return;
+  if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::relaying) return;
   Record& record = found->second;
   record.caller->piece(piece);
   record.backlog = record.caller->backlog();
@@ -357,14 +357,14 @@
   }
 }
 
-void Entries::leg_end(Id id, std::uint64_t leg, LegEnd end) {
+void Entries::attempt_end(Id id, std::uint64_t attempt, AttemptEnd end) {
   auto found = table_.find(id);
-  if (found == table_.end() || found->second.leg != leg) return;
+  if (found == table_.end() || found->second.attempt != attempt) return;
   Record& record = found->second;
   if (record.state == State::relaying) {
-    release(record, end == LegEnd::whole);
-    count_for_aims(record, end == LegEnd::whole);
-    if (end == LegEnd::whole) {
+    release(record, end == AttemptEnd::whole);
+    count_for_aims(record, end == AttemptEnd::whole);
+    if (end == AttemptEnd::whole) {
       ++counts_.answered;
       ++answered_now_[record.lane_name];
       record.caller->end();
@@ -375,16 +375,16 @@
     record.state = State::finished;
   } else if (record.state == State::sent) {
     release(record, false);
-    if (end == LegEnd::not_sent) again_or(record, false, 503, "unreachable", "the runners could not be reached");
-    else if (end == LegEnd::late) again_or(record, true, 504, "late", "the runner gave no answer within the lane's budget");
+    if (end == AttemptEnd::not_sent) again_or(record, false, 503, "unreachable", "the runners could not be reached");
+    else if (end == AttemptEnd::late) again_or(record, true, 504, "late", "the runner gave no answer within the lane's budget");
     else again_or(record, true, 502, "broken", "the runner broke off or answered nonsense before its answer began");
   }
   passes();
 }
 
-// Another leg is allowed if nothing ran, or if the lane may be repeated; both within the lane's retries.
+// Another attempt is allowed if nothing ran, or if the lane may be repeated; both within the lane's retries.
 void Entries::again_or(Record& record, bool ran, int status, const std::string& reason, const std::string& message) {
-  const bool allowed = record.legs <= record.lane.retries && (!ran || (record.lane.repeatable && retry_tokens_ >= 1));
+  const bool allowed = record.attempts <= record.lane.retries && (!ran || (record.lane.repeatable && retry_tokens_ >= 1));
   record.tried.insert(record.runner);
   if (!allowed) {
     if (ran) give_unknown(record, status, message);
--- a/source/routes/entries.hpp
+++ b/source/routes/entries.hpp
@@ -29,10 +29,10 @@
 };
 
 struct EntryCounts {
-  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, legs = 0, retries = 0, own_hall = 0, other_hall = 0;
+  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0, retries = 0, own_hall = 0, other_hall = 0;
   std::map<std::string, std::uint64_t> refusals;  // by reason
   std::map<std::string, AimCounts> aims;
-  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, legs, retries, own_hall, other_hall, refusals, aims)
+  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, own_hall, other_hall, refusals, aims)
 };
 
 class Entries {
@@ -59,8 +59,8 @@
     Moment arrived, waiting_since;
     std::string runner;
     Exchange::Id exchange = 0;
-    std::uint64_t leg = 0;
-    std::uint32_t legs = 0;
+    std::uint64_t attempt = 0;
+    std::uint32_t attempts = 0;
     std::optional<Moment> held_since;          // the runner is not read: the caller takes its pieces too slowly
     std::size_t backlog = 0;
     std::optional<Span> first_piece;           // after its arrival
@@ -88,9 +88,9 @@
   std::optional<std::string> match(const Record& record, const PolicyView& policy, std::string* why);
   bool takes(const PolicyView& policy, const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle, Moment now);
   void send(Record& record, const std::string& runner, const PolicyView& policy);
-  void leg_head(Id id, std::uint64_t leg, int status, const std::vector<Header>& headers);
-  void leg_piece(Id id, std::uint64_t leg, View piece);
-  void leg_end(Id id, std::uint64_t leg, LegEnd end);
+  void attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers);
+  void attempt_piece(Id id, std::uint64_t attempt, View piece);
+  void attempt_end(Id id, std::uint64_t attempt, AttemptEnd end);
   void release(Record& record, bool sound);
   void again_or(Record& record, bool ran, int status, const std::string& reason, const std::string& message);
   void refuse(Record& record, const std::string& reason, const std::string& message);
@@ -111,7 +111,7 @@
   EntryCounts counts_;
   Id last_id_ = 0;
   double retry_tokens_ = 20;
-  std::uint64_t last_leg_ = 0, ticks_ = 0;
+  std::uint64_t last_attempt_ = 0, ticks_ = 0;
   std::size_t turn_ = 0;
   std::uint64_t reported_tick_ = 0;
   std::map<std::string, std::uint32_t> answered_now_, answered_last_;  // by lane, in this second and the last
--- a/source/seams/seams.hpp
+++ b/source/seams/seams.hpp
@@ -1,5 +1,5 @@
 // The seams between duties and the world: Schedule (steady time), Wire (envelopes to peers), Disk (one append-only
-// file), Exchange (HTTP legs to runners) and Chance (seeded numbers). A duty reaches nothing else, so the daemon and
+// file), Exchange (HTTP attempts to runners) and Chance (seeded numbers). A duty reaches nothing else, so the daemon and
 // the simulator run the same duty objects.
 #pragma once
 #include "coding/fields.hpp"
@@ -60,7 +60,7 @@
   MOTHWALK_FIELDS(name, value)
 };
 
-struct LegRequest {
+struct AttemptRequest {
   Address to;
   std::string method, target;
   std::vector<Header> headers;
@@ -68,21 +68,21 @@
   Span connecting{}, first_piece{}, between_pieces{};
 };
 
-enum class LegEnd { whole, not_sent, broken, late };  // not_sent: no byte can have reached the runner
+enum class AttemptEnd { whole, not_sent, broken, late };  // not_sent: no byte can have reached the runner
 
-class LegWatcher {
+class AttemptWatcher {
  public:
-  virtual ~LegWatcher() = default;
+  virtual ~AttemptWatcher() = default;
   virtual void on_head(int status, const std::vector<Header>& headers) = 0;
   virtual void on_piece(View piece) = 0;
-  virtual void on_end(LegEnd end) = 0;
+  virtual void on_end(AttemptEnd end) = 0;
 };
 
 class Exchange {
  public:
   using Id = std::uint64_t;
   virtual ~Exchange() = default;
-  virtual Id start(const LegRequest& request, std::shared_ptr<LegWatcher> watcher) = 0;
+  virtual Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) = 0;
   virtual void cancel(Id id) = 0;  // no call reaches the watcher afterwards
   // While held, nothing more is read from the runner; what waits comes later, never out of this call.
   virtual void hold(Id id, bool held) = 0;
--- a/source/sessions/board.cpp
+++ b/source/sessions/board.cpp
@@ -32,7 +32,7 @@
   return nullptr;
 }
 
-std::vector<const Member*> duty_order(const Members& members, View duty, const HallId& hall) {
+std::vector<const Member*> duty_order(const Members& members, View duty, const ZoneId& hall) {
   std::vector<const Member*> order;
   for (const auto& [address, member] : members.all) order.push_back(&member);
   std::sort(order.begin(), order.end(), [&](const Member* left, const Member* right) {
--- a/source/sessions/board.hpp
+++ b/source/sessions/board.hpp
@@ -29,7 +29,7 @@
 
 struct Member {
   Address address;            // peer side
-  HallId hall;
+  ZoneId hall;
   Address callers, control;   // HTTP sides
   std::uint64_t incarnation = 0;
   HolderId holder;            // empty where the daemon has no data folder
@@ -86,6 +86,6 @@
 // The first live seat in that order, or none.
 const Seat* slot_owner(const Roster& roster, const Members& members, std::uint32_t slot);
 // All live members in the agreed order for a single duty; those of the given hall first.
-std::vector<const Member*> duty_order(const Members& members, View duty, const HallId& hall);
+std::vector<const Member*> duty_order(const Members& members, View duty, const ZoneId& hall);
 
 }  // namespace mothwalk
--- a/source/simulate/benches.cpp
+++ b/source/simulate/benches.cpp
@@ -30,7 +30,7 @@
 }  // namespace
 
 void bench_circle(const std::string& shape_name, std::uint64_t seed) {
-  std::cout << "way         model runners with live work (mean of 1 s)  their usage, mean (spread)  prefix hits  cross-hall legs  first piece 50%/99% ms  lots done 50%/99% ms\n";
+  std::cout << "way         model runners with live work (mean of 1 s)  their usage, mean (spread)  prefix hits  cross-hall attempts  first piece 50%/99% ms  lots done 50%/99% ms\n";
   for (const bool plain : {true, false}) {
     World world(seed);
     Town town(world, shape_named(shape_name, 1.0));
--- a/source/simulate/town.cpp
+++ b/source/simulate/town.cpp
@@ -26,7 +26,7 @@
   incarnation_ = new_incarnation(std::chrono::hours(1000000) + clock + (world.now() - Moment{}), world.chance);
   Member self;
   self.address = address;
-  self.hall = HallId(hall);
+  self.hall = ZoneId(hall);
   self.callers = self.control = address;
   self.incarnation = incarnation_;
   self.version = "simulated";
@@ -141,103 +141,103 @@
   if (post != duties_->posts.end()) post->second->take(std::move(envelope));
 }
 
-// ---- legs to runners
+// ---- attempts to runners
 
-Exchange::Id SimulatedExchange::start(const LegRequest& request, std::shared_ptr<LegWatcher> watcher) {
+Exchange::Id SimulatedExchange::start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) {
   const Id id = ++last_;
-  auto leg = std::make_shared<Leg>();
-  leg->request = request;
-  leg->watcher = std::move(watcher);
-  leg->runner = town_.runner_at(request.to);
+  auto attempt = std::make_shared<Attempt>();
+  attempt->request = request;
+  attempt->watcher = std::move(watcher);
+  attempt->runner = town_.runner_at(request.to);
   for (const auto& header : request.headers) {
-    if (header.name == "X-Request-Id") leg->id = header.value;
-    if (header.name == "X-Mothwalk-Lot") leg->item = true;
-    if (header.name == "X-Pieces") leg->pieces = static_cast<std::uint32_t>(std::stoul(header.value));
+    if (header.name == "X-Request-Id") attempt->id = header.value;
+    if (header.name == "X-Mothwalk-Lot") attempt->item = true;
+    if (header.name == "X-Pieces") attempt->pieces = static_cast<std::uint32_t>(std::stoul(header.value));
   }
-  legs_[id] = leg;
+  attempts_[id] = attempt;
   World& world = town_.world;
-  const bool reachable = leg->runner != nullptr && !world.is_cut(place_, hall_, leg->runner->name, leg->runner->hall);
+  const bool reachable = attempt->runner != nullptr && !world.is_cut(place_, hall_, attempt->runner->name, attempt->runner->hall);
   if (!reachable) {
-    world.at(request.connecting, life_, [this, id, leg] { finish(id, leg, LegEnd::not_sent); });
+    world.at(request.connecting, life_, [this, id, attempt] { finish(id, attempt, AttemptEnd::not_sent); });
     return id;
   }
-  const Span way = world.delay(hall_, leg->runner->hall);
-  if (leg->runner->down) {
-    world.at(way * 2, life_, [this, id, leg] { finish(id, leg, LegEnd::not_sent); });
+  const Span way = world.delay(hall_, attempt->runner->hall);
+  if (attempt->runner->down) {
+    world.at(way * 2, life_, [this, id, attempt] { finish(id, attempt, AttemptEnd::not_sent); });
     return id;
   }
-  leg->runner_life = leg->runner->life;
-  guard(id, leg, way * 2 + request.first_piece);
-  world.point(leg->item ? "leg of an item" : "leg", place_);
+  attempt->runner_life = attempt->runner->life;
+  guard(id, attempt, way * 2 + request.first_piece);
+  world.point(attempt->item ? "attempt of an item" : "attempt", place_);
   // The request leaves when the connection stands; once it is on its way it arrives even if the daemon dies meanwhile.
-  world.at(way, life_, [this, id, leg, way, began = world.now()] {
-    if (!legs_.contains(id)) return;
-    if (town_.world.now() - began > leg->request.connecting) return finish(id, leg, LegEnd::not_sent);
-    town_.world.after(way, [this, id, leg, life = life_, &town = town_] {
-      if (life->alive) return arrive(id, leg, life);
+  world.at(way, life_, [this, id, attempt, way, began = world.now()] {
+    if (!attempts_.contains(id)) return;
+    if (town_.world.now() - began > attempt->request.connecting) return finish(id, attempt, AttemptEnd::not_sent);
+    town_.world.after(way, [this, id, attempt, life = life_, &town = town_] {
+      if (life->alive) return arrive(id, attempt, life);
       // Its daemon is dead, and the runner runs it for nobody.
-      RunnerModel& runner = *leg->runner;
-      if (runner.life != leg->runner_life || runner.mode != "sound" || runner.active >= runner.slots) return;
-      enter(town, leg);
-      town.world.after(milliseconds(40), [leg, &town] { free(town, leg, "orphaned"); });
+      RunnerModel& runner = *attempt->runner;
+      if (runner.life != attempt->runner_life || runner.mode != "sound" || runner.active >= runner.slots) return;
+      enter(town, attempt);
+      town.world.after(milliseconds(40), [attempt, &town] { free(town, attempt, "orphaned"); });
     });
   });
   return id;
 }
 
-void SimulatedExchange::guard(Id id, const LegPointer& leg, Span budget) {
-  const std::uint64_t beat = ++leg->beat;
-  town_.world.at(budget, life_, [this, id, leg, beat] {
-    if (leg->beat == beat && legs_.contains(id)) {
-      free(town_, leg, "abandoned");
-      finish(id, leg, LegEnd::late);
+void SimulatedExchange::guard(Id id, const LegPointer& attempt, Span budget) {
+  const std::uint64_t beat = ++attempt->beat;
+  town_.world.at(budget, life_, [this, id, attempt, beat] {
+    if (attempt->beat == beat && attempts_.contains(id)) {
+      free(town_, attempt, "abandoned");
+      finish(id, attempt, AttemptEnd::late);
     }
   });
 }
 
-void SimulatedExchange::arrive(Id id, const LegPointer& leg, const LifePointer& life) {
-  RunnerModel& runner = *leg->runner;
-  if (runner.life != leg->runner_life || runner.down) return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+void SimulatedExchange::arrive(Id id, const LegPointer& attempt, const LifePointer& life) {
+  RunnerModel& runner = *attempt->runner;
+  if (runner.life != attempt->runner_life || runner.down) return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
   if (runner.mode == "dark") return;
-  if (runner.mode == "nonsense") return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  if (runner.mode == "nonsense") return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
   const std::uint32_t offered = runner.active + static_cast<std::uint32_t>(runner.waiting.size()) + 1;
   auto note = [&](std::uint32_t& most, std::string& worst) {
     if (offered <= most) return;
     most = offered;
-    worst = std::to_string(offered) + " at once, " + std::to_string(runner.items + leg->item) + " running items among them, at " + std::to_string(town_.world.milliseconds()) + " ms";
+    worst = std::to_string(offered) + " at once, " + std::to_string(runner.items + attempt->item) + " running items among them, at " + std::to_string(town_.world.milliseconds()) + " ms";
   };
   if (town_.world.now() < runner.cold_until) note(runner.most_offered_cold, runner.worst_cold);
-  if (runner.items > 0 || leg->item) note(runner.most_mixed, runner.worst_mixed);
-  if (runner.active < runner.slots) return begin(id, leg);
+  if (runner.items > 0 || attempt->item) note(runner.most_mixed, runner.worst_mixed);
+  if (runner.active < runner.slots) return begin(id, attempt);
   if (runner.waiting.size() >= runner.slots)
-    return give(id, leg, [this, id, leg] {
-      leg->watcher->on_head(429, {});
-      if (legs_.contains(id)) finish(id, leg, LegEnd::whole);
+    return give(id, attempt, [this, id, attempt] {
+      attempt->watcher->on_head(429, {});
+      if (attempts_.contains(id)) finish(id, attempt, AttemptEnd::whole);
     });
-  runner.waiting.push_back([this, id, leg, life] {
-    if (!life->alive || !legs_.contains(id)) return;
-    begin(id, leg);
+  runner.waiting.push_back([this, id, attempt, life] {
+    if (!life->alive || !attempts_.contains(id)) return;
+    begin(id, attempt);
   });
 }
 
-void SimulatedExchange::enter(Town& town, const LegPointer& leg) {
-  RunnerModel& runner = *leg->runner;
-  leg->began = true;
+void SimulatedExchange::enter(Town& town, const LegPointer& attempt) {
+  RunnerModel& runner = *attempt->runner;
+  attempt->began = true;
   ++runner.active;
-  runner.items += leg->item;
+  runner.items += attempt->item;
   runner.most_items = std::max(runner.most_items, runner.items);
-  leg->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
-  town.world.write({{"what", "run"}, {"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
+  attempt->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
+  town.world.write({{"what", "run"}, {"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}});
 }
 
-void SimulatedExchange::begin(Id id, const LegPointer& leg) {
-  RunnerModel& runner = *leg->runner;
+void SimulatedExchange::begin(Id id, const LegPointer& attempt) {
+  RunnerModel& runner = *attempt->runner;
   World& world = town_.world;
-  enter(town_, leg);
-  runner.on_crash[leg->run] = [this, id, leg, life = life_] {
-    if (life->alive && legs_.contains(id)) give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  enter(town_, attempt);
+  runner.on_crash[attempt->run] = [this, id, attempt, life = life_] {
+    if (life->alive && attempts_.contains(id)) give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
   };
-  const std::string& body = *leg->request.body;
+  const std::string& body = *attempt->request.body;
   double fresh = static_cast<double>(body.size());
   if (body.size() >= 512) {
     const std::uint64_t prefix = hash_of(View(body).substr(0, 512));
@@ -249,21 +249,21 @@
     if (runner.prefixes.size() > 3) runner.prefixes.pop_back();
   }
   const double factor = (runner.mode == "slow" ? 6.0 : 1.0) * (world.now() < runner.cold_until ? 2.0 : 1.0);
-  world.after(Span(static_cast<std::int64_t>((1.0 + fresh / 1024.0 * 2.0) * factor * 1000)), [this, id, leg, life = life_, &town = town_] {
-    if (life->alive) step(id, leg);
-    else free(town, leg, "orphaned");
+  world.after(Span(static_cast<std::int64_t>((1.0 + fresh / 1024.0 * 2.0) * factor * 1000)), [this, id, attempt, life = life_, &town = town_] {
+    if (life->alive) step(id, attempt);
+    else free(town, attempt, "orphaned");
   });
 }
 
-void SimulatedExchange::free(Town& town, const LegPointer& leg, const std::string& how) {
-  if (!leg->began || leg->ended) return;
-  leg->ended = true;
-  RunnerModel& runner = *leg->runner;
-  if (runner.life != leg->runner_life) return;
+void SimulatedExchange::free(Town& town, const LegPointer& attempt, const std::string& how) {
+  if (!attempt->began || attempt->ended) return;
+  attempt->ended = true;
+  RunnerModel& runner = *attempt->runner;
+  if (runner.life != attempt->runner_life) return;
   --runner.active;
-  runner.items -= leg->item;
-  runner.on_crash.erase(leg->run);
-  town.world.write({{"what", "end"}, {"id", leg->id}, {"run", leg->run}, {"how", how}});
+  runner.items -= attempt->item;
+  runner.on_crash.erase(attempt->run);
+  town.world.write({{"what", "end"}, {"id", attempt->id}, {"run", attempt->run}, {"how", how}});
   while (!runner.waiting.empty() && runner.active < runner.slots) {
     Task next = std::move(runner.waiting.front());
     runner.waiting.pop_front();
@@ -271,98 +271,98 @@
   }
 }
 
-void SimulatedExchange::step(Id id, const LegPointer& leg) {
-  RunnerModel& runner = *leg->runner;
+void SimulatedExchange::step(Id id, const LegPointer& attempt) {
+  RunnerModel& runner = *attempt->runner;
   World& world = town_.world;
-  if (leg->ended || runner.life != leg->runner_life) return;
+  if (attempt->ended || runner.life != attempt->runner_life) return;
   const double factor = (runner.mode == "slow" ? 6.0 : 1.0) * (world.now() < runner.cold_until ? 2.0 : 1.0);
   const Span beat(static_cast<std::int64_t>(8000 * factor));
-  auto next = [this, id, leg, life = life_, &town = town_] {
-    if (life->alive) step(id, leg);
-    else free(town, leg, "orphaned");
+  auto next = [this, id, attempt, life = life_, &town = town_] {
+    if (life->alive) step(id, attempt);
+    else free(town, attempt, "orphaned");
   };
-  if (leg->pieces == 0) {
-    if (leg->given++ == 0) return world.after(beat * 4, next);
+  if (attempt->pieces == 0) {
+    if (attempt->given++ == 0) return world.after(beat * 4, next);
     if (runner.mode == "truncate") {
-      free(town_, leg, "truncated");
-      return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+      free(town_, attempt, "truncated");
+      return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
     }
-    free(town_, leg, "whole");
-    const std::string text = json::serialize(json::object{{"id", leg->id}, {"run", leg->run}, {"runner", runner.name}});
-    return give(id, leg, [this, id, leg, text] {
-      leg->watcher->on_head(200, {});
-      if (legs_.contains(id)) leg->watcher->on_piece(text);
-      if (legs_.contains(id)) finish(id, leg, LegEnd::whole);
+    free(town_, attempt, "whole");
+    const std::string text = json::serialize(json::object{{"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}});
+    return give(id, attempt, [this, id, attempt, text] {
+      attempt->watcher->on_head(200, {});
+      if (attempts_.contains(id)) attempt->watcher->on_piece(text);
+      if (attempts_.contains(id)) finish(id, attempt, AttemptEnd::whole);
     });
   }
-  if (runner.mode == "truncate" && leg->given >= leg->pieces / 2) {
-    free(town_, leg, "truncated");
-    return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::broken); });
+  if (runner.mode == "truncate" && attempt->given >= attempt->pieces / 2) {
+    free(town_, attempt, "truncated");
+    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
   }
-  if (leg->given == leg->pieces) {
-    free(town_, leg, "whole");
-    return give(id, leg, [this, id, leg] { finish(id, leg, LegEnd::whole); });
+  if (attempt->given == attempt->pieces) {
+    free(town_, attempt, "whole");
+    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::whole); });
   }
-  const std::string text = leg->id + " " + leg->run + " " + std::to_string(leg->given) + " " + std::to_string(leg->pieces) + "\n";
-  const bool first = leg->given++ == 0;
-  give(id, leg, [this, id, leg, text, first] {
+  const std::string text = attempt->id + " " + attempt->run + " " + std::to_string(attempt->given) + " " + std::to_string(attempt->pieces) + "\n";
+  const bool first = attempt->given++ == 0;
+  give(id, attempt, [this, id, attempt, text, first] {
     if (first) town_.world.point("first piece", place_);
-    if (first) leg->watcher->on_head(200, {});
-    if (!legs_.contains(id)) return;
-    guard(id, leg, leg->request.between_pieces);
-    leg->watcher->on_piece(text);
+    if (first) attempt->watcher->on_head(200, {});
+    if (!attempts_.contains(id)) return;
+    guard(id, attempt, attempt->request.between_pieces);
+    attempt->watcher->on_piece(text);
   });
   world.after(beat, next);
 }
 
-// Something travels back from the runner; pieces of one leg keep their order, since it is one stream.
-void SimulatedExchange::give(Id id, const LegPointer& leg, std::function<void()> what) {
+// Something travels back from the runner; pieces of one attempt keep their order, since it is one stream.
+void SimulatedExchange::give(Id id, const LegPointer& attempt, std::function<void()> what) {
   World& world = town_.world;
-  if (world.is_cut(leg->runner->name, leg->runner->hall, place_, hall_)) return;
-  const Span way = leg->runner->hall == hall_ ? Span(100) : Span(1200);
-  world.at(way, life_, [this, id, leg, what = std::move(what)] {
-    if (!legs_.contains(id)) return;
-    if (leg->held || !leg->kept.empty()) leg->kept.push_back(what);
+  if (world.is_cut(attempt->runner->name, attempt->runner->hall, place_, hall_)) return;
+  const Span way = attempt->runner->hall == hall_ ? Span(100) : Span(1200);
+  world.at(way, life_, [this, id, attempt, what = std::move(what)] {
+    if (!attempts_.contains(id)) return;
+    if (attempt->held || !attempt->kept.empty()) attempt->kept.push_back(what);
     else what();
   });
 }
 
-void SimulatedExchange::finish(Id id, const LegPointer& leg, LegEnd end) {
-  if (legs_.erase(id) == 0) return;
-  leg->kept.clear();
-  leg->watcher->on_end(end);
+void SimulatedExchange::finish(Id id, const LegPointer& attempt, AttemptEnd end) {
+  if (attempts_.erase(id) == 0) return;
+  attempt->kept.clear();
+  attempt->watcher->on_end(end);
 }
 
-// What a held leg keeps refers to the leg itself.
+// What a held attempt keeps refers to the attempt itself.
 SimulatedExchange::~SimulatedExchange() {
-  for (auto& [id, leg] : legs_) leg->kept.clear();
+  for (auto& [id, attempt] : attempts_) attempt->kept.clear();
 }
 
 void SimulatedExchange::hold(Id id, bool held) {
-  auto found = legs_.find(id);
-  if (found == legs_.end()) return;
-  const LegPointer leg = found->second;
-  leg->held = held;
-  ++leg->beat;
+  auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const LegPointer attempt = found->second;
+  attempt->held = held;
+  ++attempt->beat;
   if (held) return;
-  guard(id, leg, leg->request.between_pieces);
-  town_.world.at(Span{0}, life_, [this, id, leg] {
-    while (!leg->kept.empty() && !leg->held && legs_.contains(id)) {
-      Task next = std::move(leg->kept.front());
-      leg->kept.pop_front();
+  guard(id, attempt, attempt->request.between_pieces);
+  town_.world.at(Span{0}, life_, [this, id, attempt] {
+    while (!attempt->kept.empty() && !attempt->held && attempts_.contains(id)) {
+      Task next = std::move(attempt->kept.front());
+      attempt->kept.pop_front();
       next();
     }
   });
 }
 
 void SimulatedExchange::cancel(Id id) {
-  auto found = legs_.find(id);
-  if (found == legs_.end()) return;
-  const LegPointer leg = found->second;
-  leg->kept.clear();
-  legs_.erase(found);
+  auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const LegPointer attempt = found->second;
+  attempt->kept.clear();
+  attempts_.erase(found);
   // The runner notices a closed stream at its next piece; here at once, as an event of its own.
-  town_.world.after(Span(1500), [leg, &town = town_] { free(town, leg, "cancelled"); });
+  town_.world.after(Span(1500), [attempt, &town = town_] { free(town, attempt, "cancelled"); });
 }
 
 // ---- the town
--- a/source/simulate/town.hpp
+++ b/source/simulate/town.hpp
@@ -36,36 +36,36 @@
  public:
   SimulatedExchange(Town& town, std::string place, std::string hall, LifePointer life) : town_(town), place_(std::move(place)), hall_(std::move(hall)), life_(std::move(life)) {}
   ~SimulatedExchange() override;
-  Id start(const LegRequest& request, std::shared_ptr<LegWatcher> watcher) override;
+  Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) override;
   void cancel(Id id) override;
   void hold(Id id, bool held) override;
 
  private:
-  struct Leg {
-    LegRequest request;
-    std::shared_ptr<LegWatcher> watcher;
+  struct Attempt {
+    AttemptRequest request;
+    std::shared_ptr<AttemptWatcher> watcher;
     RunnerModel* runner = nullptr;
     std::uint64_t runner_life = 0;
     std::string id, run;
     std::uint32_t pieces = 0, given = 0;
     bool began = false, ended = false, any_piece = false, item = false, held = false;
-    std::deque<Task> kept;               // what has come while the leg was held
+    std::deque<Task> kept;               // what has come while the attempt was held
     std::uint64_t beat = 0;              // grows with every sign of life, for the budgets
   };
-  using LegPointer = std::shared_ptr<Leg>;
-  void arrive(Id id, const LegPointer& leg, const LifePointer& life);
-  static void enter(Town& town, const LegPointer& leg);
-  void begin(Id id, const LegPointer& leg);
-  void step(Id id, const LegPointer& leg);
-  void give(Id id, const LegPointer& leg, std::function<void()> what);
-  void finish(Id id, const LegPointer& leg, LegEnd end);
-  static void free(Town& town, const LegPointer& leg, const std::string& how);
-  void guard(Id id, const LegPointer& leg, Span budget);
+  using LegPointer = std::shared_ptr<Attempt>;
+  void arrive(Id id, const LegPointer& attempt, const LifePointer& life);
+  static void enter(Town& town, const LegPointer& attempt);
+  void begin(Id id, const LegPointer& attempt);
+  void step(Id id, const LegPointer& attempt);
+  void give(Id id, const LegPointer& attempt, std::function<void()> what);
+  void finish(Id id, const LegPointer& attempt, AttemptEnd end);
+  static void free(Town& town, const LegPointer& attempt, const std::string& how);
+  void guard(Id id, const LegPointer& attempt, Span budget);
 
   Town& town_;
   std::string place_, hall_;
   LifePointer life_;
-  std::map<Id, LegPointer> legs_;
+  std::map<Id, LegPointer> attempts_;
   Id last_ = 0;
 };
 
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -55,7 +55,7 @@
   void history(const std::string& line);
   const std::vector<std::string>& story() const { return story_; }
 
-  // Numbered points of each kind: messages sent and taken, appends, syncs, rewrites, legs. The armed number of the armed
+  // Numbered points of each kind: messages sent and taken, appends, syncs, rewrites, attempts. The armed number of the armed
   // kind strikes.
   void point(const std::string& kind, const std::string& place);
   std::map<std::string, std::uint64_t> points;
--- a/tests/coding_test.cpp
+++ b/tests/coding_test.cpp
@@ -104,10 +104,10 @@
 
 TEST_CASE("a holder is not retired where fewer than three seats would remain") {
   PolicyView view;
-  for (const char* address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}) view.roster.seats.push_back(Seat{HolderId(address), Address(address), HallId("h")});
+  for (const char* address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}) view.roster.seats.push_back(Seat{HolderId(address), Address(address), ZoneId("h")});
   CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view))->kind == FaultKind::conflict);
   CHECK(fault_of(check_document("holder", "10.0.0.9:1", R"({"retired":true})", view)) == nullptr);
-  view.roster.seats.push_back(Seat{HolderId("x"), Address("10.0.0.4:1"), HallId("h")});
+  view.roster.seats.push_back(Seat{HolderId("x"), Address("10.0.0.4:1"), ZoneId("h")});
   CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view)) == nullptr);
   const Bytes retired = R"({"retired":true})";
   REQUIRE(put_in_view(view, "holder/10.0.0.4:1", &retired, Stamp{}));
--- a/tests/entries_test.cpp
+++ b/tests/entries_test.cpp
@@ -1,4 +1,4 @@
-// Live requests against a mocked exchange: the three outcomes, when another leg is allowed, and what callers see.
+// Live requests against a mocked exchange: the three outcomes, when another attempt is allowed, and what callers see.
 #include <catch2/catch.hpp>
 #include <trompeloeil.hpp>
 
@@ -12,7 +12,7 @@
 
 class MockExchange : public Exchange {
  public:
-  MAKE_MOCK2(start, Id(const LegRequest&, std::shared_ptr<LegWatcher>), override);
+  MAKE_MOCK2(start, Id(const AttemptRequest&, std::shared_ptr<AttemptWatcher>), override);
   MAKE_MOCK1(cancel, void(Id), override);
   MAKE_MOCK2(hold, void(Id, bool), override);
 };
@@ -58,16 +58,16 @@
   Board board;
   MockExchange exchange;
   Entries entries{post, board, exchange, world.chance, self()};
-  struct Leg {
-    LegRequest request;
-    std::shared_ptr<LegWatcher> watcher;
+  struct Attempt {
+    AttemptRequest request;
+    std::shared_ptr<AttemptWatcher> watcher;
   };
-  std::vector<Leg> legs;
+  std::vector<Attempt> attempts;
 
   static Member self() {
     Member member;
     member.address = Address("10.0.0.1:1");
-    member.hall = HallId("north");
+    member.hall = ZoneId("north");
     return member;
   }
   PolicyView view;
@@ -101,37 +101,37 @@
   }
 };
 
-#define EXPECT_LEGS(stage, count)                                                                                   \
-  REQUIRE_CALL((stage).exchange, start(_, _)).TIMES(count).LR_SIDE_EFFECT((stage).legs.push_back({_1, _2})).LR_RETURN((stage).legs.size())
+#define EXPECT_ATTEMPTS(stage, count)                                                                                   \
+  REQUIRE_CALL((stage).exchange, start(_, _)).TIMES(count).LR_SIDE_EFFECT((stage).attempts.push_back({_1, _2})).LR_RETURN((stage).attempts.size())
 
 }  // namespace
 
 TEST_CASE("the runner's answer is given as it came, within the circle, without hop-by-hop headers") {
   Stage stage;
-  EXPECT_LEGS(stage, 6);
+  EXPECT_ATTEMPTS(stage, 6);
   std::vector<std::shared_ptr<Seen>> all;
   for (int count = 0; count < 6; ++count) all.push_back(stage.ask("/pay"));
-  REQUIRE(stage.legs.size() == 6);
+  REQUIRE(stage.attempts.size() == 6);
   std::map<std::string, int> spread;
-  for (auto& leg : stage.legs) {
-    ++spread[leg.request.to.text];
-    for (const auto& header : leg.request.headers) CHECK(header.name == "X-Request-Id");
+  for (auto& attempt : stage.attempts) {
+    ++spread[attempt.request.to.text];
+    for (const auto& header : attempt.request.headers) CHECK(header.name == "X-Request-Id");
   }
   // Even over the circle, and nothing outside it.
   CHECK(spread.size() == 3);
   for (const auto& [address, count] : spread) CHECK((count == 2 && address != "10.0.1.4:80"));
-  stage.legs[0].watcher->on_head(418, {{"X-Own", "1"}});
-  stage.legs[0].watcher->on_piece("short and stout");
-  stage.legs[0].watcher->on_end(LegEnd::whole);
+  stage.attempts[0].watcher->on_head(418, {{"X-Own", "1"}});
+  stage.attempts[0].watcher->on_piece("short and stout");
+  stage.attempts[0].watcher->on_end(AttemptEnd::whole);
   CHECK((all[0]->status == 418 && all[0]->outcome == "answer" && all[0]->text == "short and stout" && all[0]->ended && !all[0]->broken));
 }
 
 TEST_CASE("unrepeatable work that may have run is unknown and is never sent again") {
-  for (auto [end, status] : {std::pair{LegEnd::broken, 502}, {LegEnd::late, 504}}) {
+  for (auto [end, status] : {std::pair{AttemptEnd::broken, 502}, {AttemptEnd::late, 504}}) {
     Stage stage;
-    EXPECT_LEGS(stage, 1);
+    EXPECT_ATTEMPTS(stage, 1);
     auto seen = stage.ask("/pay");
-    stage.legs[0].watcher->on_end(end);
+    stage.attempts[0].watcher->on_end(end);
     CHECK((seen->status == status && seen->outcome == "unknown" && seen->ended));
     stage.wait(std::chrono::seconds(2));
   }
@@ -141,42 +141,42 @@
   for (bool refusal : {false, true}) {
     Stage stage;
     ALLOW_CALL(stage.exchange, cancel(_));
-    EXPECT_LEGS(stage, 3);
+    EXPECT_ATTEMPTS(stage, 3);
     auto seen = stage.ask("/pay");
-    for (std::size_t leg = 0; leg < 3; ++leg) {
-      REQUIRE(stage.legs.size() == leg + 1);
-      if (refusal) stage.legs[leg].watcher->on_head(429, {});
-      else stage.legs[leg].watcher->on_end(LegEnd::not_sent);
+    for (std::size_t attempt = 0; attempt < 3; ++attempt) {
+      REQUIRE(stage.attempts.size() == attempt + 1);
+      if (refusal) stage.attempts[attempt].watcher->on_head(429, {});
+      else stage.attempts[attempt].watcher->on_end(AttemptEnd::not_sent);
     }
     CHECK((seen->status == 503 && seen->outcome == "refused" && !seen->retry_after.empty() && seen->ended));
     std::set<std::string> used;
-    for (const auto& leg : stage.legs) used.insert(leg.request.to.text);
+    for (const auto& attempt : stage.attempts) used.insert(attempt.request.to.text);
     CHECK(used.size() == 3);
   }
 }
 
 TEST_CASE("repeatable work goes again until its retries are used; never once a piece was passed on") {
   Stage stage;
-  EXPECT_LEGS(stage, 4);
+  EXPECT_ATTEMPTS(stage, 4);
   auto seen = stage.ask("/tell");
-  for (std::size_t leg = 0; leg < 3; ++leg) stage.legs[leg].watcher->on_end(LegEnd::broken);
+  for (std::size_t attempt = 0; attempt < 3; ++attempt) stage.attempts[attempt].watcher->on_end(AttemptEnd::broken);
   CHECK((seen->status == 502 && seen->outcome == "unknown"));
   stage.wait(std::chrono::seconds(3));
   auto other = stage.ask("/tell");
-  stage.legs[3].watcher->on_head(200, {});
-  stage.legs[3].watcher->on_piece("half");
-  stage.legs[3].watcher->on_end(LegEnd::broken);
+  stage.attempts[3].watcher->on_head(200, {});
+  stage.attempts[3].watcher->on_piece("half");
+  stage.attempts[3].watcher->on_end(AttemptEnd::broken);
   CHECK((other->text == "half" && other->broken && !other->ended));
 }
 
 TEST_CASE("overload is refused at the end of the waiting budget at the latest, with when to come back") {
   Stage stage;
   stage.put("lane/pay", R"({"path":"/pay","kind":"model","waiting":500,"waiting_room":2})");
-  EXPECT_LEGS(stage, 9);
+  EXPECT_ATTEMPTS(stage, 9);
   std::vector<std::shared_ptr<Seen>> all;
   // Three runners of two slots take nine with the overcommit; three more wait, and the next finds the room full.
   for (int count = 0; count < 13; ++count) all.push_back(stage.ask("/pay"));
-  CHECK(stage.legs.size() == 9);
+  CHECK(stage.attempts.size() == 9);
   CHECK((all[12]->status == 503 && all[12]->outcome == "refused" && all[12]->ended));
   CHECK(all[9]->status == 0);
   stage.wait(std::chrono::milliseconds(540));
@@ -184,9 +184,9 @@
   CHECK(stage.entries.counts().refusals.at("busy") == 2);
 }
 
-TEST_CASE("a caller that left has its leg cancelled and frees the runner") {
+TEST_CASE("a caller that left has its attempt cancelled and frees the runner") {
   Stage stage;
-  EXPECT_LEGS(stage, 1);
+  EXPECT_ATTEMPTS(stage, 1);
   Entries::Id id = 0;
   auto seen = stage.ask("/pay", &id);
   REQUIRE_CALL(stage.exchange, cancel(_)).TIMES(1);
@@ -197,15 +197,15 @@
 
 TEST_CASE("a caller that does not take its stream is broken off instead of filling the memory") {
   Stage stage;
-  EXPECT_LEGS(stage, 1);
+  EXPECT_ATTEMPTS(stage, 1);
   std::shared_ptr<SeeingCaller> caller;
   auto seen = stage.ask("/pay", nullptr, &caller);
-  stage.legs[0].watcher->on_head(200, {});
+  stage.attempts[0].watcher->on_head(200, {});
   {
     REQUIRE_CALL(stage.exchange, hold(_, true)).TIMES(1);
     caller->backlog_ = 300u << 10;
-    stage.legs[0].watcher->on_piece("more");
-    stage.legs[0].watcher->on_piece("and more");
+    stage.attempts[0].watcher->on_piece("more");
+    stage.attempts[0].watcher->on_piece("and more");
     caller->backlog_ = 200u << 10;
     stage.wait(std::chrono::seconds(6));
   }
@@ -217,7 +217,7 @@
   CHECK_FALSE(seen->broken);
   ALLOW_CALL(stage.exchange, hold(_, true));
   caller->backlog_ = 300u << 10;
-  stage.legs[0].watcher->on_piece("again");
+  stage.attempts[0].watcher->on_piece("again");
   stage.wait(std::chrono::seconds(9));
   CHECK_FALSE(seen->broken);
   REQUIRE_CALL(stage.exchange, cancel(_)).TIMES(1);
@@ -227,12 +227,12 @@
 
 TEST_CASE("items of lots that a runner still works on take room from live prompts") {
   Stage stage;
-  EXPECT_LEGS(stage, 2);
+  EXPECT_ATTEMPTS(stage, 2);
   const std::map<std::string, RunnerTotal> full{{"one", {0, 3, 0}}, {"two", {0, 3, 0}}, {"three", {0, 1, 0}}};
   stage.post.take(Envelope{Address("10.0.0.2:1"), 1, "routes", "circle", "routes.totals", 0, false, to_cbor(UsageTotals{"model", full}), protocol_number});
   std::vector<std::shared_ptr<Seen>> seen;
   for (int count = 0; count < 3; ++count) seen.push_back(stage.ask("/pay"));
-  for (const auto& leg : stage.legs) CHECK(leg.request.to == Address(stage.view.runners.at("three").spec.address));
+  for (const auto& attempt : stage.attempts) CHECK(attempt.request.to == Address(stage.view.runners.at("three").spec.address));
   stage.wait(std::chrono::milliseconds(700));
   CHECK(seen[2]->status == 503);
 }
@@ -241,18 +241,18 @@
   Stage stage;
   stage.put("aim/swift", R"({"lane":"pay","first_piece":100})");
   stage.put("aim/other", R"({"lane":"tell"})");
-  EXPECT_LEGS(stage, 3);
+  EXPECT_ATTEMPTS(stage, 3);
   ALLOW_CALL(stage.exchange, cancel(_));
   stage.ask("/pay");
   stage.ask("/pay");
-  stage.legs[0].watcher->on_head(200, {});
-  stage.legs[0].watcher->on_end(LegEnd::whole);
+  stage.attempts[0].watcher->on_head(200, {});
+  stage.attempts[0].watcher->on_end(AttemptEnd::whole);
   stage.wait(std::chrono::milliseconds(200));
-  stage.legs[1].watcher->on_head(200, {});
-  stage.legs[1].watcher->on_end(LegEnd::whole);
+  stage.attempts[1].watcher->on_head(200, {});
+  stage.attempts[1].watcher->on_end(AttemptEnd::whole);
   stage.ask("/pay");
-  stage.legs[2].watcher->on_head(200, {});
-  stage.legs[2].watcher->on_end(LegEnd::broken);
+  stage.attempts[2].watcher->on_head(200, {});
+  stage.attempts[2].watcher->on_end(AttemptEnd::broken);
   stage.board.draining = true;
   stage.ask("/pay");
   const auto& counts = stage.entries.counts().aims;
@@ -265,7 +265,7 @@
 
 TEST_CASE("a refused caller is told to come back later where more of its lane wait") {
   Stage stage;
-  EXPECT_LEGS(stage, 9);
+  EXPECT_ATTEMPTS(stage, 9);
   std::vector<std::shared_ptr<Seen>> seen;
   for (int count = 0; count < 60; ++count) seen.push_back(stage.ask("/pay"));
   stage.wait(std::chrono::milliseconds(700));
@@ -281,12 +281,12 @@
   auto seen = stage.ask("/pay");
   stage.wait(std::chrono::milliseconds(100));
   CHECK(seen->status == 0);
-  EXPECT_LEGS(stage, 1);
+  EXPECT_ATTEMPTS(stage, 1);
   // The search has gone on for over a second while news ran all the time.
   stage.board.permit_sought = stage.world.now().microseconds - 1100000;
   stage.board.news_tick = stage.world.now().microseconds;
   stage.wait(std::chrono::milliseconds(100));
-  CHECK(stage.legs.size() == 1);
+  CHECK(stage.attempts.size() == 1);
 }
 
 TEST_CASE("a daemon that was never whole lets requests wait a little for the policy, then refuses") {
@@ -297,10 +297,10 @@
   stage.wait(std::chrono::milliseconds(1000));
   CHECK((first->status == 0 && lost->status == 0));
   {
-    EXPECT_LEGS(stage, 1);
+    EXPECT_ATTEMPTS(stage, 1);
     stage.permit();
     stage.wait(std::chrono::milliseconds(40));
-    CHECK(stage.legs.size() == 1);
+    CHECK(stage.attempts.size() == 1);
     CHECK(lost->status == 404);
   }
   stage.board.permit_until = -1;
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -23,7 +23,7 @@
 
 class NoExchange : public Exchange {
  public:
-  Id start(const LegRequest&, std::shared_ptr<LegWatcher>) override { return 1; }
+  Id start(const AttemptRequest&, std::shared_ptr<AttemptWatcher>) override { return 1; }
   void cancel(Id) override {}
   void hold(Id, bool) override {}
 };
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -123,7 +123,7 @@
     CHECK(kept.identity() == identity);
     kept.start();
     world.run_until(world.now() + milliseconds(20));
-    roster = Roster{Version{1}, {Seat{identity, self, HallId("h")}, Seat{theirs, owner, HallId("h")}}};
+    roster = Roster{Version{1}, {Seat{identity, self, ZoneId("h")}, Seat{theirs, owner, ZoneId("h")}}};
     auto say = [&](const auto& message) {
       post.take(Envelope{owner, 1, "kept", "kept", std::string(std::decay_t<decltype(message)>::kind), 5, false, to_cbor(message), protocol_number});
       world.run_until(world.now() + milliseconds(20));
@@ -170,7 +170,7 @@
     spread.items.push_back(NewsItem{"hall/h", Stamp{Epoch{epoch}, Version{version}}, removed, version % 2 == 0 ? R"({"evacuated":true})" : "{}"});
     post.take(Envelope{Address("10.0.0.2:1"), 1, "news", "news", "news.spread", 0, false, to_cbor(spread), protocol_number});
   };
-  auto evacuated = [&] { return board.policy.get()->evacuated(HallId("h")); };
+  auto evacuated = [&] { return board.policy.get()->evacuated(ZoneId("h")); };
   tell(2, 4, false);
   CHECK(evacuated());
   tell(2, 3, false);
