Seams for a platform: dialect of requests, configuration as one document, listed runners

What the product lacked before it can run behind another interface: lanes by host with shares of several kinds, a configuration taken whole under the operators' own revision, runners told by a list, holders that keep control state or lots alone.

--- /dev/null
+++ b/source/coding/dialect.cpp
@@ -0,0 +1,45 @@
+// The plain dialect and what all dialects need to look headers up.
+#include "seams/dialect.hpp"
+
+#include <algorithm>
+
+namespace mothwalk {
+
+const Dialect& plain_dialect() {
+  static const PlainDialect dialect;
+  return dialect;
+}
+
+bool same_name(View left, View right) {
+  auto lower = [](char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32) : letter; };
+  return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [&](char one, char other) { return lower(one) == lower(other); });
+}
+
+const std::string* header_of(const std::vector<Header>& headers, View name) {
+  for (const auto& header : headers)
+    if (same_name(header.name, name)) return &header.value;
+  return nullptr;
+}
+
+RequestFacts PlainDialect::read_request(const std::vector<Header>& headers) const {
+  RequestFacts facts;
+  if (const auto* host = header_of(headers, "Host")) {
+    facts.host = host->substr(0, host->find(':'));
+    std::transform(facts.host.begin(), facts.host.end(), facts.host.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  }
+  return facts;
+}
+
+void PlainDialect::write_attempt(AttemptRequest&, const RequestFacts&, const AttemptFacts&) const {}
+
+AnswerFacts PlainDialect::read_answer(int, const std::vector<Header>& headers, const RequestFacts&) const {
+  AnswerFacts answer;
+  if (const auto* connection = header_of(headers, "Connection")) answer.closing = same_name(*connection, "close");
+  return answer;
+}
+
+std::string PlainDialect::retry_after(Span span) const {
+  return std::to_string(std::max<std::int64_t>(1, (span.count() + 999999) / 1000000));
+}
+
+}  // namespace mothwalk
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -40,8 +40,8 @@
   bool too_long_ = false;
 };
 
-Placing::Placing(Post& post, Board& board, Exchange& exchange, Chance& chance)
-    : post_(post), board_(board), exchange_(exchange), chance_(chance), client_(post, board) {
+Placing::Placing(Post& post, Board& board, Exchange& exchange, Chance& chance, const Dialect& dialect)
+    : post_(post), board_(board), exchange_(exchange), chance_(chance), dialect_(dialect), client_(post, board) {
   post_.on_tell<PendingItems>([this](const Address& from, PendingItems pending) {
     sources_[from] = Source{std::move(pending.kinds), post_.schedule().now()};
     work();
--- a/source/lots/placing.hpp
+++ b/source/lots/placing.hpp
@@ -2,13 +2,14 @@
 // which fetches items from the owners that have some, sends each within its short permit, and reports until heard.
 #pragma once
 #include "circle/circle.hpp"
+#include "seams/dialect.hpp"
 #include "lots/messages.hpp"
 
 namespace mothwalk {
 
 class Placing {
  public:
-  Placing(Post& post, Board& board, Exchange& exchange, Chance& chance);
+  Placing(Post& post, Board& board, Exchange& exchange, Chance& chance, const Dialect& dialect = plain_dialect());
   void start();
   std::size_t open() const { return attempts_.size(); }
 
@@ -48,6 +49,7 @@
   Board& board_;
   Exchange& exchange_;
   Chance& chance_;
+  const Dialect& dialect_;
   KeptClient client_;
   std::map<std::string, Work> works_;
   std::map<std::uint64_t, Attempt> attempts_;
--- a/source/news/news.cpp
+++ b/source/news/news.cpp
@@ -11,7 +11,7 @@
 }
 }  // namespace
 
-News::News(Post& post, Board& board, Chance& chance, bool control) : post_(post), board_(board), chance_(chance), control_(control) {
+News::News(Post& post, Board& board, Chance& chance, bool control, const ConfigurationFormat* format) : post_(post), board_(board), chance_(chance), control_(control), format_(format) {
   post_.on_tell<Spread>([this](const Address&, Spread spread) { take(std::move(spread.items), true); });
   post_.on_ask<Compare>([this](const Address&, Compare compare, Answer<CompareReply> answer) {
     CompareReply reply{compare.digest == view_.digest, majority_permit(), {}};
@@ -41,7 +41,7 @@
     if (found != items_.end() && item.stamp <= found->second.stamp) continue;
     if (found != items_.end()) view_.digest ^= item_hash(found->second);
     view_.digest ^= item_hash(item);
-    put_in_view(view_, item.key, item.removed ? nullptr : &item.value, item.stamp);
+    put_in_view(view_, item.key, item.removed ? nullptr : &item.value, item.stamp, format_);
     fresh.push_back(item);
     items_[item.key] = std::move(item);
   }
--- a/source/news/news.hpp
+++ b/source/news/news.hpp
@@ -60,7 +60,7 @@
 
 class News {
  public:
-  News(Post& post, Board& board, Chance& chance, bool control);
+  News(Post& post, Board& board, Chance& chance, bool control, const ConfigurationFormat* format = nullptr);
   void start();
 
  private:
@@ -78,6 +78,7 @@
   Board& board_;
   Chance& chance_;
   bool control_;
+  const ConfigurationFormat* format_;
   std::map<std::string, NewsItem> items_;
   PolicyView view_;
   std::map<Address, Moment> compared_;   // when the last whole comparison with that control daemon began
--- a/source/policy/resources.cpp
+++ b/source/policy/resources.cpp
@@ -1,6 +1,8 @@
 // Checking of the operators' documents and the building of the view that all duties read.
 #include "policy/resources.hpp"
 
+#include "coding/cbor.hpp"
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
@@ -22,8 +24,15 @@
   if (lane.path.size() < 2 || lane.path[0] != '/' || lane.path.size() > 200) return wrong("path", "a lane's path begins with / and has 2 to 200 characters", "give a path such as /audits");
   if (lane.path.starts_with("/lots")) return wrong("path", "/lots is taken by the kept lots", "give another path");
   if (!view.kinds.contains(lane.kind.text)) return wrong("kind", "no kind of runner has the name '" + lane.kind.text + "'", "apply that kind first, or name an existing one");
+  for (std::size_t index = 0; index < lane.shares.size(); ++index) {
+    const std::string field = "shares[" + std::to_string(index) + "]";
+    if (!view.kinds.contains(lane.shares[index].kind.text)) return wrong(field + ".kind", "no kind of runner has the name '" + lane.shares[index].kind.text + "'", "apply that kind first, or name an existing one");
+    if (!(lane.shares[index].weight >= 0 && lane.shares[index].weight <= 1e9)) return wrong(field + ".weight", "the weight is out of range", "give 0 to 1000000000");
+  }
+  if (!lane.shares.empty() && std::none_of(lane.shares.begin(), lane.shares.end(), [](const KindShare& share) { return share.weight > 0; })) return wrong("shares", "the weights add up to 0", "give one kind a weight above 0");
+  if (lane.attempts > 100) return wrong("attempts", "more than 100 attempts", "give 0 to 100");
   for (const auto& [other, entry] : view.lanes)
-    if (other != name && entry.spec.path == lane.path) return wrong("path", "lane '" + other + "' has this path already", "give each lane a path of its own");
+    if (other != name && entry.spec.path == lane.path && entry.spec.host == lane.host) return wrong("path", "lane '" + other + "' has this path already", "give each lane a path of its own");
   if (lane.retries > 10) return wrong("retries", "more than 10 retries", "give 0 to 10");
   if (lane.waiting_room > 100000) return wrong("waiting_room", "more than 100000 requests", "give 0 to 100000");
   for (auto [field, span] : {std::pair<View, Span>{"waiting", lane.waiting}, {"connecting", lane.connecting}, {"first_piece", lane.first_piece}, {"between_pieces", lane.between_pieces}, {"taking", lane.taking}, {"whole", lane.whole}})
@@ -138,13 +147,14 @@
   return found != halls.end() && found->second.spec.evacuated;
 }
 
-const Lane* PolicyView::lane_for(View path, std::string* name) const {
+const Lane* PolicyView::lane_for(View path, std::string* name, View host) const {
   const Lane* best = nullptr;
   for (const auto& [lane_name, entry] : lanes) {
     const std::string& prefix = entry.spec.path;
-    if (!path.starts_with(prefix)) continue;
+    if (!path.starts_with(prefix) || (!entry.spec.host.empty() && entry.spec.host != host)) continue;
     if (path.size() > prefix.size() && path[prefix.size()] != '/' && path[prefix.size()] != '?' && prefix.back() != '/') continue;
-    if (best != nullptr && best->path.size() >= prefix.size()) continue;
+    const auto rank = std::make_pair(!entry.spec.host.empty(), prefix.size());
+    if (best != nullptr && std::make_pair(!best->host.empty(), best->path.size()) >= rank) continue;
     best = &entry.spec;
     if (name != nullptr) *name = lane_name;
   }
@@ -162,12 +172,46 @@
 
 std::string resource_types() { return "lane, kind, runner, hall, lots, holder, aim"; }
 
-bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp) {
-  if (key == "roster") {
+namespace {
+// Takes what an earlier document put there out of a table, then puts the new entries beside the declared ones.
+template <class T> void replace_part(Table<T>& table, std::set<std::string>& part, std::map<std::string, T> entries, Stamp stamp) {
+  for (const auto& name : part) table.erase(name);
+  part.clear();
+  for (auto& [name, spec] : entries)
+    if (table.try_emplace(name, Named<T>{stamp, std::move(spec)}).second) part.insert(name);
+}
+
+bool put_configuration(PolicyView& view, const Bytes* value, Stamp stamp, const ConfigurationFormat* format) {
+  auto read = value == nullptr ? std::optional(FleetConfiguration{}) : from_cbor<FleetConfiguration>(*value);
+  if (!read || format == nullptr) return false;
+  ConfigurationContent content;
+  if (read->revision > 0) {
+    auto given = format->read(read->document);
+    if (fault_of(given)) return false;
+    content = std::move(std::get<ConfigurationContent>(given));
+  }
+  replace_part(view.lanes, view.configured_lanes, std::move(content.lanes), stamp);
+  replace_part(view.kinds, view.configured_kinds, std::move(content.kinds), stamp);
+  view.limits = content.limits;
+  view.configuration = Named<FleetConfiguration>{stamp, std::move(*read)};
+  return true;
+}
+}  // namespace
+
+bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp, const ConfigurationFormat* format) {
+  if (key == "roster" || key == lot_roster_key) {
     if (value == nullptr) return false;
     auto read = from_json<Roster>(*value);
     if (fault_of(read)) return false;
-    view.roster = std::move(std::get<Roster>(read));
+    (key == "roster" ? view.roster : view.lot_roster) = std::move(std::get<Roster>(read));
+    return true;
+  }
+  if (key == configuration_key) return put_configuration(view, value, stamp, format);
+  if (key == listing_key) {
+    auto read = value == nullptr ? std::optional(RunnerListing{}) : from_cbor<RunnerListing>(*value);
+    if (!read) return false;
+    replace_part(view.runners, view.listed, std::move(read->runners), stamp);
+    view.listing = stamp;
     return true;
   }
   const auto slash = key.find('/');
--- a/source/policy/resources.hpp
+++ b/source/policy/resources.hpp
@@ -17,11 +17,22 @@
   MOTHWALK_FIELDS(all, target, high_water, cycle, floor, reserve, ramp)
 };
 
+// What a kind's model engine bears; zero tokens of memory: these runners are no model engines.
+struct Engine {
+  std::uint64_t memory_tokens = 0;      // of all running requests and kept prompt parts of one runner
+  MOTHWALK_FIELDS(memory_tokens)
+};
+
 struct Kind {
   CircleSettings circle;
   std::vector<std::uint32_t> refusals;  // statuses that these runners give only for work that was not and never will be run
   double overcommit = 1.5;              // prompts per slot that a runner may be given before callers wait
-  MOTHWALK_FIELDS(circle, refusals, overcommit)
+  std::uint32_t connections = 0;        // that one runner takes from all callers together; 0: no bound
+  std::string health_path;              // of the runners' own health answers; empty: none is asked
+  Span warming{};                       // how long a runner is cold after a start
+  double cold_rate = 0;                 // requests a second that a cold runner bears from all senders together; 0: no bound
+  Engine engine;
+  MOTHWALK_FIELDS(circle, refusals, overcommit, connections, health_path, warming, cold_rate, engine)
 };
 
 struct Runner {
@@ -31,12 +42,32 @@
   std::uint32_t slots = 4;
   bool leaving = false;
   std::uint64_t generation = 0;       // raised by the platform with each new start of the runner's process
-  MOTHWALK_FIELDS(kind, address, hall, slots, leaving, generation)
+  Span cold{};                        // how much longer it is cold, as its source said last
+  MOTHWALK_FIELDS(kind, address, hall, slots, leaving, generation, cold)
+};
+
+// A kind's share of a lane's requests, by weight.
+struct KindShare {
+  KindId kind;
+  double weight = 1;
+  MOTHWALK_FIELDS(kind, weight)
 };
 
 struct Lane {
   std::string path;
   KindId kind;
+  std::vector<KindShare> shares;      // several kinds instead of the one
+  std::string host;                   // lower case; empty: requests for any host
+  bool streaming = false;             // answers are series of events with rising ids
+  bool resumable = false;             // a stream may be taken up at another runner after the last event that came
+  bool batch = false;                 // takes kept lots, not live requests
+  std::uint32_t attempts = 0;         // the most runners that one request may be sent to; 0: retries + 1
+  std::uint32_t rank = 0;             // 0 is served first
+  bool affinity = false;              // the parts of the prompt choose the runner that keeps them
+  Span aim{};                         // time to the first piece (or whole answer) that earns full worth; 0: none
+  Span gap{};                         // the longest pause between events that is in time; 0: none
+  Span completion{};                  // of a lot, from its submission, by which all results are due
+  Span retention{};                   // of a lot, from its submission, after which items may be given up
   bool repeatable = false;
   std::uint32_t retries = 2;
   std::uint32_t affinity_bytes = 0;   // so many bytes of the body's beginning choose the runner that has them cached
@@ -47,7 +78,8 @@
   Span between_pieces = std::chrono::milliseconds(5000);
   Span taking = std::chrono::milliseconds(10000);  // in which a caller with a full backlog takes something
   Span whole = std::chrono::milliseconds(60000);
-  MOTHWALK_FIELDS(path, kind, repeatable, retries, affinity_bytes, waiting_room, waiting, connecting, first_piece, between_pieces, taking, whole)
+  MOTHWALK_FIELDS(path, kind, shares, host, streaming, resumable, batch, attempts, rank, affinity, aim, gap, completion, retention, repeatable, retries, affinity_bytes, waiting_room, waiting, connecting, first_piece, between_pieces, taking, whole)
+  std::vector<KindShare> kinds() const { return shares.empty() ? std::vector<KindShare>{{kind, 1}} : shares; }
 };
 
 struct Hall {
@@ -119,6 +151,38 @@
   bool seated(const HolderId& holder) const;
 };
 
+// What callers may send and how long they may idle.
+struct CallerLimits {
+  std::uint64_t header_bytes = 16384, body_bytes = 16u << 20;
+  Span header_time = std::chrono::seconds(60), idle_time = std::chrono::seconds(60);
+  MOTHWALK_FIELDS(header_bytes, body_bytes, header_time, idle_time)
+};
+
+// Lanes, kinds and limits that operators change together, under one revision that they name. The document stays as it
+// was written; what it says in the product's terms is read by a ConfigurationFormat.
+struct FleetConfiguration {
+  std::uint64_t revision = 0;
+  Bytes document;
+  std::vector<std::uint64_t> taken;   // hashes of the last changes taken, newest last: one sent again is answered alike
+  MOTHWALK_FIELDS(revision, document, taken)
+};
+struct ConfigurationContent {
+  std::map<std::string, Lane> lanes;
+  std::map<std::string, Kind> kinds;
+  CallerLimits limits;
+};
+class ConfigurationFormat {
+ public:
+  virtual ~ConfigurationFormat() = default;
+  virtual Result<ConfigurationContent> read(View document) const = 0;
+};
+
+// Runners as a list outside the product tells them, by name; they stand beside the declared ones.
+struct RunnerListing {
+  std::map<std::string, Runner> runners;
+  MOTHWALK_FIELDS(runners)
+};
+
 template <class T> struct Named {
   Stamp stamp;
   T spec;
@@ -135,15 +199,29 @@
   Table<HolderMark> holders;
   Table<Aim> aims;
   Table<Circle> circles;
-  Roster roster;
+  Roster roster;                      // of the holders of control state, and of lots where no others hold these
+  Roster lot_roster;                  // of the holders of lots, where they are others
+  Named<FleetConfiguration> configuration;
+  CallerLimits limits;
+  Stamp listing;                      // of the list of runners in force
   std::uint64_t digest = 0;
+  // The roster whose holders keep a key.
+  const Roster& roster_of(View key) const { return key.starts_with("lot/") && !lot_roster.seats.empty() ? lot_roster : roster; }
   bool evacuated(const ZoneId& hall) const;
-  const Lane* lane_for(View path, std::string* name) const;
+  // The lane of the longest path that the given one begins with, of those for the host before those for any.
+  const Lane* lane_for(View path, std::string* name, View host = {}) const;
+  std::set<std::string> listed;       // the runners of the listing
+  std::set<std::string> configured_lanes, configured_kinds;  // of the configuration
   LotSettings lot_settings() const;
 };
 
 // Puts a value under its key ("lane/audits") into the view, or takes it out; false where the value cannot be read.
-bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp);
+bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp, const ConfigurationFormat* format = nullptr);
+
+// Keys of what is kept or told once for the fleet.
+inline constexpr View configuration_key = "configuration/fleet";
+inline constexpr View listing_key = "listing/runners";
+inline constexpr View lot_roster_key = "roster/lots";
 
 // Checks an operator's document for a key against the view; gives the canonical text to keep.
 Result<Bytes> check_document(View type, View name, View text, const PolicyView& view);
--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -38,8 +38,8 @@
   std::uint64_t attempt_;
 };
 
-Entries::Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self)
-    : post_(post), board_(board), exchange_(exchange), chance_(chance), self_(std::move(self)) {
+Entries::Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self, const Dialect& dialect)
+    : post_(post), board_(board), exchange_(exchange), chance_(chance), self_(std::move(self)), dialect_(dialect) {
   post_.on_tell<UsageTotals>([this](const Address&, UsageTotals totals) {
     const auto policy = board_.policy.get();
     for (const auto& [name, runner] : policy->runners) {
--- a/source/routes/entries.hpp
+++ b/source/routes/entries.hpp
@@ -2,6 +2,7 @@
 // gets the runner's answer as it was given, or "refused" (not run, and never will be), or "unknown"; each at once.
 #pragma once
 #include "circle/circle.hpp"
+#include "seams/dialect.hpp"
 
 namespace mothwalk {
 
@@ -38,7 +39,7 @@
 class Entries {
  public:
   using Id = std::uint64_t;
-  Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self);
+  Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self, const Dialect& dialect = plain_dialect());
   void start();
   Id arrive(LiveRequest request, std::shared_ptr<CallerSide> caller);
   void gone(Id id);                            // the caller left
@@ -106,6 +107,7 @@
   Exchange& exchange_;
   Chance& chance_;
   Member self_;
+  const Dialect& dialect_;
   std::map<Id, Record> table_;
   std::map<std::string, Sight> sights_;
   EntryCounts counts_;
--- a/source/sessions/board.hpp
+++ b/source/sessions/board.hpp
@@ -36,8 +36,12 @@
   bool stalled = false;       // its disk does not answer, so it can own nothing
   Version roster;             // the roster version it knows; zero for none
   std::string version;        // of the program
+  std::string keeps;          // what its folder holds: empty for control state and lots, or "control" or "lots" alone
+  std::string name;           // of the machine, where operators name one
+  bool keeps_control() const { return !holder.empty() && keeps != "lots"; }
+  bool keeps_lots() const { return !holder.empty() && keeps != "control"; }
   auto operator<=>(const Member&) const = default;
-  MOTHWALK_FIELDS(address, hall, callers, control, incarnation, holder, stalled, roster, version)
+  MOTHWALK_FIELDS(address, hall, callers, control, incarnation, holder, stalled, roster, version, keeps, name)
 };
 
 struct Members {
