--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -11,14 +11,14 @@
   std::string method, target;
   Bytes body;
   bool callers = false;      // came in on the callers' side: lots alone
-  std::vector<Header> headers;
+  std::vector<Header> headers = {};
 };
 struct ControlReply {
   int status = 200;
   json::value body;
   bool retry_after = false;
-  std::vector<Header> headers;         // beside those that the front sets
-  std::optional<Bytes> raw;            // stands for the body where that is not JSON, or not this program's
+  std::vector<Header> headers = {};    // beside those that the front sets
+  std::optional<Bytes> raw = {};       // stands for the body where that is not JSON, or not this program's
 };
 using ControlAnswer = std::function<void(ControlReply)>;
 
