--- /dev/null
+++ b/source/host/precompiled.hpp
@@ -0,0 +1,17 @@
+// What most sources include, compiled once for the product build; no source names this file.
+#pragma once
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
--- a/source/host/settings.cpp
+++ b/source/host/settings.cpp
@@ -74,7 +74,7 @@
   opterr = 0;
   int index = 0;
   for (int found = 0; (found = getopt_long(count, words, "", options.data(), &index)) != -1;) {
-    if (found != 0) return wrong("flags", "'" + std::string(words[optind - 1]) + "' is not a flag, or lacks its value", "see --help");
+    if (found != 0) return wrong("flags", std::string("'") + words[optind - 1] + "' is not a flag, or lacks its value", "see --help");
     const View name = flags[index].name;
     const std::string value = optarg == nullptr ? "" : optarg;
     if (name == "help") line.help = true;
@@ -97,7 +97,7 @@
       overrides[flags[index].field] = value;
     }
   }
-  if (optind < count) return wrong("flags", "'" + std::string(words[optind]) + "' is not a flag", "see --help");
+  if (optind < count) return wrong("flags", std::string("'") + words[optind] + "' is not a flag", "see --help");
   if (line.help || line.version) return line;
   json::value document = json::object{};
   if (!file.empty()) {
--- a/source/operator/planner.cpp
+++ b/source/operator/planner.cpp
@@ -14,7 +14,7 @@
   else list.push_back(value);
   std::vector<Document> documents;
   for (std::size_t index = 0; index < list.size(); ++index) {
-    const std::string path = value.is_array() ? "[" + std::to_string(index) + "]" : "";
+    const std::string path = value.is_array() ? std::string("[").append(std::to_string(index)).append("]") : std::string();
     auto wrong = [&](const std::string& field, const std::string& message, const std::string& remedy) { return Fault{FaultKind::invalid, path + (path.empty() || field.empty() ? "" : ".") + field, message, remedy}; };
     if (!list[index].is_object()) return wrong("", "the document is not an object", "give {\"type\", \"name\", \"spec\"}");
     Document document;
