--- a/source/host/beast_exchange.cpp
+++ b/source/host/beast_exchange.cpp
@@ -1,138 +1,316 @@
-// One attempt: connect, write, read the head, relay the body piece by piece, each step under its budget.
+// One attempt: a connection, its request, the head and the body piece by piece, each step under its budget. A connection
+// is always being read, so that its end, or an answer that nobody waits for, is seen while it is idle.
 #include "host/beast_exchange.hpp"
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <algorithm>
+#include <array>
 
+#include "host/http_reader.hpp"
 #include "host/tcp_wire.hpp"
+#include "seams/dialect.hpp"
 
 namespace mothwalk {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
+using boost::asio::ip::tcp;
 
-struct BeastExchange::Attempt {
-  Attempt(boost::asio::io_context& context, Id number, std::shared_ptr<AttemptWatcher> given) : id(number), watcher(std::move(given)), stream(context) {}
-  Id id;
+namespace {
+constexpr Span unstated_idle = std::chrono::milliseconds(800);   // where a runner does not say how long it keeps idle ones
+constexpr std::size_t input_bytes = 8192;
+
+std::string head_of(const AttemptRequest& request) {
+  std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+  bool host = false;
+  for (const auto& header : request.headers) {
+    host = host || same_name(header.name, "Host");
+    head.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  if (!host) head.append("Host: ").append(request.to.text).append("\r\n");
+  const std::size_t length = request.body ? request.body->size() : 0;
+  if (length > 0 || (request.method != "GET" && request.method != "HEAD")) head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+  return head += "\r\n";
+}
+
+// The seconds of "timeout=5, max=100".
+std::optional<Span> idle_of(const std::vector<Header>& headers) {
+  const std::string* text = header_of(headers, "Keep-Alive");
+  if (text == nullptr) return std::nullopt;
+  const auto begin = text->find("timeout=");
+  if (begin == std::string::npos) return std::nullopt;
+  std::int64_t seconds = 0;
+  for (std::size_t index = begin + 8; index < text->size() && (*text)[index] >= '0' && (*text)[index] <= '9' && seconds < 3600; ++index) seconds = seconds * 10 + ((*text)[index] - '0');
+  return std::chrono::seconds(seconds);
+}
+}  // namespace
+
+struct BeastExchange::Connection {
+  Connection(boost::asio::io_context& context, std::uint64_t given, std::string key_given) : number(given), key(std::move(key_given)), socket(context) {}
+  std::uint64_t number;
+  std::string key;
+  tcp::socket socket;
+  std::array<char, input_bytes> input;
+  std::size_t filled = 0;
+  bool closed = false, reading = false, used_before = false;
+  Moment used, began;
+  Span idle = unstated_idle;
+
+  // Of the attempt that it carries; no watcher: idle.
+  Id id = 0;
   std::shared_ptr<AttemptWatcher> watcher;
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer{256u << 10};
-  http::request<http::string_body> request;
-  std::optional<http::response_parser<http::buffer_body>> parser;
-  std::array<char, 16384> piece{};
-  Span first_piece{}, between_pieces{};
-  Moment began = steady_now();
-  bool over = false, any_piece = false, held = false, reading = false;
+  AttemptRequest request;
+  std::string head;
+  std::size_t sent = 0;
+  bool connected = false, written = false, held = false, any_byte = false, any_piece = false, headed = false;
+  std::optional<HttpReader<false>> reader;
 };
 
+BeastExchange::~BeastExchange() {
+  for (auto& [number, connection] : connections_) {
+    connection->closed = true;
+    connection->watcher.reset();
+    boost::system::error_code ignored;
+    connection->socket.close(ignored);
+  }
+}
+
 Exchange::Id BeastExchange::start(const AttemptRequest& given, std::shared_ptr<AttemptWatcher> watcher) {
   const Id id = ++last_;
-  auto attempt = std::make_shared<Attempt>(context_, id, std::move(watcher));
-  attempts_[id] = attempt;
-  attempt->first_piece = given.first_piece;
-  attempt->between_pieces = given.between_pieces;
-  attempt->request.version(11);
-  attempt->request.method_string(given.method);
-  attempt->request.target(given.target);
-  for (const auto& header : given.headers) attempt->request.insert(header.name, header.value);
-  attempt->request.set(http::field::host, given.to.text);
-  attempt->request.set(http::field::connection, "close");
-  if (given.body) attempt->request.body() = *given.body;
-  attempt->request.prepare_payload();
-  const auto endpoint = endpoint_of(given.to);
-  if (!endpoint) {
-    boost::asio::post(context_, [this, attempt] { finish(attempt, AttemptEnd::not_sent); });
-    return id;
+  const std::string key = given.to.text + " " + given.runner;
+  ConnectionPointer connection = idle_for(key, given.repeatable);
+  const bool kept = connection != nullptr;
+  if (!kept) {
+    connection = std::make_shared<Connection>(context_, ++last_connection_, key);
+    connections_[connection->number] = connection;
+    Pool& pool = pools_[key];
+    ++pool.open;
+    if (given.connections > 0 && pool.open > given.connections && !pool.idle.empty()) close(ConnectionPointer(pool.idle.front()));
+  }
+  attempts_[id] = connection;
+  connection->id = id;
+  connection->watcher = std::move(watcher);
+  connection->request = given;
+  connection->head = head_of(given);
+  connection->sent = 0;
+  connection->written = connection->held = connection->any_byte = connection->any_piece = connection->headed = false;
+  connection->used_before = kept;
+  connection->reader.emplace();
+  connection->reader->header_limit(16384);
+  connection->reader->body_limit(boost::none);
+  if (given.method == "HEAD") connection->reader->skip(true);
+  if (kept) {
+    ++counts_.reused;
+    write(connection);
+  } else {
+    connect(connection);
   }
-  attempt->stream.expires_after(given.connecting);
-  attempt->stream.async_connect(*endpoint, [this, attempt, connecting = given.connecting](const beast::error_code& error) {
-    if (attempt->over) return;
-    // A process that was frozen meanwhile wakes with a stream that stands and a policy that may be old: nothing is sent.
-    if (error || steady_now() - attempt->began > connecting) return finish(attempt, AttemptEnd::not_sent);
-    write(attempt);
-  });
   return id;
 }
 
-void BeastExchange::write(std::shared_ptr<Attempt> attempt) {
-  boost::system::error_code ignored;
-  attempt->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  attempt->stream.expires_after(attempt->first_piece);
-  http::async_write(attempt->stream, attempt->request, [this, attempt](const beast::error_code& error, std::size_t bytes) {
-    if (attempt->over) return;
-    if (error && bytes == 0) return finish(attempt, AttemptEnd::not_sent);
-    if (error == beast::error::timeout) return finish(attempt, AttemptEnd::late);
-    // A runner may answer and close before it has read all: its answer is read all the same.
-    read_head(attempt);
-  });
+// The idle connection used last, if it is good enough for this work.
+BeastExchange::ConnectionPointer BeastExchange::idle_for(const std::string& key, bool repeatable) {
+  auto found = pools_.find(key);
+  if (found == pools_.end()) return nullptr;
+  const Moment now = steady_now();
+  while (!found->second.idle.empty()) {
+    const ConnectionPointer connection = found->second.idle.back();
+    const Span age = now - connection->used;
+    if (age * 2 > connection->idle && !repeatable && age * 4 < connection->idle * 3) return nullptr;
+    boost::system::error_code error;
+    char byte = 0;
+    if (age * 4 < connection->idle * 3) connection->socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error == boost::asio::error::would_block) {
+      found->second.idle.pop_back();
+      return connection;
+    }
+    close(connection);
+    found = pools_.find(key);
+    if (found == pools_.end()) return nullptr;
+  }
+  return nullptr;
 }
 
-void BeastExchange::read_head(std::shared_ptr<Attempt> attempt) {
-  attempt->parser.emplace();
-  attempt->parser->header_limit(16384);
-  attempt->parser->body_limit(boost::none);
-  if (attempt->request.method() == http::verb::head) attempt->parser->skip(true);
-  http::async_read_header(attempt->stream, attempt->buffer, *attempt->parser, [this, attempt](const beast::error_code& error, std::size_t) {
-    if (attempt->over) return;
-    if (error) return finish(attempt, error == beast::error::timeout ? AttemptEnd::late : AttemptEnd::broken);
-    const auto& head = attempt->parser->get();
-    if (head.result_int() < 200 || head.result_int() > 599) return finish(attempt, AttemptEnd::broken);
-    // Without a length or chunks the end can't be told from a break: such an answer is not passed as whole.
-    if (!attempt->parser->chunked() && !attempt->parser->content_length() && head.result_int() != 204 && head.result_int() != 304 && attempt->request.method() != http::verb::head)
-      return finish(attempt, AttemptEnd::broken);
-    std::vector<Header> headers;
-    for (const auto& field : head) headers.push_back(Header{std::string(field.name_string()), std::string(field.value())});
-    attempt->watcher->on_head(static_cast<int>(head.result_int()), headers);
-    if (attempt->over) return;
-    if (attempt->parser->is_done()) return finish(attempt, AttemptEnd::whole);
-    read_body(attempt);
+void BeastExchange::connect(const ConnectionPointer& connection) {
+  const auto endpoint = endpoint_of(connection->request.to);
+  boost::system::error_code error;
+  if (endpoint) connection->socket.open(endpoint->protocol(), error);
+  if (!endpoint || error) {
+    boost::asio::post(context_, [this, connection] { finish(connection, AttemptEnd::not_sent); });
+    return;
+  }
+  ++counts_.opened;
+  connection->began = steady_now();
+  deadlines_.set(connection->number, connection->began + connection->request.connecting);
+  connection->socket.async_connect(*endpoint, [this, connection](const boost::system::error_code& failed) {
+    if (connection->closed) return;
+    // A process that was frozen meanwhile wakes with a connection that stands and a policy that may be old: nothing is sent.
+    if (failed || steady_now() - connection->began > connection->request.connecting) return finish(connection, AttemptEnd::not_sent);
+    connection->connected = true;
+    boost::system::error_code ignored;
+    connection->socket.set_option(tcp::no_delay(true), ignored);
+    connection->socket.non_blocking(true, ignored);
+    write(connection);
+    if (!connection->closed) read(connection);
   });
 }
 
-void BeastExchange::read_body(std::shared_ptr<Attempt> attempt) {
-  if (attempt->held) return;
-  attempt->reading = true;
-  attempt->parser->get().body().data = attempt->piece.data();
-  attempt->parser->get().body().size = attempt->piece.size();
-  attempt->stream.expires_after(attempt->any_piece ? attempt->between_pieces : attempt->first_piece);
-  http::async_read_some(attempt->stream, attempt->buffer, *attempt->parser, [this, attempt](beast::error_code error, std::size_t) {
-    attempt->reading = false;
-    if (attempt->over) return;
-    if (error == http::error::need_buffer) error = {};
-    const std::size_t count = attempt->piece.size() - attempt->parser->get().body().size;
-    if (count > 0) {
-      attempt->any_piece = true;
-      attempt->watcher->on_piece(View(attempt->piece.data(), count));
-      if (attempt->over) return;
+void BeastExchange::write(const ConnectionPointer& connection) {
+  const std::size_t body = connection->request.body ? connection->request.body->size() : 0;
+  const std::size_t whole = connection->head.size() + body;
+  boost::system::error_code error;
+  while (connection->sent < whole && !error) {
+    std::array<boost::asio::const_buffer, 2> buffers;
+    const std::size_t of_body = connection->sent > connection->head.size() ? connection->sent - connection->head.size() : 0;
+    buffers[0] = boost::asio::buffer(connection->head) + connection->sent;
+    if (body > 0) buffers[1] = boost::asio::buffer(*connection->request.body) + of_body;
+    connection->sent += connection->socket.write_some(buffers, error);
+  }
+  deadlines_.set(connection->number, steady_now() + connection->request.first_piece);
+  if (connection->sent == whole) {
+    connection->written = true;
+    return;
+  }
+  if (error == boost::asio::error::would_block) {
+    connection->socket.async_wait(tcp::socket::wait_write, [this, connection, id = connection->id](const boost::system::error_code& failed) {
+      if (!failed && !connection->closed && connection->id == id) write(connection);
+    });
+    return;
+  }
+  // A runner may answer and close before it has read all: its answer is read all the same.
+  if (connection->sent == 0)
+    boost::asio::post(context_, [this, connection, id = connection->id] {
+      if (connection->id == id) broken(connection);
+    });
+}
+
+void BeastExchange::read(const ConnectionPointer& connection) {
+  if (connection->held || connection->reading || connection->closed) return;
+  connection->reading = true;
+  connection->socket.async_read_some(boost::asio::buffer(connection->input.data() + connection->filled, connection->input.size() - connection->filled), [this, connection](const boost::system::error_code& error, std::size_t count) {
+    connection->reading = false;
+    if (connection->closed) return;
+    if (!connection->watcher) {
+      // Its end, or an answer that nobody asked for.
+      counts_.unasked += !error;
+      return close(connection);
     }
-    if (error) return finish(attempt, error == beast::error::timeout ? AttemptEnd::late : AttemptEnd::broken);
-    if (attempt->parser->is_done()) return finish(attempt, AttemptEnd::whole);
-    read_body(attempt);
+    if (error) return broken(connection);
+    take(connection, count);
   });
 }
 
-void BeastExchange::finish(std::shared_ptr<Attempt> attempt, AttemptEnd end) {
-  if (attempt->over) return;
-  attempt->over = true;
-  attempts_.erase(attempt->id);
-  attempt->stream.close();
-  attempt->watcher->on_end(end);
+void BeastExchange::take(const ConnectionPointer& connection, std::size_t count) {
+  connection->filled += count;
+  connection->any_byte = true;
+  HttpReader<false>& reader = *connection->reader;
+  boost::system::error_code error;
+  const std::size_t used = reader.feed(View(connection->input.data(), connection->filled), error);
+  std::copy(connection->input.begin() + static_cast<std::ptrdiff_t>(used), connection->input.begin() + static_cast<std::ptrdiff_t>(connection->filled), connection->input.begin());
+  connection->filled -= used;
+  const std::shared_ptr<AttemptWatcher> watcher = connection->watcher;
+  const Id id = connection->id;
+  auto mine = [&] { return !connection->closed && connection->id == id; };
+  if (reader.is_header_done() && !connection->headed) {
+    connection->headed = true;
+    // Without a length or chunks the end can't be told from a break: such an answer is not passed as whole.
+    if (error || reader.status < 200 || reader.status > 599 || reader.need_eof()) return finish(connection, AttemptEnd::broken);
+    if (const auto idle = idle_of(reader.headers)) connection->idle = *idle;
+    watcher->on_head(reader.status, reader.headers);
+    if (!mine()) return;
+  }
+  if (!reader.body.empty()) {
+    connection->any_piece = true;
+    const Bytes piece = std::exchange(reader.body, {});
+    watcher->on_piece(piece);
+    if (!mine()) return;
+  }
+  if (error || (connection->filled == connection->input.size() && used == 0)) return finish(connection, AttemptEnd::broken);
+  if (reader.is_done()) return finish(connection, AttemptEnd::whole);
+  watcher->on_pause();
+  if (!mine()) return;
+  if (connection->held) deadlines_.clear(connection->number);
+  else deadlines_.set(connection->number, steady_now() + (connection->any_piece ? connection->request.between_pieces : connection->request.first_piece));
+  read(connection);
+}
+
+// The connection ended before the answer did. Where that was one kept since an earlier request, and no byte of an answer
+// came, repeatable work goes again over a fresh one; any work does where nothing was written.
+void BeastExchange::broken(const ConnectionPointer& connection) {
+  const bool again = connection->used_before && !connection->any_byte && (connection->request.repeatable || connection->sent == 0);
+  if (!again) return finish(connection, !connection->any_byte && connection->sent == 0 ? AttemptEnd::not_sent : AttemptEnd::broken);
+  ++counts_.stale;
+  const Id id = connection->id;
+  AttemptRequest request = std::move(connection->request);
+  auto watcher = std::move(connection->watcher);
+  connection->watcher.reset();
+  const std::string key = connection->key;
+  close(connection);
+  auto pool = pools_.find(key);
+  while (pool != pools_.end() && !pool->second.idle.empty()) {
+    close(ConnectionPointer(pool->second.idle.back()));
+    pool = pools_.find(key);
+  }
+  const Id fresh = start(request, std::move(watcher));
+  auto taken = attempts_.extract(fresh);
+  taken.mapped()->id = id;
+  taken.key() = id;
+  attempts_.insert(std::move(taken));
+}
+
+void BeastExchange::finish(const ConnectionPointer& connection, AttemptEnd end) {
+  if (!connection->watcher || connection->closed) return;
+  const auto watcher = std::exchange(connection->watcher, nullptr);
+  attempts_.erase(connection->id);
+  const bool kept = end == AttemptEnd::whole && connection->written && connection->filled == 0 && connection->reader->keep_alive() && connection->idle > Span{};
+  if (!kept) {
+    counts_.unasked += end == AttemptEnd::whole && connection->filled > 0;
+    close(connection);
+  } else {
+    connection->request = {};
+    connection->held = false;
+    connection->used = steady_now();
+    pools_[connection->key].idle.push_back(connection);
+    deadlines_.set(connection->number, connection->used + connection->idle * 3 / 4);
+    read(connection);
+  }
+  watcher->on_end(end);
+}
+
+void BeastExchange::close(const ConnectionPointer& given) {
+  const ConnectionPointer connection = given;
+  if (connection->closed) return;
+  connection->closed = true;
+  connection->watcher.reset();
+  attempts_.erase(connection->id);
+  deadlines_.clear(connection->number);
+  connections_.erase(connection->number);
+  if (auto pool = pools_.find(connection->key); pool != pools_.end()) {
+    std::erase(pool->second.idle, connection);
+    if (--pool->second.open == 0) pools_.erase(pool);
+  }
+  boost::system::error_code ignored;
+  connection->socket.close(ignored);
+}
+
+void BeastExchange::due(std::uint64_t key) {
+  auto found = connections_.find(key);
+  if (found == connections_.end()) return;
+  const ConnectionPointer connection = found->second;
+  if (!connection->watcher) return close(connection);
+  finish(connection, connection->connected ? AttemptEnd::late : AttemptEnd::not_sent);
 }
 
 void BeastExchange::hold(Id id, bool held) {
   auto found = attempts_.find(id);
   if (found == attempts_.end() || found->second->held == held) return;
-  found->second->held = held;
-  if (!held && !found->second->reading) read_body(found->second);
+  const ConnectionPointer connection = found->second;
+  connection->held = held;
+  if (held || !connection->connected) return;
+  deadlines_.set(connection->number, steady_now() + connection->request.between_pieces);
+  read(connection);
 }
 
 void BeastExchange::cancel(Id id) {
   auto found = attempts_.find(id);
-  if (found == attempts_.end()) return;
-  auto attempt = found->second;
-  attempts_.erase(found);
-  attempt->over = true;
-  attempt->stream.close();
+  if (found != attempts_.end()) close(ConnectionPointer(found->second));
 }
 
 }  // namespace mothwalk
--- a/source/host/beast_exchange.hpp
+++ b/source/host/beast_exchange.hpp
@@ -1,27 +1,49 @@
-// HTTP attempts to runners over Boost.Beast. Each attempt has a stream of its own: none gambles on an idle one that may be
-// closing, so "no byte was sent" is always known.
+// HTTP attempts to runners over connections that are kept. One that was not used for a while may be closing at the other
+// end, so work that may not be repeated gets a fresh one; bytes that nobody asked for end a connection, and what ended
+// before its whole answer is never used again.
 #pragma once
-#include "host/duty_thread.hpp"
+#include "host/deadlines.hpp"
 
 namespace mothwalk {
 
+struct ExchangeCounts {
+  std::uint64_t opened = 0, reused = 0, stale = 0, unasked = 0;
+};
+
 class BeastExchange : public Exchange {
  public:
-  explicit BeastExchange(boost::asio::io_context& context) : context_(context) {}
+  explicit BeastExchange(boost::asio::io_context& context) : context_(context), deadlines_(context, [this](std::uint64_t key) { due(key); }) {}
+  ~BeastExchange() override;
   Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) override;
   void cancel(Id id) override;
   void hold(Id id, bool held) override;
+  const ExchangeCounts& counts() const { return counts_; }
 
  private:
-  struct Attempt;
-  void finish(std::shared_ptr<Attempt> attempt, AttemptEnd end);
-  void write(std::shared_ptr<Attempt> attempt);
-  void read_head(std::shared_ptr<Attempt> attempt);
-  void read_body(std::shared_ptr<Attempt> attempt);
+  struct Connection;
+  using ConnectionPointer = std::shared_ptr<Connection>;
+  struct Pool {
+    std::vector<ConnectionPointer> idle;   // the one used last stands last
+    std::size_t open = 0;                  // idle ones and those in use
+  };
+  ConnectionPointer idle_for(const std::string& key, bool repeatable);
+  void connect(const ConnectionPointer& connection);
+  void write(const ConnectionPointer& connection);
+  void read(const ConnectionPointer& connection);
+  void take(const ConnectionPointer& connection, std::size_t count);
+  void broken(const ConnectionPointer& connection);
+  void finish(const ConnectionPointer& connection, AttemptEnd end);
+  void close(const ConnectionPointer& connection);
+  void due(std::uint64_t key);
 
   boost::asio::io_context& context_;
-  std::unordered_map<Id, std::shared_ptr<Attempt>> attempts_;
+  Deadlines deadlines_;
+  std::unordered_map<Id, ConnectionPointer> attempts_;
+  std::unordered_map<std::uint64_t, ConnectionPointer> connections_;
+  std::unordered_map<std::string, Pool> pools_;   // by the runner's address and name
+  ExchangeCounts counts_;
   Id last_ = 0;
+  std::uint64_t last_connection_ = 0;
 };
 
 }  // namespace mothwalk
--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -1,114 +1,173 @@
 // Sessions: reading with limits, answering in whole or in pieces, and noticing callers that leave.
 #include "host/front.hpp"
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <deque>
-#include <sstream>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
 
+#include "host/http_reader.hpp"
 #include "host/tcp_wire.hpp"
 
 namespace mothwalk {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
 namespace {
-constexpr std::size_t longest_body = 16u << 20;
 constexpr std::size_t spare_sessions = 200;  // over the limit, in which callers are told to come back
+constexpr std::size_t input_bytes = 4096, long_input_bytes = 32768, kept_output_bytes = 16384;
+constexpr Span lingering = std::chrono::seconds(1);
+
+bool for_lots(View, View target, const std::vector<Header>&) { return target == "/lots" || target.starts_with("/lots/") || target.starts_with("/lots?"); }
+
+void put_hex(std::string& out, std::size_t value) {
+  char digits[16];
+  std::size_t count = 0;
+  do digits[count++] = "0123456789abcdef"[value % 16];
+  while (value /= 16);
+  while (count > 0) out.push_back(digits[--count]);
+}
 }  // namespace
 
 class Front::Session : public std::enable_shared_from_this<Front::Session> {
  public:
-  Session(Front& front, tcp::socket socket, bool callers)
-      : front_(front), stream_(std::move(socket)), callers_(callers), over_(*front.sessions_ >= front.most_sessions_), count_(front.sessions_) { ++*count_; }
-  ~Session() { --*count_; }
-  void run() { read(); }
+  Session(Front& front, tcp::socket socket, bool callers, std::uint64_t number)
+      : front_(front), alive_(front.alive_), socket_(std::move(socket)), number_(number), callers_(callers), over_(front.sessions_.size() >= front.most_sessions_) {}
+  ~Session() {
+    if (*alive_) front_.sessions_.erase(number_);
+  }
+  void run() { expect(); }
+  void due() { close(); }
 
  private:
-  // What the entries write to; it outlives neither its request nor the session's stream.
+  // What the entries write to; it outlives neither its request nor the session's connection.
   class Caller : public CallerSide {
    public:
     Caller(std::shared_ptr<Session> session, std::uint64_t turn) : session_(std::move(session)), turn_(turn) {}
     void head(int status, const std::vector<Header>& headers) override {
       if (!current()) return;
-      http::response<http::empty_body> response;
-      response.version(11);
-      response.result(static_cast<unsigned>(status));
-      for (const auto& header : headers) response.insert(header.name, header.value);
+      std::string& out = session_->start_head(status);
+      bool length = false;
+      for (const auto& header : headers) {
+        length = length || same_name(header.name, "Content-Length");
+        out.append(header.name).append(": ").append(header.value).append("\r\n");
+      }
       // These statuses have no body by definition.
       bodiless_ = status == 204 || status == 304 || session_->head_request_;
-      if (!bodiless_) response.chunked(true);
-      if (!session_->keep_) response.keep_alive(false);
-      std::ostringstream text;
-      text << response.base();
-      session_->push(text.str());
+      chunked_ = !length && !bodiless_;
+      if (chunked_) out.append("Transfer-Encoding: chunked\r\n");
+      out.append("\r\n");
     }
     void piece(View piece) override {
       if (!current() || piece.empty() || bodiless_) return;
-      session_->push(beast::buffers_to_string(http::make_chunk(boost::asio::buffer(piece.data(), piece.size()))));
+      std::string& out = session_->output_;
+      if (chunked_) {
+        put_hex(out, piece.size());
+        out.append("\r\n").append(piece).append("\r\n");
+      } else {
+        out.append(piece);
+      }
+    }
+    void flush() override {
+      if (current()) session_->flush();
     }
     void end() override {
       if (!current()) return;
-      if (!bodiless_) session_->push(beast::buffers_to_string(http::make_chunk_last()));
+      if (chunked_) session_->output_.append("0\r\n\r\n");
       session_->answered();
     }
     void break_off() override {
-      if (current()) session_->break_off();
+      if (!current()) return;
+      session_->flush();
+      session_->close();
     }
-    std::size_t backlog() const override { return session_->queued_; }
+    std::size_t backlog() const override { return session_->output_.size() + session_->in_flight_.size() - session_->written_; }
 
    private:
     bool current() const { return session_->turn_ == turn_ && !session_->closed_; }
     std::shared_ptr<Session> session_;
     std::uint64_t turn_;
-    bool bodiless_ = false;
+    bool bodiless_ = false, chunked_ = false;
   };
 
-  void read() {
-    parser_.emplace();
-    parser_->header_limit(16384);
-    parser_->body_limit(longest_body);
-    stream_.expires_after(std::chrono::seconds(60));
-    http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](const beast::error_code& error, std::size_t) { self->headed(error); });
+  // A next request is awaited; it may have come already.
+  void expect() {
+    limits_ = front_.entries_.limits();
+    reader_.emplace();
+    reader_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+    reader_->body_limit(limits_.body_bytes);
+    headed_ = false;
+    // A little longer than callers count on, so that none meets a connection that is just closing.
+    set_deadline(limits_.idle_time + lingering);
+    if (filled_ > 0) parse();
+    else read();
   }
 
-  void headed(const beast::error_code& error) {
-    if (closed_) return;
-    if (error == http::error::end_of_stream || error == beast::error::timeout) return close();
-    if (error && error.category() != http::make_error_code(http::error::bad_method).category()) return close();
-    keep_ = false;
-    if (over_) return busy("this daemon serves as many connections as it may");
-    if (error == http::error::header_limit) return fault(431, Fault{FaultKind::too_large, "headers", "the headers are longer than 16384 bytes", "send fewer headers"});
-    if (error == http::error::body_limit) return fault(413, too_long());
-    if (error) return fault(400, Fault{FaultKind::invalid, "request", "this is not an HTTP/1.1 request: " + error.message(), "send a well-formed request"});
-    if (parser_->get().version() != 11) return fault(505, Fault{FaultKind::invalid, "version", "only HTTP/1.1 is served", "use HTTP/1.1"});
-    if (parser_->content_length() && *parser_->content_length() > longest_body) return fault(413, too_long());
-    stream_.expires_after(std::chrono::seconds(30));
-    if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) push("HTTP/1.1 100 Continue\r\n\r\n");
-    http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const beast::error_code& failed, std::size_t) {
+  void set_deadline(Span span) { front_.deadlines_.set(number_, steady_now() + span); }
+
+  void read() {
+    if (reading_ || closed_ || (input_.size() > 0 && filled_ == input_.size())) return;
+    if (input_.empty()) input_.resize(input_bytes);
+    reading_ = true;
+    socket_.async_read_some(boost::asio::buffer(input_.data() + filled_, input_.size() - filled_), [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+      self->reading_ = false;
       if (self->closed_) return;
-      if (failed == http::error::body_limit) return self->fault(413, too_long());
-      if (failed) return self->close();
-      self->dispatch();
+      if (error) return self->close();
+      self->filled_ += count;
+      if (self->lingering_) {
+        self->filled_ = 0;
+        return self->read();
+      }
+      // What is sent ahead of an answer waits; then the caller's leaving is noticed by the failing write.
+      if (!self->answering_ && !self->done_) self->parse();
     });
   }
 
-  static Fault too_long() { return Fault{FaultKind::too_large, "body", "the body is longer than 16777216 bytes", "send a shorter one"}; }
+  void parse() {
+    boost::system::error_code error;
+    const bool first = !reader_->got_some();
+    const std::size_t used = reader_->feed(View(input_.data(), filled_), error);
+    std::copy(input_.begin() + static_cast<std::ptrdiff_t>(used), input_.begin() + static_cast<std::ptrdiff_t>(filled_), input_.begin());
+    filled_ -= used;
+    if (error) return failed(error);
+    if (reader_->is_header_done() && !headed_) {
+      headed_ = true;
+      if (over_) return busy("this daemon serves as many connections as it may");
+      if (reader_->version != 11) return fault(505, Fault{FaultKind::invalid, "version", "only HTTP/1.1 is served", "use HTTP/1.1"});
+      const std::string* expectation = header_of(reader_->headers, "Expect");
+      if (expectation != nullptr && same_name(*expectation, "100-continue") && !reader_->is_done()) {
+        output_.append("HTTP/1.1 100 Continue\r\n\r\n");
+        flush();
+      }
+    }
+    if (reader_->is_done()) return dispatch();
+    if (headed_) set_deadline(limits_.idle_time);
+    else if (first) set_deadline(limits_.header_time);
+    const std::size_t room = headed_ ? long_input_bytes : std::max(input_bytes, filled_ + input_bytes / 2);
+    if (input_.size() < room) input_.resize(room);
+    read();
+  }
+
+  void failed(const boost::system::error_code& error) {
+    if (error == http::error::header_limit) return fault(431, Fault{FaultKind::too_large, "headers", "the headers are longer than " + std::to_string(limits_.header_bytes) + " bytes", "send fewer headers"});
+    if (error == http::error::body_limit) return fault(413, Fault{FaultKind::too_large, "body", "the body is longer than " + std::to_string(limits_.body_bytes) + " bytes", "send a shorter one"});
+    fault(400, Fault{FaultKind::invalid, "request", "this is not an HTTP/1.1 request: " + error.message(), "send a well-formed request"});
+  }
 
   void dispatch() {
-    stream_.expires_never();
-    auto request = parser_->release();
-    keep_ = request.keep_alive();
-    head_request_ = request.method() == http::verb::head;
+    front_.deadlines_.clear(number_);
+    if (input_.size() > input_bytes && filled_ < input_bytes) {
+      input_.resize(input_bytes);
+      input_.shrink_to_fit();
+    }
+    keep_ = reader_->keep_alive();
+    head_request_ = reader_->method == "HEAD";
     ++turn_;
     answering_ = true;
-    const std::string target(request.target());
-    watch_for_leaving();
-    if (!callers_ || target == "/lots" || target.starts_with("/lots/") || target.starts_with("/lots?")) {
-      ControlRequest control{std::string(request.method_string()), target, std::move(request.body()), callers_};
-      // The other thread gets no share in this session, which must end on its own thread.
+    read();
+    const bool to_control = !callers_ || (front_.to_control_side_ ? front_.to_control_side_(reader_->method, reader_->target, reader_->headers) : for_lots(reader_->method, reader_->target, reader_->headers));
+    if (to_control) {
+      ControlRequest control{std::move(reader_->method), std::move(reader_->target), std::move(reader_->body), callers_, std::move(reader_->headers)};
+      // Another thread gets no share in this session, which must end on its own thread.
       held_ = shared_from_this();
       const bool taken = front_.control_(std::move(control), [weak = weak_from_this(), &context = front_.context_, turn = turn_](ControlReply reply) {
         boost::asio::post(context, [weak, turn, reply = std::move(reply)] {
@@ -118,9 +177,7 @@
       if (!taken) busy("this daemon's control is busy");
       return;
     }
-    LiveRequest live{std::string(request.method_string()), target, {}, nullptr};
-    for (const auto& field : request) live.headers.push_back(Header{std::string(field.name_string()), std::string(field.value())});
-    live.body = std::make_shared<const Bytes>(std::move(request.body()));
+    LiveRequest live{std::move(reader_->method), std::move(reader_->target), std::move(reader_->headers), std::make_shared<const Bytes>(std::move(reader_->body))};
     const auto turn = turn_;
     live_ = true;
     const Entries::Id id = front_.entries_.arrive(std::move(live), std::make_shared<Caller>(shared_from_this(), turn));
@@ -128,20 +185,29 @@
     else live_ = false;
   }
 
+  // The status line and what this side says of the connection.
+  std::string& start_head(int status) {
+    keep_ = keep_ && !front_.entries_.draining();
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    output_.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+    if (!keep_) output_.append("Connection: close\r\n");
+    return output_;
+  }
+
   void whole(const ControlReply& reply) {
-    http::response<http::string_body> response;
-    response.version(11);
-    response.result(static_cast<unsigned>(reply.status));
-    response.set(http::field::content_type, "application/json");
-    if (reply.retry_after) response.set(http::field::retry_after, "1");
-    if (const auto* object = reply.body.if_object(); object != nullptr && object->contains("outcome")) response.set("X-Mothwalk-Outcome", std::string(object->at("outcome").as_string()));
-    response.body() = json::serialize(reply.body) + "\n";
-    response.keep_alive(keep_);
-    response.prepare_payload();
-    std::ostringstream text;
-    if (head_request_) text << response.base();
-    else text << response;
-    push(text.str());
+    std::string& out = start_head(reply.status);
+    bool type = false, retry = false;
+    for (const auto& header : reply.headers) {
+      type = type || same_name(header.name, "Content-Type");
+      retry = retry || same_name(header.name, "Retry-After");
+      out.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+    if (!type && !reply.raw) out.append("Content-Type: application/json\r\n");
+    if (reply.retry_after && !retry) out.append("Retry-After: 1\r\n");
+    if (const auto* object = reply.body.if_object(); object != nullptr && object->contains("outcome")) out.append("X-Mothwalk-Outcome: ").append(std::string(object->at("outcome").as_string())).append("\r\n");
+    const Bytes body = reply.raw ? *reply.raw : json::serialize(reply.body) + "\n";
+    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    if (!head_request_) out.append(body);
     answered();
   }
 
@@ -151,7 +217,10 @@
     refuse(status, fault, false);
   }
 
-  void busy(const std::string& why) { refuse(503, Fault{FaultKind::refused, "request", why + "; nothing was done", "send it again after the time in Retry-After"}, true); }
+  void busy(const std::string& why) {
+    keep_ = keep_ && reader_->is_done() && !over_;
+    refuse(503, Fault{FaultKind::refused, "request", why + "; nothing was done", "send it again after the time in Retry-After"}, true);
+  }
 
   void refuse(int status, const Fault& fault, bool retry_after) {
     json::value body = fault_to_json(fault);
@@ -160,100 +229,104 @@
     whole(ControlReply{status, std::move(body), retry_after});
   }
 
-  // A caller that leaves while it waits is noticed by the end of its stream.
-  void watch_for_leaving() {
-    if (watching_ || closed_) return;
-    watching_ = true;
-    stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
-      self->watching_ = false;
-      if (error || self->closed_ || !self->answering_) return;
-      boost::system::error_code failed;
-      char byte = 0;
-      const std::size_t count = self->stream_.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
-      // Bytes of a next request may wait here: then leaving is noticed by the failing write.
-      if (failed == boost::asio::error::would_block) return self->watch_for_leaving();
-      if (failed || count == 0) self->close();
-    });
-  }
-
-  void push(std::string bytes) {
-    queued_ += bytes.size();
-    queue_.push_back(std::move(bytes));
-    if (!writing_) write();
+  // Writes at once what the connection takes, and the rest as it takes more.
+  void flush() {
+    if (writing_ || closed_ || output_.empty()) return;
+    boost::system::error_code error;
+    std::size_t count = socket_.write_some(boost::asio::buffer(output_), error);
+    if (error && error != boost::asio::error::would_block) return close();
+    if (error) count = 0;
+    if (count == output_.size()) {
+      output_.clear();
+      if (output_.capacity() > kept_output_bytes) output_.shrink_to_fit();
+      return;
+    }
+    in_flight_ = std::exchange(output_, {});
+    written_ = count;
+    writing_ = true;
+    write_on();
   }
 
-  void write() {
-    if (queue_.empty() || closed_) return;
-    writing_ = true;
-    in_flight_.clear();
-    while (!queue_.empty() && in_flight_.size() < (64u << 10)) {
-      in_flight_ += queue_.front();
-      queue_.pop_front();
-    }
-    boost::asio::async_write(stream_.socket(), boost::asio::buffer(in_flight_), [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-      self->writing_ = false;
-      self->queued_ -= self->in_flight_.size();
+  void write_on() {
+    socket_.async_write_some(boost::asio::buffer(in_flight_) + written_, [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
       if (self->closed_) return;
       if (error) return self->close();
-      if (!self->queue_.empty()) return self->write();
-      if (self->done_) self->next();
+      self->written_ += count;
+      if (self->written_ < self->in_flight_.size()) return self->write_on();
+      self->writing_ = false;
+      self->in_flight_ = {};
+      self->written_ = 0;
+      self->flush();
+      if (self->done_ && !self->writing_ && !self->closed_) self->next();
     });
   }
 
   void answered() {
     held_.reset();
-    answering_ = false;
-    live_ = false;
+    answering_ = live_ = false;
     done_ = true;
-    if (!writing_ && queue_.empty()) next();
+    // A caller that takes nothing of its answer for that long is left.
+    set_deadline(limits_.idle_time);
+    flush();
+    if (!writing_ && !closed_) next();
   }
 
   void next() {
     done_ = false;
     if (!keep_) {
       boost::system::error_code ignored;
-      stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-      return close();
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      if (reader_->is_done() && filled_ == 0) return close();
+      // Closing over bytes that were not read would reset the connection, and could take the answer with it.
+      lingering_ = true;
+      filled_ = 0;
+      set_deadline(lingering);
+      return read();
     }
-    // On a thread of its own event: the entries may still be in the pass that answered.
+    if (filled_ == 0) return expect();
+    // On an event of its own: the entries may still be in the pass that answered.
     boost::asio::post(front_.context_, [self = shared_from_this()] {
-      if (!self->closed_) self->read();
+      if (!self->closed_) self->expect();
     });
   }
 
-  void break_off() {
-    live_ = false;
-    answering_ = false;
-    close();
-  }
-
   void close() {
     if (closed_) return;
     closed_ = true;
     held_.reset();
-    beast::error_code ignored;
-    stream_.socket().close(ignored);
-    if (live_ && answering_) {
-      const auto id = entry_;
-      boost::asio::post(front_.context_, [self = shared_from_this(), id] { self->front_.entries_.gone(id); });
-    }
+    front_.deadlines_.clear(number_);
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    if (live_ && answering_) boost::asio::post(front_.context_, [self = shared_from_this()] { self->front_.entries_.gone(self->entry_); });
   }
 
   Front& front_;
-  beast::tcp_stream stream_;
+  std::shared_ptr<bool> alive_;
+  tcp::socket socket_;
+  std::uint64_t number_;
   bool callers_, over_;
-  std::shared_ptr<std::size_t> count_;
-  beast::flat_buffer buffer_{longest_body + 65536};
-  std::optional<http::request_parser<http::string_body>> parser_;
-  std::deque<std::string> queue_;
-  std::string in_flight_;
-  std::size_t queued_ = 0;
+  CallerLimits limits_;
+  std::string input_;                // its first `filled_` bytes are to be read
+  std::size_t filled_ = 0;
+  std::optional<HttpReader<true>> reader_;
+  std::string output_, in_flight_;   // not given to the connection yet, and being given
+  std::size_t written_ = 0;
   std::uint64_t turn_ = 0;
   Entries::Id entry_ = 0;
-  std::shared_ptr<Session> held_;  // itself, while control answers
-  bool keep_ = true, head_request_ = false, writing_ = false, done_ = false, closed_ = false, answering_ = false, live_ = false, watching_ = false;
+  std::shared_ptr<Session> held_;    // itself, while control answers
+  bool keep_ = true, head_request_ = false, headed_ = false, reading_ = false, writing_ = false, done_ = false, lingering_ = false, closed_ = false, answering_ = false, live_ = false;
 };
 
+Front::Front(boost::asio::io_context& context, Entries& entries, ToControl control, std::size_t most_sessions, ToControlSide to_control_side)
+    : context_(context), entries_(entries), control_(std::move(control)), most_sessions_(most_sessions), to_control_side_(std::move(to_control_side)),
+      deadlines_(context, [this](std::uint64_t number) {
+        auto found = sessions_.find(number);
+        if (found == sessions_.end()) return;
+        if (auto session = found->second.lock()) session->due();
+      }) {}
+
+Front::~Front() { *alive_ = false; }
+
 Result<Done> Front::listen(const Address& address, bool callers) {
   const auto endpoint = endpoint_of(address);
   const std::string field = callers ? "callers" : "control";
@@ -273,11 +346,13 @@
 void Front::accept(std::shared_ptr<Listener> listener) {
   listener->acceptor.async_accept([this, listener](const boost::system::error_code& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
-    if (!error && *sessions_ < most_sessions_ + spare_sessions) {
+    if (!error && sessions_.size() < most_sessions_ + spare_sessions) {
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       socket.non_blocking(true, ignored);
-      std::make_shared<Session>(*this, std::move(socket), listener->callers)->run();
+      const auto session = std::make_shared<Session>(*this, std::move(socket), listener->callers, ++last_session_);
+      sessions_[last_session_] = session;
+      session->run();
     }
     if (error) {
       // Out of file descriptors: accept again a little later.
--- a/source/host/front.hpp
+++ b/source/host/front.hpp
@@ -1,21 +1,24 @@
-// The HTTP front: callers' and operators' sides over Boost.Beast. A session reads one request after the other, hands it
-// to the live entries or to control, and writes what comes back as it comes.
+// The HTTP front: callers' and operators' sides. A session reads one request after the other, hands it to the live
+// entries or to control, and writes what comes back as it comes, what comes together in one write.
 #pragma once
 #include "control/control.hpp"
-#include "host/duty_thread.hpp"
+#include "host/deadlines.hpp"
 #include "routes/entries.hpp"
 
 namespace mothwalk {
 
 class Front {
  public:
-  // Requests for control and lots are handed to `control` on another thread; its answer may come from any thread.
+  // Requests for control and lots are handed to `control`; its answer may come from any thread.
   using ToControl = std::function<bool(ControlRequest, ControlAnswer)>;
-  Front(boost::asio::io_context& context, Entries& entries, ToControl control, std::size_t most_sessions)
-      : context_(context), entries_(entries), control_(std::move(control)), most_sessions_(most_sessions) {}
+  // Which requests of the callers' side are not live ones, but for control.
+  using ToControlSide = std::function<bool(View method, View target, const std::vector<Header>& headers)>;
+  Front(boost::asio::io_context& context, Entries& entries, ToControl control, std::size_t most_sessions, ToControlSide to_control_side = {});
+  ~Front();
+  // A side that is not the callers' is closed to everything but control.
   Result<Done> listen(const Address& address, bool callers);
   void close();
-  std::size_t sessions() const { return *sessions_; }
+  std::size_t sessions() const { return sessions_.size(); }
 
  private:
   class Session;
@@ -29,8 +32,12 @@
   Entries& entries_;
   ToControl control_;
   std::size_t most_sessions_;
+  ToControlSide to_control_side_;
+  Deadlines deadlines_;
   std::vector<std::shared_ptr<Listener>> listeners_;
-  std::shared_ptr<std::size_t> sessions_ = std::make_shared<std::size_t>(0);  // outlives the last session
+  std::unordered_map<std::uint64_t, std::weak_ptr<Session>> sessions_;
+  std::uint64_t last_session_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // the sessions' handlers may outlive the front
 };
 
 }  // namespace mothwalk
--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -1,8 +1,7 @@
-// Admission, matching over the circle, attempts, relaying and the three outcomes.
+// Admission, waiting, attempts, relaying, streams that go on at another runner, and the three outcomes.
 #include "routes/entries.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 #include "coding/json.hpp"
 
@@ -11,17 +10,38 @@
 namespace {
 using std::chrono::milliseconds;
 constexpr Span tick_span = milliseconds(20);
-constexpr std::uint64_t report_ticks = 50, soon_ticks = 4;
+constexpr Span report_span = std::chrono::seconds(1), soon_span = milliseconds(80);
 constexpr Span starting_span = milliseconds(2500);
 constexpr Span static_after = milliseconds(1000);
+constexpr Span silence = milliseconds(1000);       // after which a runner that gave nothing at all counts as failing
+constexpr Span stale_listing = milliseconds(1500);
 constexpr std::size_t high_backlog = 256u << 10, low_backlog = 64u << 10;
-constexpr double bounded_load = 1.25;
 
 bool hop_by_hop(View name) {
-  static const std::set<std::string> names{"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "proxy-connection", "content-length", "host", "expect"};
-  std::string lower(name);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-  return names.contains(lower);
+  for (const View each : {"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "proxy-connection", "content-length", "expect"})
+    if (same_name(name, each)) return true;
+  return false;
+}
+
+// Headers that concern one connection only, those that the Connection header names among them, are not passed on.
+std::vector<Header> end_to_end(const std::vector<Header>& headers, bool length) {
+  const std::string* connection = header_of(headers, "Connection");
+  auto named = [&](View name) {
+    for (View rest = connection == nullptr ? View() : View(*connection); !rest.empty();) {
+      const auto comma = rest.find(',');
+      View word = rest.substr(0, comma);
+      while (word.starts_with(' ')) word.remove_prefix(1);
+      while (word.ends_with(' ')) word.remove_suffix(1);
+      if (same_name(word, name)) return true;
+      rest = comma == View::npos ? View() : rest.substr(comma + 1);
+    }
+    return false;
+  };
+  std::vector<Header> kept;
+  kept.reserve(headers.size() + 4);
+  for (const auto& header : headers)
+    if (length && same_name(header.name, "Content-Length") ? true : !hop_by_hop(header.name) && !named(header.name)) kept.push_back(header);
+  return kept;
 }
 }  // namespace
 
@@ -30,6 +50,7 @@
   Watcher(Entries& entries, Id id, std::uint64_t attempt) : entries_(entries), id_(id), attempt_(attempt) {}
   void on_head(int status, const std::vector<Header>& headers) override { entries_.attempt_head(id_, attempt_, status, headers); }
   void on_piece(View piece) override { entries_.attempt_piece(id_, attempt_, piece); }
+  void on_pause() override { entries_.attempt_pause(id_, attempt_); }
   void on_end(AttemptEnd end) override { entries_.attempt_end(id_, attempt_, end); }
 
  private:
@@ -39,48 +60,77 @@
 };
 
 Entries::Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self, const Dialect& dialect)
-    : post_(post), board_(board), exchange_(exchange), chance_(chance), self_(std::move(self)), dialect_(dialect) {
-  post_.on_tell<UsageTotals>([this](const Address&, UsageTotals totals) {
-    const auto policy = board_.policy.get();
-    for (const auto& [name, runner] : policy->runners) {
-      if (runner.spec.kind.text != totals.runner_kind) continue;
-      Sight& sight = sights_[name];
-      auto found = totals.runners.find(name);
-      const RunnerTotal total = found == totals.runners.end() ? RunnerTotal{} : found->second;
-      sight.others = total.open > sight.open ? total.open - sight.open : 0;
-      sight.items = total.items;
-    }
-    auto usage = *board_.usage.get();
-    usage[totals.runner_kind] = KindTotals{post_.schedule().now(), std::move(totals.runners)};
-    board_.usage.set(std::move(usage));
-  });
+    : post_(post), board_(board), exchange_(exchange), chance_(chance), self_(self), dialect_(dialect), sights_(post, board, chance, std::move(self)) {}
+
+void Entries::start() {
+  post_.schedule().after(report_span, [this] { report_each(); });
 }
 
-void Entries::start() { tick(); }
+// ---- time: a tick while something waits or is held, and one timer for the deadlines
+
+void Entries::arm_tick() {
+  if (tick_armed_ || (waiting_.empty() && held_.empty())) return;
+  tick_armed_ = true;
+  post_.schedule().after(tick_span, [this] {
+    tick_armed_ = false;
+    tick();
+  });
+}
 
 void Entries::tick() {
   const Moment now = post_.schedule().now();
-  for (auto& [id, record] : table_) {
-    if (record.held_since && record.state == State::relaying && !follow_slow(record, now)) {
-      break_off(record);
-      continue;
-    }
-    if (record.state == State::finished || now - record.arrived < record.lane.whole) continue;
-    if (record.state == State::waiting) { refuse(record, "whole", "no runner was free within the lane's whole budget"); continue; }
-    if (record.state == State::relaying) {
-      break_off(record);
-    } else {
-      exchange_.cancel(record.exchange);
-      release(record, true);
-      give_unknown(record, 504, "the runner did not answer within the lane's whole budget");
-    }
+  for (const Id id : std::vector<Id>(held_.begin(), held_.end())) {
+    Record& record = table_.at(id);
+    if (!follow_slow(record, now)) break_off(record, "slow caller");
   }
   passes();
-  if (ticks_ % report_ticks == 0) answered_last_ = std::exchange(answered_now_, {});
-  if (++ticks_ - reported_tick_ >= (report_soon_ ? soon_ticks : report_ticks)) report();
-  post_.schedule().after(tick_span, [this] { tick(); });
 }
 
+void Entries::arm_deadline() {
+  if (deadlines_.empty()) return;
+  const Moment first = deadlines_.begin()->first;
+  if (deadline_timer_) {
+    if (deadline_timer_->first <= first) return;
+    post_.schedule().cancel(deadline_timer_->second);
+  }
+  const auto timer = post_.schedule().after(std::max(Span{}, first - post_.schedule().now()), [this] {
+    deadline_timer_.reset();
+    const Moment now = post_.schedule().now();
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+      const Id id = deadlines_.begin()->second;
+      deadlines_.erase(deadlines_.begin());
+      expire(table_.at(id));
+    }
+    passes();
+    arm_deadline();
+  });
+  deadline_timer_ = std::make_pair(first, timer);
+}
+
+void Entries::expire(Record& record) {
+  if (record.state == State::waiting) return refuse(record, "whole", "no runner was free within the lane's whole budget");
+  if (record.state == State::relaying) return break_off(record, "whole");
+  leave(record);
+  give_unknown(record, 504, "whole", "the runner did not answer within the lane's whole budget");
+}
+
+void Entries::set_state(Record& record, State state) {
+  const Place place{record.lane.rank, record.arrived, record.id};
+  if (record.state == State::waiting && state != State::waiting) waiting_.erase(place);
+  if (state == State::waiting) waiting_.insert(place);
+  if (record.held_since && state != State::relaying) {
+    record.held_since.reset();
+    held_.erase(record.id);
+  }
+  if (state == State::finished && record.state != State::finished) {
+    finished_.push_back(record.id);
+    deadlines_.erase({record.deadline, record.id});
+  }
+  record.state = state;
+}
+
+// ---- arrival and waiting
+
 Entries::Id Entries::arrive(LiveRequest request, std::shared_ptr<CallerSide> caller) {
   ++counts_.arrived;
   const Id id = ++last_id_;
@@ -89,41 +139,103 @@
   record.request = std::move(request);
   record.caller = std::move(caller);
   record.arrived = record.waiting_since = post_.schedule().now();
+  record.facts = dialect_.read_request(record.request.headers);
+  record.last_event = record.facts.last_event;
   retry_tokens_ = std::min(100.0, retry_tokens_ + 0.2);
-  if (admit(record)) passes();
-  else finish_pass();
+  if (admit(record)) {
+    set_state(record, State::waiting);
+    passes();
+  } else {
+    finish_pass();
+  }
+  arm_deadline();
+  arm_tick();
   return id;
 }
 
+// Finds the record's lane in the policy in force; false where it was answered.
 bool Entries::admit(Record& record) {
+  const bool first = record.policy == nullptr;
   // A daemon that has just started takes the policy in within a second or two: requests may wait for it a little.
-  const bool starting = board_.permit_until.load() < 0;
-  if (!starting) {
-    const auto policy = board_.policy.get();
-    const Lane* lane = policy->lane_for(record.request.target, &record.lane_name);
+  if (board_.permit_until.load() >= 0) {
+    auto policy = board_.policy.get();
+    std::string name;
+    const Lane* lane = policy->lane_for(record.request.target, &name, record.facts.host);
+    if (lane != nullptr && lane->batch) lane = nullptr;
     if (lane == nullptr) {
+      // A daemon that may not have heard of the newest configuration can't say that there is none.
+      if (!board_.permitted(post_.schedule().now())) {
+        record.lane_name.clear();
+        return true;
+      }
       answer(record, 404, "refused", Fault{FaultKind::unknown_name, "path", "no lane has this path", "use the path of a declared lane"}, false);
       return false;
     }
+    record.policy = std::move(policy);
+    const bool listed = waiting_.erase(Place{record.lane.rank, record.arrived, record.id}) > 0;
+    if (listed) waiting_.insert(Place{lane->rank, record.arrived, record.id});
+    if (record.lane_name.empty()) record.waiting_since = post_.schedule().now();
+    record.lane_name = name;
     record.lane = *lane;
-    record.waiting_since = post_.schedule().now();
+    record.repeatable = lane->repeatable || (lane->streaming && lane->resumable);
+    share(record);
+    deadlines_.erase({record.deadline, record.id});
+    record.deadline = record.arrived + std::min(lane->whole, record.facts.budget.value_or(lane->whole));
+    deadlines_.emplace(record.deadline, record.id);
   }
-  if (board_.draining) return refuse(record, "draining", "this daemon is shutting down"), false;
-  if (waiting_in(record.lane_name) > record.lane.waiting_room) return refuse(record, "crowded", "too many requests of this lane wait in this daemon"), false;
+  if (!first) return true;
+  if (board_.draining && !serves_while_draining) return refuse(record, "draining", "this daemon is shutting down"), false;
+  if (waiting_in(record.lane_name) + 1 > record.lane.waiting_room) return refuse(record, "crowded", "too many requests of this lane wait in this daemon"), false;
+  record.demand.prompt_tokens = record.facts.prompt_tokens;
+  record.demand.tokens = record.facts.prompt_tokens + record.facts.output_tokens;
+  const auto& parts = record.facts.parts;
   const std::size_t begin = std::min<std::size_t>(record.lane.affinity_bytes, record.request.body ? record.request.body->size() : 0);
-  if (begin > 0) record.affinity = hash_of(View(*record.request.body).substr(0, begin)) | 1;
+  if (record.lane.affinity && !parts.empty()) {
+    // All parts but the last are shared among requests.
+    record.demand.affinity = hash_of(parts[parts.size() > 1 ? parts.size() - 2 : 0].id) | 1;
+    record.demand.near = true;
+  } else if (begin > 0) {
+    record.demand.affinity = hash_of(View(*record.request.body).substr(0, begin)) | 1;
+  }
   return true;
 }
 
+// A lane's requests go to its kinds by their weights, evenly in any row of them; the others stand in where none of the
+// kind's runners is able to take anything.
+void Entries::share(Record& record) {
+  record.kinds.clear();
+  double whole = 0;
+  const auto kinds = record.lane.kinds();
+  auto& credits = credits_[record.lane_name];
+  std::vector<std::pair<double, std::string>> order;
+  for (const auto& each : kinds) {
+    if (!(each.weight > 0)) continue;
+    whole += each.weight;
+    const double credit = kinds.size() == 1 ? 0 : credits[each.kind.text] += each.weight;
+    order.emplace_back(-credit, each.kind.text);
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [credit, kind] : order) record.kinds.push_back(kind);
+  if (kinds.size() > 1 && !record.kinds.empty()) credits[record.kinds.front()] -= whole;
+}
+
 void Entries::passes() {
   if (in_passes_) { passes_wanted_ = true; return; }
   in_passes_ = true;
   do {
     passes_wanted_ = false;
-    match_pass();
+    if (!waiting_.empty()) match_pass();
     finish_pass();
   } while (passes_wanted_);
   in_passes_ = false;
+  arm_tick();
+  if (sights_.report_soon && !report_armed_) {
+    report_armed_ = true;
+    post_.schedule().after(soon_span, [this] {
+      report_armed_ = false;
+      if (sights_.report_soon) report();
+    });
+  }
 }
 
 void Entries::match_pass() {
@@ -134,181 +246,141 @@
   const bool awake = now - Moment{board_.news_tick.load()} < milliseconds(600);
   const bool may_send = board_.permitted(now) || (awake && sought >= 0 && now - Moment{sought} > static_after);
   std::set<std::string> full;
-  for (auto& [id, record] : table_) {
-    if (record.state != State::waiting) continue;
-    if (record.lane_name.empty()) {
-      if (board_.permit_until.load() < 0) {
+  for (const auto& place : std::vector<Place>(waiting_.begin(), waiting_.end())) {
+    auto found = table_.find(std::get<Id>(place));
+    if (found == table_.end() || found->second.state != State::waiting) continue;
+    Record& record = found->second;
+    if (record.policy != policy || record.lane_name.empty()) {
+      // What waited goes the way of the newest policy.
+      auto lane = policy->lanes.find(record.lane_name);
+      if (!record.lane_name.empty() && lane != policy->lanes.end() && lane->second.stamp == record.policy->lanes.at(record.lane_name).stamp && policy->configuration.stamp == record.policy->configuration.stamp) record.policy = policy;
+      else if (!admit(record)) continue;
+      if (record.lane_name.empty()) {
         if (now - record.arrived >= starting_span) refuse(record, "starting", "this daemon has not taken the policy in yet");
         continue;
       }
-      if (!admit(record)) continue;
     }
-    std::string why = may_send ? "busy" : "permit";
-    if (may_send && !full.contains(record.lane_name)) {
-      if (auto runner = match(record, *policy, &why)) {
+    std::string why = "permit";
+    bool sent = false;
+    for (const auto& kind : record.kinds) {
+      if (!may_send) break;
+      why = "busy";
+      if (full.contains(kind)) break;
+      if (auto runner = sights_.choose(*policy, kind, record.demand, record.tried, &why)) {
+        record.kind = kind;
         send(record, *runner, *policy);
-        continue;
+        sent = true;
+        break;
       }
-      if (record.tried.empty()) full.insert(record.lane_name);
+      if (why == "busy" && record.tried.empty()) full.insert(kind);
+      if (why == "busy") break;
     }
-    if (now - record.waiting_since >= record.lane.waiting) refuse(record, why, "no runner was free within the lane's waiting budget");
+    if (sent) continue;
+    if (now - record.waiting_since >= record.lane.waiting || (why == "busy" && hopeless(record, now))) refuse(record, why, "no runner was free within the lane's waiting budget");
   }
 }
 
+// Where so many wait that the aim will be missed, a caller does better to come back later, told so early.
+bool Entries::hopeless(const Record& record, Moment now) const {
+  const Span waited = now - record.waiting_since;
+  if (record.lane.aim == Span{} || record.head_given || waited * 5 < record.lane.aim) return false;
+  auto count = [&](const auto& counts) { auto found = counts.find(record.lane_name); return found == counts.end() ? 0u : found->second; };
+  const std::uint32_t pace = std::max(count(answered_now_), count(answered_last_));
+  return pace > 0 && waited + std::chrono::seconds(1) * static_cast<std::int64_t>(waiting_in(record.lane_name)) / pace > record.lane.aim;
+}
+
 void Entries::finish_pass() {
-  std::erase_if(table_, [](const auto& entry) { return entry.second.state == State::finished; });
-}
-
-bool Entries::takes(const PolicyView& policy, const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle, Moment now) {
-  const bool warm = circle == nullptr || circle->bears(name, runner.generation);
-  if (runner.leaving || policy.evacuated(runner.hall)) return false;
-  Sight& sight = sights_[name];
-  if (now < sight.not_before || (sight.failures > 0 && sight.open > 0)) return false;
-  const double limit = runner.slots * kind.overcommit;
-  if (warm && sight.came_back && now - *sight.ramp_since >= kind.circle.ramp) sight.came_back = false;
-  if (warm && !sight.came_back) {
-    sight.ramp_since.reset();
-    return sight.taken() < limit;
-  }
-  if (circle != nullptr)
-    if (auto ramp = circle->ramps.find(name); ramp != circle->ramps.end() && ramp->second != sight.ramp) {
-      sight.ramp = ramp->second;
-      sight.ramp_since.reset();
-    }
-  // A warming or returning runner: its limit grows from a quarter over the ramp, and each daemon keeps within a share of it that
-  // does not depend on news of the others, so the sum over all daemons stays below the limit.
-  if (!sight.ramp_since) sight.ramp_since = now;
-  const double progress = std::min(1.0, static_cast<double>((now - *sight.ramp_since).count()) / static_cast<double>(std::max<std::int64_t>(1, kind.circle.ramp.count())));
-  const std::size_t allowed = static_cast<std::size_t>(std::max(1.0, std::floor(runner.slots * (0.25 + 0.75 * progress)) - sight.items));
-  const auto members = board_.members.get();
-  const std::size_t daemons = std::max<std::size_t>(1, members->all.size());
-  const auto order = duty_order(*members, "warm/" + name, runner.hall);
-  std::size_t rank = 0;
-  while (rank < order.size() && order[rank]->address != post_.self()) ++rank;
-  return sight.open < allowed / daemons + (rank < allowed % daemons ? 1 : 0);
-}
-
-std::optional<std::string> Entries::match(const Record& record, const PolicyView& policy, std::string* why) {
-  auto kind = policy.kinds.find(record.lane.kind.text);
-  auto circle = policy.circles.find(record.lane.kind.text);
-  *why = "circle";
-  if (kind == policy.kinds.end() || (circle == policy.circles.end() && !even_over_all)) return std::nullopt;
-  const Moment now = post_.schedule().now();
-  struct Choice {
-    const std::string* name;
-    const Runner* runner;
-    double usage;
-    bool here;
-  };
-  std::vector<Choice> choices;
-  auto consider = [&](const std::string& name, const Circle* circle) {
-    auto runner = policy.runners.find(name);
-    if (runner == policy.runners.end() || record.tried.contains(name)) return;
-    if (!takes(policy, name, runner->second.spec, kind->second.spec, circle, now)) return;
-    const Sight& sight = sights_[name];
-    choices.push_back(Choice{&runner->first, &runner->second.spec, static_cast<double>(sight.taken()) / runner->second.spec.slots, runner->second.spec.hall == self_.hall});
-  };
-  if (even_over_all) {
-    for (const auto& [name, runner] : policy.runners)
-      if (runner.spec.kind == record.lane.kind) consider(name, nullptr);
-    *why = "busy";
-    if (choices.empty()) return std::nullopt;
-    return *choices[turn_++ % choices.size()].name;
-  }
-  const Circle& members = circle->second.spec;
-  for (const auto& member : members.members) consider(member.text, &members);
-  *why = "busy";
-  if (choices.empty()) return std::nullopt;
-  double mean = 0;
-  for (const auto& each : choices) mean += each.usage / static_cast<double>(choices.size());
-  if (record.affinity != 0) {
-    std::sort(choices.begin(), choices.end(), [&](const Choice& left, const Choice& right) {
-      return hash_of(*left.name, record.affinity) < hash_of(*right.name, record.affinity);
-    });
-    for (const auto& each : choices)
-      if (each.usage <= mean * bounded_load + 1.0 / each.runner->slots && each.usage < 1.0) return *each.name;
-  }
-  double least = choices.front().usage;
-  for (const auto& each : choices) least = std::min(least, each.usage);
-  std::vector<const Choice*> near, own;
-  for (const auto& each : choices) {
-    if (each.usage > least + 1e-9 && !each.here) continue;
-    if (each.usage > least + 1.0 / each.runner->slots + 1e-9) continue;
-    near.push_back(&each);
-    if (each.here) own.push_back(&each);
-  }
-  const auto& from = own.empty() ? near : own;
-  std::vector<const Choice*> best;
-  double best_usage = from.front()->usage;
-  for (const auto* each : from) best_usage = std::min(best_usage, each->usage);
-  for (const auto* each : from)
-    if (each->usage <= best_usage + 1e-9) best.push_back(each);
-  return *best[chance_.below(best.size())]->name;
+  for (const Id id : std::exchange(finished_, {})) table_.erase(id);
 }
 
+// ---- attempts
+
+bool Entries::attempts_left(const Record& record) const { return record.lane.attempts > 0 ? record.attempts < record.lane.attempts : record.attempts <= record.lane.retries; }
+
 void Entries::send(Record& record, const std::string& name, const PolicyView& policy) {
   const Runner& runner = policy.runners.at(name).spec;
-  record.state = State::sent;
+  const Kind& kind = policy.kinds.at(record.kind).spec;
+  set_state(record, State::sent);
   record.runner = name;
   record.attempt = ++last_attempt_;
+  record.read = false;
   ++record.attempts;
   ++counts_.attempts;
   ++(runner.hall == self_.hall ? counts_.own_hall : counts_.other_hall);
-  Sight& sight = sights_[name];
-  ++sight.open;
-  sight.last_sent = post_.schedule().now();
+  sights_.sent(name, kind, record.demand);
   AttemptRequest request;
   request.to = runner.address;
   request.method = record.request.method;
   request.target = record.request.target;
-  for (const auto& header : record.request.headers)
-    if (!hop_by_hop(header.name)) request.headers.push_back(header);
+  request.headers = end_to_end(record.request.headers, false);
   request.body = record.request.body;
   request.connecting = record.lane.connecting;
   request.first_piece = record.lane.first_piece;
   request.between_pieces = record.lane.between_pieces;
+  request.runner = name;
+  request.repeatable = record.repeatable;
+  if (kind.connections > 0) request.connections = static_cast<std::uint32_t>(std::max<std::size_t>(1, kind.connections / sights_.daemons()));
+  dialect_.write_attempt(request, record.facts, AttemptFacts{name, std::max(Span{}, record.deadline - post_.schedule().now()), record.last_event});
   record.exchange = exchange_.start(request, std::make_shared<Watcher>(*this, record.id, record.attempt));
 }
 
-void Entries::release(Record& record, bool sound) {
-  Sight& sight = sights_[record.runner];
-  if (sight.open > 0) --sight.open;
-  if (sound) {
-    // It failed and answers again: it may have been started anew, with nothing cached.
-    if (sight.failures > 0) {
-      sight.came_back = true;
-      sight.ramp_since = sight.failed = post_.schedule().now();
-      report_soon_ = true;
-    }
-    sight.failures = 0;
-  } else {
-    sight.failures = std::min(sight.failures + 1, 6u);
-    sight.failed = post_.schedule().now();
-    report_soon_ = true;
-    sight.not_before = post_.schedule().now() + milliseconds(150 << sight.failures);
-  }
+// The runner's work is of no use any more, and says nothing of the runner unless it kept silent for long.
+void Entries::leave(Record& record) {
+  exchange_.cancel(record.exchange);
+  const Moment now = post_.schedule().now();
+  const bool silent = record.state == State::sent && now - record.arrived > silence && now - sights_.heard(record.runner) > silence;
+  sights_.ended(record.runner, record.demand, silent ? std::optional(false) : std::nullopt, record.read);
 }
 
+void Entries::release(Record& record, bool sound) { sights_.ended(record.runner, record.demand, sound, record.read); }
+
 void Entries::attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers) {
   auto found = table_.find(id);
   if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::sent) return;
   Record& record = found->second;
+  const AnswerFacts facts = dialect_.read_answer(status, headers, record.facts);
+  if (facts.load) sights_.told(record.runner, *facts.load);
+  if (facts.foreign) {
+    exchange_.cancel(record.exchange);
+    release(record, true);
+    again_or(record, true, 502, "foreign", "the runner's answer belonged to another request");
+    return passes();
+  }
   const auto policy = board_.policy.get();
-  auto kind = policy->kinds.find(record.lane.kind.text);
-  if (kind != policy->kinds.end()) {
-    const auto& refusals = kind->second.spec.refusals;
-    if (std::find(refusals.begin(), refusals.end(), static_cast<std::uint32_t>(status)) != refusals.end()) {
-      exchange_.cancel(record.exchange);
-      release(record, true);
-      sights_[record.runner].not_before = post_.schedule().now() + milliseconds(100);
-      again_or(record, false, 503, "runner", "the runners refused the request");
+  auto kind = policy->kinds.find(record.kind);
+  const bool refusal = kind != policy->kinds.end() && std::find(kind->second.spec.refusals.begin(), kind->second.spec.refusals.end(), static_cast<std::uint32_t>(status)) != kind->second.spec.refusals.end();
+  if (refusal || facts.other_instance || (facts.not_run && (status >= 500 || status == 429 || status == 421))) {
+    // The answer's rest goes by unseen, so that the connection can be kept.
+    release(record, true);
+    sights_.rest(record.runner, facts.other_instance ? stale_listing : refusal ? milliseconds(100) : milliseconds(30));
+    again_or(record, false, 503, "runner", "the runners refused the request");
+    return passes();
+  }
+  const bool good = status >= 200 && status < 300;
+  if (!good && record.repeatable && (status >= 500 || record.head_given) && attempts_left(record) && retry_tokens_ >= 1) {
+    release(record, true);
+    record.may_have_run = true;
+    retry_tokens_ -= 1;
+    again(record);
+    return passes();
+  }
+  if (record.head_given) {
+    if (!good || facts.version != record.version) {
+      leave(record);
+      ended_broken(record, good ? "version" : "resumed");
       return passes();
     }
+    record.events->begin(record.last_event);
+    set_state(record, State::relaying);
+    return;
   }
-  std::vector<Header> given{{"X-Mothwalk-Outcome", "answer"}};
-  for (const auto& header : headers)
-    if (!hop_by_hop(header.name)) given.push_back(header);
-  record.state = State::relaying;
+  const std::string* type = header_of(headers, "Content-Type");
+  if (good && record.lane.streaming && record.lane.resumable && (type == nullptr || type->starts_with("text/event-stream"))) record.events.emplace().begin(record.last_event);
+  record.version = facts.version;
+  std::vector<Header> given = end_to_end(headers, !record.events);
+  given.insert(given.begin(), Header{"X-Mothwalk-Outcome", "answer"});
+  set_state(record, State::relaying);
+  record.head_given = true;
   record.first_piece = post_.schedule().now() - record.arrived;
   record.caller->head(status, given);
 }
@@ -317,11 +389,33 @@
   auto found = table_.find(id);
   if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::relaying) return;
   Record& record = found->second;
-  record.caller->piece(piece);
+  if (!record.read) {
+    record.read = true;
+    sights_.read(record.runner, record.demand);
+  }
+  if (record.events) {
+    Bytes whole;
+    const bool in_order = record.events->take(piece, whole);
+    if (!whole.empty()) record.caller->piece(whole);
+    record.last_event = record.events->last();
+    if (!in_order) {
+      break_off(record, "order");
+      return passes();
+    }
+  } else {
+    record.caller->piece(piece);
+  }
   record.backlog = record.caller->backlog();
   if (record.backlog <= high_backlog || record.held_since) return;
   record.held_since = post_.schedule().now();
+  held_.insert(id);
   exchange_.hold(record.exchange, true);
+  arm_tick();
+}
+
+void Entries::attempt_pause(Id id, std::uint64_t attempt) {
+  auto found = table_.find(id);
+  if (found != table_.end() && found->second.attempt == attempt && found->second.state == State::relaying) found->second.caller->flush();
 }
 
 // Back-pressure: a runner that is held goes on once its caller has taken most of what waits; false where the caller took
@@ -332,19 +426,24 @@
   record.backlog = backlog;
   if (backlog <= low_backlog) {
     record.held_since.reset();
+    held_.erase(record.id);
     exchange_.hold(record.exchange, false);
     return true;
   }
   return now - *record.held_since < record.lane.taking;
 }
 
-void Entries::break_off(Record& record) {
-  exchange_.cancel(record.exchange);
-  release(record, true);
+void Entries::break_off(Record& record, const std::string& reason) {
+  leave(record);
+  ended_broken(record, reason);
+}
+
+void Entries::ended_broken(Record& record, const std::string& reason) {
   count_for_aims(record, false);
   ++counts_.broken;
+  ++counts_.breaks[reason];
   record.caller->break_off();
-  record.state = State::finished;
+  set_state(record, State::finished);
 }
 
 void Entries::count_for_aims(const Record& record, bool answered) {
@@ -363,18 +462,26 @@
   Record& record = found->second;
   if (record.state == State::relaying) {
     release(record, end == AttemptEnd::whole);
-    count_for_aims(record, end == AttemptEnd::whole);
     if (end == AttemptEnd::whole) {
+      count_for_aims(record, true);
       ++counts_.answered;
       ++answered_now_[record.lane_name];
+      if (record.events && !record.events->rest().empty()) record.caller->piece(record.events->rest());
       record.caller->end();
+      set_state(record, State::finished);
+    } else if (record.events && attempts_left(record) && retry_tokens_ >= 1) {
+      // The next run goes on after the last whole event that the caller got.
+      retry_tokens_ -= 1;
+      ++counts_.resumed;
+      record.caller->flush();
+      again(record);
     } else {
-      ++counts_.broken;
-      record.caller->break_off();
+      ended_broken(record, end == AttemptEnd::late ? "late" : "runner");
     }
-    record.state = State::finished;
   } else if (record.state == State::sent) {
     release(record, false);
+    // Nothing of it left: this runner was not one that it was sent to.
+    if (end == AttemptEnd::not_sent && record.lane.attempts > 0) --record.attempts;
     if (end == AttemptEnd::not_sent) again_or(record, false, 503, "unreachable", "the runners could not be reached");
     else if (end == AttemptEnd::late) again_or(record, true, 504, "late", "the runner gave no answer within the lane's budget");
     else again_or(record, true, 502, "broken", "the runner broke off or answered nonsense before its answer began");
@@ -382,33 +489,42 @@
   passes();
 }
 
-// Another attempt is allowed if nothing ran, or if the lane may be repeated; both within the lane's retries.
+// Another attempt is allowed if nothing ran, or if the work may be repeated; both within the lane's attempts.
 void Entries::again_or(Record& record, bool ran, int status, const std::string& reason, const std::string& message) {
-  const bool allowed = record.attempts <= record.lane.retries && (!ran || (record.lane.repeatable && retry_tokens_ >= 1));
-  record.tried.insert(record.runner);
-  if (!allowed) {
-    if (ran) give_unknown(record, status, message);
-    else refuse(record, reason, message);
-    return;
+  record.may_have_run = record.may_have_run || ran;
+  if (attempts_left(record) && (!ran || (record.repeatable && retry_tokens_ >= 1))) {
+    if (ran) retry_tokens_ -= 1;
+    return again(record);
   }
-  if (ran) retry_tokens_ -= 1;
+  if (record.may_have_run) give_unknown(record, ran ? status : 502, reason, message);
+  else refuse(record, reason, message);
+}
+
+void Entries::again(Record& record) {
   ++counts_.retries;
-  record.state = State::waiting;
+  record.tried.insert(record.runner);
+  set_state(record, State::waiting);
   record.waiting_since = post_.schedule().now();
   passes_wanted_ = true;
   // When every runner of the circle was tried, all may be tried again.
   const auto policy = board_.policy.get();
-  auto circle = policy->circles.find(record.lane.kind.text);
+  auto circle = policy->circles.find(record.kind);
   if (circle != policy->circles.end() && record.tried.size() >= circle->second.spec.members.size()) record.tried.clear();
 }
 
+// ---- outcomes
+
 void Entries::refuse(Record& record, const std::string& reason, const std::string& message) {
+  if (record.may_have_run && !record.head_given) return give_unknown(record, 502, reason, message);
+  if (record.head_given) return ended_broken(record, reason);
   ++counts_.refusals[reason];
   answer(record, 503, "refused", Fault{FaultKind::refused, "request", message + "; it was not run and never will be", "send it again after the time in Retry-After"}, true);
 }
 
-void Entries::give_unknown(Record& record, int status, const std::string& message) {
-  answer(record, status, "unknown", Fault{FaultKind::unknown, "request", message + "; whether it ran is not known", record.lane.repeatable ? "send it again after the time in Retry-After" : "find out whether it took effect before you send it again"}, true);
+void Entries::give_unknown(Record& record, int status, const std::string& reason, const std::string& message) {
+  if (record.head_given) return ended_broken(record, reason);
+  ++counts_.unknowns[reason];
+  answer(record, status, "unknown", Fault{FaultKind::unknown, "request", message + "; whether it ran is not known", record.repeatable ? "send it again after the time in Retry-After" : "find out whether it took effect before you send it again"}, true);
 }
 
 void Entries::answer(Record& record, int status, const std::string& outcome, const Fault& fault, bool retry_after) {
@@ -416,24 +532,30 @@
   count_for_aims(record, false);
   json::value body = fault_to_json(fault);
   body.as_object()["outcome"] = outcome;
-  std::vector<Header> headers{{"X-Mothwalk-Outcome", outcome}, {"Content-Type", "application/json"}};
-  if (retry_after) headers.push_back({"Retry-After", std::to_string(come_back(record))});
+  const std::string text = json::serialize(body) + "\n";
+  std::vector<Header> headers{{"X-Mothwalk-Outcome", outcome}, {"Content-Type", "application/json"}, {"Content-Length", std::to_string(text.size())}};
+  if (retry_after) headers.push_back({"Retry-After", dialect_.retry_after(come_back(record))});
   record.caller->head(status, headers);
-  record.caller->piece(json::serialize(body) + "\n");
+  record.caller->piece(text);
   record.caller->end();
-  record.state = State::finished;
+  set_state(record, State::finished);
 }
 
 std::size_t Entries::waiting_in(const std::string& lane) const {
-  return static_cast<std::size_t>(std::count_if(table_.begin(), table_.end(), [&](const auto& each) { return each.second.state == State::waiting && each.second.lane_name == lane; }));
+  return static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(), [&](const Place& place) { return table_.at(std::get<Id>(place)).lane_name == lane; }));
 }
 
-std::uint64_t Entries::come_back(const Record& record) {
+Span Entries::come_back(const Record& record) {
   auto answered = answered_last_.find(record.lane_name);
   const std::uint64_t pace = std::max<std::uint64_t>(1, answered == answered_last_.end() ? 0 : answered->second);
-  const std::uint64_t wait = std::min<std::uint64_t>(30, 1 + waiting_in(record.lane_name) / pace);
+  const std::uint64_t waiting = waiting_in(record.lane_name);
   // Spread a little, so that those who were refused together do not come back together.
-  return wait + chance_.below(1 + wait);
+  if (record.lane.aim > Span{}) {
+    const std::uint64_t wait = std::clamp<std::uint64_t>(waiting * 1000 / pace, 50, 2000);
+    return milliseconds(wait + chance_.below(1 + wait));
+  }
+  const std::uint64_t wait = std::min<std::uint64_t>(30, 1 + waiting / pace);
+  return std::chrono::seconds(wait + chance_.below(1 + wait));
 }
 
 void Entries::gone(Id id) {
@@ -441,42 +563,37 @@
   if (found == table_.end() || found->second.state == State::finished) return;
   Record& record = found->second;
   ++counts_.callers_gone;
-  if (record.state != State::waiting) {
-    exchange_.cancel(record.exchange);
-    release(record, true);
-  }
-  record.state = State::finished;
+  if (record.state != State::waiting) leave(record);
+  set_state(record, State::finished);
   passes();
 }
 
+// ---- reports to the circle duty
+
+void Entries::report_each() {
+  answered_last_ = std::exchange(answered_now_, {});
+  report();
+  post_.schedule().after(report_span, [this] { report_each(); });
+}
+
 void Entries::report() {
-  reported_tick_ = ticks_;
-  report_soon_ = false;
+  sights_.report_soon = false;
   const auto policy = board_.policy.get();
   const auto members = board_.members.get();
-  const Moment now = post_.schedule().now();
+  std::map<std::string, std::uint32_t> queued;
+  for (const auto& place : waiting_)
+    if (const Record& record = table_.at(std::get<Id>(place)); !record.kinds.empty()) ++queued[record.kinds.front()];
   for (const auto& [kind, entry] : policy->kinds) {
     const Seat* seat = slot_owner(policy->roster, *members, slot_of("circle/" + kind));
     if (seat == nullptr) continue;
     UsageReport report;
     report.runner_kind = kind;
     report.incarnation = post_.incarnation();
-    for (const auto& [name, runner] : policy->runners) {
-      if (runner.spec.kind.text != kind) continue;
-      auto sight = sights_.find(name);
-      if (sight == sights_.end()) continue;
-      const bool tried = now - sight->second.last_sent < std::chrono::seconds(10) && sight->second.last_sent.microseconds > 0;
-      // It counts as failing while it is left alone after a failure, and a moment longer for another try.
-      const bool failing = sight->second.failures > 0 && now < sight->second.not_before + std::chrono::seconds(1);
-      std::optional<Span> failed;
-      if (failing) failed = Span{};
-      else if (sight->second.failed && now - *sight->second.failed < entry.spec.circle.ramp) failed = now - *sight->second.failed;
-      if (sight->second.open > 0 || tried || failed) report.runners[name] = RunnerUsage{sight->second.open, failing && sight->second.failures >= 2, tried, failed};
-    }
-    for (const auto& [id, record] : table_) report.queued += record.state == State::waiting && record.lane.kind.text == kind;
+    report.runners = sights_.usage(*policy, kind, entry.spec);
+    report.queued = queued[kind];
     post_.tell(seat->address, report);
   }
-  std::erase_if(sights_, [&](const auto& each) { return !policy->runners.contains(each.first) && each.second.open == 0; });
+  sights_.forget_gone(*policy);
 }
 
 }  // namespace mothwalk
--- a/source/routes/entries.hpp
+++ b/source/routes/entries.hpp
@@ -1,8 +1,8 @@
-// The way of a live request: a record in a table that passes are run over (admit, match, send, relay, finish). A caller
-// gets the runner's answer as it was given, or "refused" (not run, and never will be), or "unknown"; each at once.
+// The way of a live request: a record in a table that waits for a runner, is sent, and is relayed. A caller gets the
+// runner's answer as it was given, or "refused" (not run, and never will be), or "unknown"; each at once.
 #pragma once
-#include "circle/circle.hpp"
-#include "seams/dialect.hpp"
+#include "routes/events.hpp"
+#include "routes/sights.hpp"
 
 namespace mothwalk {
 
@@ -12,6 +12,7 @@
   virtual ~CallerSide() = default;
   virtual void head(int status, const std::vector<Header>& headers) = 0;
   virtual void piece(View piece) = 0;
+  virtual void flush() {}                     // what was given so far is to leave now
   virtual void end() = 0;
   virtual void break_off() = 0;               // the stream ends visibly broken
   virtual std::size_t backlog() const = 0;    // bytes that the caller has not taken yet
@@ -30,10 +31,10 @@
 };
 
 struct EntryCounts {
-  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0, retries = 0, own_hall = 0, other_hall = 0;
-  std::map<std::string, std::uint64_t> refusals;  // by reason
+  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0, retries = 0, resumed = 0, own_hall = 0, other_hall = 0;
+  std::map<std::string, std::uint64_t> refusals, unknowns, breaks;  // by reason
   std::map<std::string, AimCounts> aims;
-  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, own_hall, other_hall, refusals, aims)
+  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, resumed, own_hall, other_hall, refusals, unknowns, breaks, aims)
 };
 
 class Entries {
@@ -45,7 +46,10 @@
   void gone(Id id);                            // the caller left
   std::size_t open() const { return table_.size(); }
   const EntryCounts& counts() const { return counts_; }
-  bool even_over_all = false;                  // bench only: plain round-robin over all runners, circle ignored
+  CallerLimits limits() const { return board_.policy.get()->limits; }
+  bool draining() const { return board_.draining; }
+  void even_over_all(bool even) { sights_.even_over_all = even; }  // bench only
+  bool serves_while_draining = false;          // requests over connections that are open still are served, not refused
 
  private:
   enum class State { waiting, sent, relaying, finished };
@@ -53,53 +57,65 @@
     Id id = 0;
     State state = State::waiting;
     LiveRequest request;
+    RequestFacts facts;
     std::shared_ptr<CallerSide> caller;
+    std::shared_ptr<const PolicyView> policy;  // that its lane was found in
     std::string lane_name;
     Lane lane;
-    std::uint64_t affinity = 0;
-    Moment arrived, waiting_since;
-    std::string runner;
+    std::vector<std::string> kinds;            // the one whose share it is, then those that may stand in
+    Demand demand;
+    bool repeatable = false;
+    Moment arrived, waiting_since, deadline;
+    std::string kind, runner;
     Exchange::Id exchange = 0;
     std::uint64_t attempt = 0;
     std::uint32_t attempts = 0;
+    bool may_have_run = false, head_given = false, read = false;
     std::optional<Moment> held_since;          // the runner is not read: the caller takes its pieces too slowly
     std::size_t backlog = 0;
     std::optional<Span> first_piece;           // after its arrival
     std::set<std::string> tried;
-  };
-  struct Sight {                               // what this daemon sees of a runner
-    std::uint32_t open = 0, others = 0, items = 0, failures = 0;
-    std::uint32_t taken() const { return open + others + items; }
-    Moment not_before, last_sent;
-    std::optional<Moment> failed;
-    std::uint64_t ramp = 0;                    // the circle's count of its ramps
-    std::optional<Moment> ramp_since;          // since when it warms, as a new member or as one that came back
-    bool came_back = false;
+    std::optional<EventReader> events;         // of an answer that may go on at another runner
+    std::optional<std::uint64_t> last_event;
+    std::string version;
   };
   class Watcher;
+  using Place = std::tuple<std::uint32_t, Moment, Id>;  // rank, arrival
 
   void tick();
+  void arm_tick();
+  void arm_deadline();
+  void expire(Record& record);
   void passes();
   void match_pass();
   void finish_pass();
+  void wait(Record& record);
+  void set_state(Record& record, State state);
   bool follow_slow(Record& record, Moment now);
-  void break_off(Record& record);
+  void break_off(Record& record, const std::string& reason);
+  void ended_broken(Record& record, const std::string& reason);
   void count_for_aims(const Record& record, bool answered);
   bool admit(Record& record);
-  std::optional<std::string> match(const Record& record, const PolicyView& policy, std::string* why);
-  bool takes(const PolicyView& policy, const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle, Moment now);
+  void share(Record& record);
+  bool hopeless(const Record& record, Moment now) const;
   void send(Record& record, const std::string& runner, const PolicyView& policy);
+  bool attempts_left(const Record& record) const;
   void attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers);
   void attempt_piece(Id id, std::uint64_t attempt, View piece);
+  void attempt_pause(Id id, std::uint64_t attempt);
   void attempt_end(Id id, std::uint64_t attempt, AttemptEnd end);
+  void go_on(Record& record, const std::string& reason);
+  void leave(Record& record);
   void release(Record& record, bool sound);
   void again_or(Record& record, bool ran, int status, const std::string& reason, const std::string& message);
+  void again(Record& record);
   void refuse(Record& record, const std::string& reason, const std::string& message);
-  void give_unknown(Record& record, int status, const std::string& message);
+  void give_unknown(Record& record, int status, const std::string& reason, const std::string& message);
   void answer(Record& record, int status, const std::string& outcome, const Fault& fault, bool retry_after);
   void report();
-  // Seconds after which a refused caller may find room: what waits in its lane over what the lane answers in a second.
-  std::uint64_t come_back(const Record& record);
+  void report_each();
+  // After which a refused caller may find room: what waits in its lane over what the lane answers in a second.
+  Span come_back(const Record& record);
   std::size_t waiting_in(const std::string& lane) const;
 
   Post& post_;
@@ -108,16 +124,20 @@
   Chance& chance_;
   Member self_;
   const Dialect& dialect_;
-  std::map<Id, Record> table_;
-  std::map<std::string, Sight> sights_;
+  Sights sights_;
+  std::unordered_map<Id, Record> table_;
+  std::set<Place> waiting_;
+  std::set<Id> held_;
+  std::vector<Id> finished_;
+  std::set<std::pair<Moment, Id>> deadlines_;
+  std::optional<std::pair<Moment, Schedule::Id>> deadline_timer_;
+  std::map<std::string, std::map<std::string, double>> credits_;  // of the kinds of a lane that has several
   EntryCounts counts_;
   Id last_id_ = 0;
   double retry_tokens_ = 20;
-  std::uint64_t last_attempt_ = 0, ticks_ = 0;
-  std::size_t turn_ = 0;
-  std::uint64_t reported_tick_ = 0;
+  std::uint64_t last_attempt_ = 0;
   std::map<std::string, std::uint32_t> answered_now_, answered_last_;  // by lane, in this second and the last
-  bool report_soon_ = false, in_passes_ = false, passes_wanted_ = false;
+  bool in_passes_ = false, passes_wanted_ = false, tick_armed_ = false, report_armed_ = false;
 };
 
 }  // namespace mothwalk
--- a/source/seams/dialect.hpp
+++ b/source/seams/dialect.hpp
@@ -41,6 +41,7 @@
   bool foreign = false;                      // the answer belongs to another request
   bool closing = false;                      // the runner closes the connection after it
   std::optional<Span> idle;                  // how long the runner keeps an idle connection
+  std::string version;                       // of the weights that answer: a stream goes on under the same alone
   std::optional<RunnerLoad> load;
 };
 
--- a/source/seams/seams.hpp
+++ b/source/seams/seams.hpp
@@ -66,6 +66,9 @@
   std::vector<Header> headers;
   std::shared_ptr<const Bytes> body;
   Span connecting{}, first_piece{}, between_pieces{};
+  std::string runner;                // a kept connection is used again for the same runner alone
+  bool repeatable = false;           // may go over a kept connection that could be closing, and again if it was
+  std::uint32_t connections = 0;     // kept and in use, that this runner takes from this daemon; 0: no bound
 };
 
 enum class AttemptEnd { whole, not_sent, broken, late };  // not_sent: no byte can have reached the runner
@@ -75,6 +78,7 @@
   virtual ~AttemptWatcher() = default;
   virtual void on_head(int status, const std::vector<Header>& headers) = 0;
   virtual void on_piece(View piece) = 0;
+  virtual void on_pause() {}         // all that came for now was given
   virtual void on_end(AttemptEnd end) = 0;
 };
 
--- a/source/simulate/benches.cpp
+++ b/source/simulate/benches.cpp
@@ -35,7 +35,7 @@
     World world(seed);
     Town town(world, shape_named(shape_name, 1.0));
     if (!make_ready(town)) return;
-    for (auto& machine : town.machines) machine->entries()->even_over_all = plain;
+    for (auto& machine : town.machines) machine->entries()->even_over_all(plain);
     town.load(seconds(120));
     // Let the law settle before measuring.
     world.run_until(world.now() + seconds(40));
--- /dev/null
+++ b/tests/dialect_entries_test.cpp
@@ -0,0 +1,394 @@
+// Live requests where callers and runners say more: shares, prompt parts, budgets, promises, streams taken up again,
+// cold runners.
+#include "entries_stage.hpp"
+
+namespace {
+
+// A dialect as a platform might bring one.
+class Speaking : public PlainDialect {
+ public:
+  RequestFacts read_request(const std::vector<Header>& headers) const override {
+    RequestFacts facts = PlainDialect::read_request(headers);
+    if (const auto* id = header_of(headers, "Id")) facts.id = *id;
+    if (const auto* budget = header_of(headers, "Budget")) facts.budget = std::chrono::milliseconds(std::stoi(*budget));
+    if (const auto* last = header_of(headers, "Last")) facts.last_event = std::stoull(*last);
+    if (const auto* prefix = header_of(headers, "Prefix")) facts.parts = {{*prefix, 4000}, {"own", 1000}};
+    if (!facts.parts.empty()) facts.prompt_tokens = 5000, facts.output_tokens = 100;
+    return facts;
+  }
+  void write_attempt(AttemptRequest& request, const RequestFacts&, const AttemptFacts& attempt) const override {
+    request.headers.push_back({"Runner", attempt.runner});
+    request.headers.push_back({"Left", std::to_string(attempt.left.count() / 1000)});
+    if (attempt.last_event) request.headers.push_back({"After", std::to_string(*attempt.last_event)});
+  }
+  AnswerFacts read_answer(int status, const std::vector<Header>& headers, const RequestFacts& facts) const override {
+    AnswerFacts answer;
+    answer.not_run = header_of(headers, "Not-Run") != nullptr || status == 421;
+    answer.other_instance = status == 421;
+    const auto* id = header_of(headers, "Id");
+    answer.foreign = id != nullptr && *id != facts.id;
+    if (const auto* version = header_of(headers, "Version")) answer.version = *version;
+    if (const auto* load = header_of(headers, "Load")) answer.load = RunnerLoad{static_cast<std::uint32_t>(std::stoul(*load)), 0, 2};
+    return answer;
+  }
+};
+const Speaking speaking;
+
+struct SpeakingStage : Stage {
+  SpeakingStage() : Stage(speaking) {
+    put("lane/pay", R"({"path":"/pay","kind":"model","attempts":2,"waiting":500,"whole":5000})");
+    put("lane/stream", R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":2,"waiting":500,"whole":5000})");
+  }
+  std::shared_ptr<Seen> say(const std::string& target, std::vector<Header> headers, Entries::Id* id = nullptr) {
+    auto seen = std::make_shared<Seen>();
+    const auto given = entries.arrive(LiveRequest{"POST", target, std::move(headers), std::make_shared<const Bytes>("body")}, std::make_shared<SeeingCaller>(seen));
+    if (id != nullptr) *id = given;
+    return seen;
+  }
+  std::string told(std::size_t attempt, View name) const {
+    const auto* value = header_of(attempts.at(attempt).request.headers, name);
+    return value == nullptr ? "" : *value;
+  }
+  void whole(std::size_t attempt, int status = 200, std::vector<Header> headers = {}) {
+    attempts.at(attempt).watcher->on_head(status, headers);
+    attempts.at(attempt).watcher->on_end(AttemptEnd::whole);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("an attempt is meant for its runner and carries what is left of the caller's budget, within the lane's") {
+  SpeakingStage stage;
+  EXPECT_ATTEMPTS(stage, 2);
+  stage.say("/pay", {{"Budget", "1500"}});
+  CHECK((stage.told(0, "Left") == "1500" && stage.attempts[0].request.runner == stage.told(0, "Runner")));
+  stage.say("/pay", {{"Budget", "60000"}});
+  CHECK(stage.told(1, "Left") == "5000");
+}
+
+TEST_CASE("the caller's budget ends a request at that moment: not run where it waited, unknown where it was sent") {
+  SpeakingStage stage;
+  EXPECT_ATTEMPTS(stage, 1);
+  ALLOW_CALL(stage.exchange, cancel(_));
+  auto sent = stage.say("/pay", {{"Budget", "300"}});
+  stage.board.permit_until = 1;
+  auto waited = stage.say("/pay", {{"Budget", "300"}});
+  stage.wait(std::chrono::milliseconds(290));
+  CHECK((sent->status == 0 && waited->status == 0));
+  stage.wait(std::chrono::milliseconds(12));
+  CHECK((sent->status == 504 && waited->status == 503 && waited->outcome == "refused"));
+}
+
+TEST_CASE("a lane for a host goes before one for any, and headers that concern one connection stay behind") {
+  SpeakingStage stage;
+  stage.put("kind/other", R"({})");
+  stage.put("runner/four", R"({"kind":"other","address":"10.0.1.9:80","hall":"north","slots":2})");
+  stage.put("circle/other", R"({"members":["four"],"warm":["four"]})");
+  stage.put("lane/hosted", R"({"path":"/pay","host":"here.example","kind":"other"})");
+  EXPECT_ATTEMPTS(stage, 2);
+  stage.say("/pay", {{"Host", "Here.example:80"}, {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-Kept", "1"}});
+  stage.say("/pay", {{"Host", "there.example"}});
+  CHECK(stage.attempts[0].request.to.text == "10.0.1.9:80");
+  CHECK(stage.attempts[1].request.to.text != "10.0.1.9:80");
+  CHECK((stage.told(0, "X-Hop").empty() && stage.told(0, "X-Kept") == "1" && stage.told(0, "Host") == "Here.example:80"));
+}
+
+TEST_CASE("a lane's shares are met closely in any row of its requests; others stand in for a kind without able runners") {
+  SpeakingStage stage;
+  stage.put("kind/other", R"({})");
+  stage.put("runner/four", R"({"kind":"other","address":"10.0.1.9:80","hall":"north","slots":100})");
+  stage.put("circle/other", R"({"members":["four"],"warm":["four"]})");
+  stage.put("lane/split", R"({"path":"/split","kind":"model","shares":[{"kind":"model","weight":90},{"kind":"other","weight":10},{"kind":"never","weight":0}]})");
+  EXPECT_ATTEMPTS(stage, 50);
+  std::size_t other = 0;
+  for (std::size_t count = 0; count < 40; ++count) {
+    stage.say("/split", {});
+    other += stage.attempts[count].request.to.text == "10.0.1.9:80";
+    CHECK(other >= (count + 1) / 10);
+    CHECK(other <= (count + 10) / 10);
+    stage.whole(count);
+  }
+  CHECK(other == 4);
+  stage.put("hall/north", R"({"evacuated":false})");
+  for (const char* name : {"one", "two", "three"}) stage.put(std::string("runner/") + name, R"({"kind":"model","address":"10.0.1.1:80","hall":"north","leaving":true})");
+  for (std::size_t count = 40; count < 50; ++count) {
+    stage.say("/split", {});
+    CHECK(stage.attempts[count].request.to.text == "10.0.1.9:80");
+    stage.whole(count);
+  }
+}
+
+TEST_CASE("no path is unknown to a daemon that may not have heard of the newest lanes") {
+  SpeakingStage stage;
+  stage.board.permit_until = stage.world.now().microseconds - 1;
+  auto early = stage.say("/new", {});
+  auto never = stage.say("/never", {});
+  stage.wait(std::chrono::milliseconds(100));
+  CHECK((early->status == 0 && never->status == 0));
+  stage.put("lane/new", R"({"path":"/new","kind":"model"})");
+  EXPECT_ATTEMPTS(stage, 1);
+  stage.permit();
+  stage.wait(std::chrono::milliseconds(40));
+  CHECK(stage.attempts.size() == 1);
+  CHECK(never->status == 404);
+}
+
+TEST_CASE("a request that waits goes the way of the newest lanes") {
+  SpeakingStage stage;
+  stage.board.permit_until = 1;
+  stage.say("/pay", {});
+  stage.put("kind/other", R"({})");
+  stage.put("runner/four", R"({"kind":"other","address":"10.0.1.9:80","hall":"north","slots":2})");
+  stage.put("circle/other", R"({"members":["four"],"warm":["four"]})");
+  const Bytes lane = R"({"path":"/pay","kind":"other"})";
+  REQUIRE(put_in_view(stage.view, "lane/pay", &lane, Stamp{Epoch{1}, Version{2}}));
+  stage.board.policy.set(stage.view);
+  EXPECT_ATTEMPTS(stage, 1);
+  stage.permit();
+  stage.wait(std::chrono::milliseconds(40));
+  REQUIRE(stage.attempts.size() == 1);
+  CHECK(stage.attempts[0].request.to.text == "10.0.1.9:80");
+}
+
+TEST_CASE("work that a runner promises not to have run goes to another one, within the lane's attempts") {
+  for (const int status : {503, 429, 421}) {
+    SpeakingStage stage;
+    EXPECT_ATTEMPTS(stage, 2);
+    auto seen = stage.say("/pay", {});
+    stage.whole(0, status, {{"Not-Run", "1"}});
+    REQUIRE(stage.attempts.size() == 2);
+    CHECK(stage.told(0, "Runner") != stage.told(1, "Runner"));
+    CHECK(seen->status == 0);
+    stage.whole(1, status, {{"Not-Run", "1"}});
+    CHECK((seen->status == 503 && seen->outcome == "refused" && !seen->retry_after.empty()));
+  }
+}
+
+TEST_CASE("a runner's failure without that promise is its answer; repeatable work goes to another runner first") {
+  SpeakingStage stage;
+  EXPECT_ATTEMPTS(stage, 4);
+  auto pay = stage.say("/pay", {});
+  stage.whole(0, 503);
+  CHECK((pay->status == 503 && pay->outcome == "answer"));
+  stage.put("lane/tell", R"({"path":"/tell","kind":"model","repeatable":true,"attempts":2})");
+  auto tell = stage.say("/tell", {});
+  stage.whole(1, 500);
+  CHECK(tell->status == 0);
+  stage.whole(2, 500);
+  CHECK((tell->status == 500 && tell->outcome == "answer"));
+  auto wrong = stage.say("/tell", {});
+  stage.whole(3, 404);
+  CHECK((wrong->status == 404 && wrong->outcome == "answer"));
+}
+
+TEST_CASE("another instance at a runner's address is left alone until the list of runners may have told of it") {
+  SpeakingStage stage;
+  stage.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  EXPECT_ATTEMPTS(stage, 2);
+  auto first = stage.say("/pay", {});
+  stage.whole(0, 421);
+  stage.wait(std::chrono::milliseconds(400));
+  CHECK(stage.attempts.size() == 1);
+  stage.wait(std::chrono::milliseconds(200));
+  CHECK(first->status == 503);
+  stage.wait(std::chrono::milliseconds(1000));
+  stage.say("/pay", {});
+  CHECK(stage.attempts.size() == 2);
+}
+
+TEST_CASE("an answer that belongs to another request is given to nobody, and what became of this one is unknown") {
+  SpeakingStage stage;
+  EXPECT_ATTEMPTS(stage, 3);
+  REQUIRE_CALL(stage.exchange, cancel(_)).TIMES(2);
+  auto pay = stage.say("/pay", {{"Id", "a"}});
+  stage.attempts[0].watcher->on_head(200, {{"Id", "b"}});
+  CHECK((pay->status == 502 && pay->outcome == "unknown"));
+  auto stream = stage.say("/stream", {{"Id", "a"}});
+  stage.attempts[1].watcher->on_head(200, {{"Id", "b"}});
+  CHECK((stream->status == 0 && stage.attempts.size() == 3));
+}
+
+TEST_CASE("a stream that breaks goes on at another runner inside the same answer, with no event lost or doubled") {
+  SpeakingStage stage;
+  EXPECT_ATTEMPTS(stage, 2);
+  auto seen = stage.say("/stream", {});
+  stage.attempts[0].watcher->on_head(200, {{"Seal", "first"}, {"Version", "1"}});
+  stage.attempts[0].watcher->on_piece("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  CHECK(seen->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  stage.attempts[0].watcher->on_end(AttemptEnd::broken);
+  REQUIRE(stage.attempts.size() == 2);
+  CHECK((stage.told(1, "After") == "2" && stage.told(1, "Runner") != stage.told(0, "Runner")));
+  stage.attempts[1].watcher->on_head(200, {{"Seal", "second"}, {"Version", "1"}});
+  stage.attempts[1].watcher->on_piece("id: 3\ndata: c\n\n");
+  stage.attempts[1].watcher->on_end(AttemptEnd::whole);
+  CHECK((seen->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" && seen->ended && !seen->broken));
+  CHECK(stage.entries.counts().resumed == 1);
+}
+
+TEST_CASE("a stream that does not go on in order, under the same weights, or within the attempts, breaks off visibly") {
+  for (const std::string how : {"gap", "double", "version", "refused", "again"}) {
+    SpeakingStage stage;
+    EXPECT_ATTEMPTS(stage, 2);
+    ALLOW_CALL(stage.exchange, cancel(_));
+    auto seen = stage.say("/stream", {});
+    stage.attempts[0].watcher->on_head(200, {{"Version", "1"}});
+    stage.attempts[0].watcher->on_piece("id: 1\ndata: a\n\n");
+    stage.attempts[0].watcher->on_end(AttemptEnd::broken);
+    REQUIRE(stage.attempts.size() == 2);
+    if (how == "refused") {
+      stage.whole(1, 503, {{"Not-Run", "1"}});
+    } else {
+      stage.attempts[1].watcher->on_head(200, {{"Version", how == "version" ? "2" : "1"}});
+      if (how == "gap") stage.attempts[1].watcher->on_piece("id: 3\ndata: c\n\n");
+      if (how == "double") stage.attempts[1].watcher->on_piece("id: 1\ndata: a\n\n");
+      if (how == "again") stage.attempts[1].watcher->on_end(AttemptEnd::broken);
+    }
+    CHECK((seen->broken && !seen->ended && seen->text == "id: 1\ndata: a\n\n"));
+    CHECK(stage.entries.open() == 0);
+  }
+}
+
+TEST_CASE("a stream asked for from an event on must begin with the next one") {
+  SpeakingStage stage;
+  EXPECT_ATTEMPTS(stage, 1);
+  ALLOW_CALL(stage.exchange, cancel(_));
+  auto seen = stage.say("/stream", {{"Last", "7"}});
+  CHECK(stage.told(0, "After") == "7");
+  stage.attempts[0].watcher->on_head(200, {});
+  stage.attempts[0].watcher->on_piece("id: 7\ndata: g\n\n");
+  CHECK((seen->broken && seen->text.empty()));
+}
+
+TEST_CASE("requests with a prefix in common go to one runner while its load allows, and the prefixes spread") {
+  SpeakingStage stage;
+  stage.put("lane/pay", R"({"path":"/pay","kind":"model","affinity":true})");
+  EXPECT_ATTEMPTS(stage, 203);
+  std::map<std::string, int> spread;
+  for (std::size_t prefix = 0; prefix < 100; ++prefix) {
+    for (std::size_t count = 0; count < 2; ++count) {
+      stage.say("/pay", {{"Prefix", "p" + std::to_string(prefix)}});
+      stage.whole(2 * prefix + count);
+    }
+    CHECK(stage.told(2 * prefix, "Runner") == stage.told(2 * prefix + 1, "Runner"));
+    ++spread[stage.told(2 * prefix, "Runner")];
+  }
+  CHECK(spread.size() == 3);
+  for (const auto& [runner, count] : spread) CHECK((count > 15 && count < 55));
+  // Two that run there already leave no room for a third.
+  std::set<std::string> used;
+  for (std::size_t count = 0; count < 3; ++count) {
+    stage.say("/pay", {{"Prefix", "p0"}});
+    used.insert(stage.told(200 + count, "Runner"));
+  }
+  CHECK(used.size() >= 2);
+}
+
+TEST_CASE("an engine's memory is a limit as its slots are") {
+  SpeakingStage stage;
+  stage.put("kind/model", R"({"engine":{"memory_tokens":12000}})");
+  stage.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  stage.put("runner/one", R"({"kind":"model","address":"10.0.1.1:80","hall":"north","slots":32})");
+  EXPECT_ATTEMPTS(stage, 2);
+  for (int count = 0; count < 3; ++count) stage.say("/pay", {{"Prefix", "p"}});
+  CHECK(stage.attempts.size() == 2);
+}
+
+TEST_CASE("what a runner tells of its load counts as others' work on it") {
+  SpeakingStage stage;
+  stage.put("circle/model", R"({"members":["one","two"],"warm":["one","two"]})");
+  EXPECT_ATTEMPTS(stage, 3);
+  stage.say("/pay", {});
+  const std::string busy = stage.told(0, "Runner");
+  stage.whole(0, 200, {{"Load", "3"}});
+  for (std::size_t count = 1; count < 3; ++count) {
+    stage.say("/pay", {});
+    CHECK(stage.told(count, "Runner") != busy);
+  }
+}
+
+TEST_CASE("a cold runner gets nothing while a warm one is able, and little from all daemons together otherwise") {
+  // Six daemons of one fleet, which know no more of each other than that they are six.
+  std::vector<std::int64_t> offered;
+  for (int index = 1; index <= 6; ++index) {
+    SpeakingStage stage;
+    Members members;
+    for (int other = 1; other <= 6; ++other) {
+      Member member = Stage::self();
+      member.address = Address("10.0.0." + std::to_string(other) + ":1");
+      members.all[member.address] = member;
+    }
+    stage.board.members.set(members);
+    stage.put("kind/model", R"({"cold_rate":10,"circle":{"ramp":1}})");
+    stage.put("lane/pay", R"({"path":"/pay","kind":"model","waiting":60000})");
+    RunnerListing listing;
+    for (const char* name : {"cold", "warm"}) {
+      Runner runner;
+      runner.kind = KindId("model");
+      runner.address = Address(std::string("10.0.2.") + (name[0] == 'c' ? "1:80" : "2:80"));
+      runner.hall = ZoneId("north");
+      runner.slots = 400;
+      if (name[0] == 'c') runner.cold = std::chrono::seconds(3);
+      listing.runners[name] = runner;
+    }
+    const Bytes listed = to_cbor(listing);
+    REQUIRE(put_in_view(stage.view, listing_key, &listed, Stamp{Epoch{1}, Version{1}}));
+    stage.put("circle/model", R"({"members":["cold","warm"],"warm":["cold","warm"]})");
+    ALLOW_CALL(stage.exchange, start(_, _)).LR_SIDE_EFFECT(stage.attempts.push_back({_1, _2})).LR_RETURN(stage.attempts.size());
+    for (int count = 0; count < 20; ++count) stage.say("/pay", {});
+    CHECK(stage.attempts.size() == 20);
+    for (const auto& attempt : stage.attempts) CHECK(attempt.request.runner == "warm");
+    const std::size_t before = stage.attempts.size();
+    stage.put("circle/model", R"({"members":["cold"],"warm":["cold"]})");
+    const auto began = stage.world.now();
+    for (int count = 0; count < 100; ++count) stage.say("/pay", {});
+    std::size_t seen = before;
+    while (stage.world.now() - began < std::chrono::milliseconds(2900)) {
+      for (; seen < stage.attempts.size(); ++seen) offered.push_back((stage.world.now() - began).count());
+      stage.wait(std::chrono::milliseconds(10));
+    }
+    CHECK(stage.attempts.size() > before);
+    stage.wait(std::chrono::milliseconds(200));
+    CHECK(stage.attempts.size() == before + 100);
+  }
+  std::sort(offered.begin(), offered.end());
+  for (const auto from : offered) CHECK(std::count_if(offered.begin(), offered.end(), [&](std::int64_t at) { return at >= from && at < from + 1000000; }) <= 10 * 1.5 + 5);
+}
+
+TEST_CASE("nothing goes to a zone that is evacuated while a request waits, or to a leaving runner") {
+  SpeakingStage stage;
+  stage.put("runner/three", R"({"kind":"model","address":"10.0.1.3:80","hall":"south","slots":2})");
+  stage.board.permit_until = 1;
+  for (int count = 0; count < 3; ++count) stage.say("/pay", {});
+  stage.put("hall/north", R"({"evacuated":true})");
+  EXPECT_ATTEMPTS(stage, 3);
+  stage.permit();
+  stage.wait(std::chrono::milliseconds(40));
+  for (const auto& attempt : stage.attempts) CHECK(attempt.request.runner == "three");
+}
+
+TEST_CASE("a daemon that drains serves what comes over open connections where it is set to") {
+  SpeakingStage stage;
+  stage.entries.serves_while_draining = true;
+  stage.board.draining = true;
+  EXPECT_ATTEMPTS(stage, 1);
+  auto seen = stage.say("/pay", {});
+  stage.whole(0);
+  CHECK((seen->status == 200 && seen->ended));
+}
+
+TEST_CASE("a caller that will miss its aim is told so early, with when to come back; one that will not waits on") {
+  SpeakingStage stage;
+  stage.put("lane/pay", R"({"path":"/pay","kind":"model","aim":1000,"waiting":5000})");
+  ALLOW_CALL(stage.exchange, start(_, _)).LR_SIDE_EFFECT(stage.attempts.push_back({_1, _2})).LR_RETURN(stage.attempts.size());
+  // Nine run; the lane answers two a second, and five wait.
+  std::vector<std::shared_ptr<Seen>> seen;
+  for (int count = 0; count < 11; ++count) seen.push_back(stage.say("/pay", {}));
+  stage.whole(0);
+  stage.whole(1);
+  for (int count = 0; count < 5; ++count) seen.push_back(stage.say("/pay", {}));
+  stage.wait(std::chrono::milliseconds(150));
+  CHECK(stage.entries.counts().refusals.empty());
+  stage.wait(std::chrono::milliseconds(90));
+  CHECK(stage.entries.counts().refusals.at("busy") >= 3);
+  CHECK(stage.entries.counts().refusals.at("busy") < 5);
+}
--- /dev/null
+++ b/tests/entries_stage.hpp
@@ -0,0 +1,108 @@
+// A stage for live requests: the entries over a mocked exchange, under virtual time.
+#pragma once
+#include <catch2/catch.hpp>
+#include <trompeloeil.hpp>
+
+#include "routes/entries.hpp"
+#include "simulate/world.hpp"
+
+using namespace mothwalk;
+using trompeloeil::_;
+
+namespace {
+
+class MockExchange : public Exchange {
+ public:
+  MAKE_MOCK2(start, Id(const AttemptRequest&, std::shared_ptr<AttemptWatcher>), override);
+  MAKE_MOCK1(cancel, void(Id), override);
+  MAKE_MOCK2(hold, void(Id, bool), override);
+};
+
+class SilentWire : public Wire {
+ public:
+  void send(const Address&, Envelope) override {}
+};
+
+struct Seen {
+  int status = 0;
+  std::string outcome, retry_after, text;
+  bool ended = false, broken = false;
+};
+
+class SeeingCaller : public CallerSide {
+ public:
+  explicit SeeingCaller(std::shared_ptr<Seen> seen) : seen_(std::move(seen)) {}
+  void head(int status, const std::vector<Header>& headers) override {
+    CHECK(seen_->status == 0);
+    seen_->status = status;
+    for (const auto& header : headers) {
+      if (header.name == "X-Mothwalk-Outcome") seen_->outcome = header.value;
+      if (header.name == "Retry-After") seen_->retry_after = header.value;
+    }
+  }
+  void piece(View piece) override { seen_->text.append(piece); }
+  void end() override { seen_->ended = true; }
+  void break_off() override { seen_->broken = true; }
+  std::size_t backlog() const override { return backlog_; }
+  std::size_t backlog_ = 0;
+
+ private:
+  std::shared_ptr<Seen> seen_;
+};
+
+struct Stage {
+  simulate::World world{7};
+  simulate::LifePointer life = std::make_shared<simulate::Life>();
+  simulate::SimulatedSchedule schedule{world, life};
+  SilentWire wire;
+  Post post{wire, schedule, Address("10.0.0.1:1"), 1, "routes"};
+  Board board;
+  MockExchange exchange;
+  Entries entries;
+  struct Attempt {
+    AttemptRequest request;
+    std::shared_ptr<AttemptWatcher> watcher;
+  };
+  std::vector<Attempt> attempts;
+
+  static Member self() {
+    Member member;
+    member.address = Address("10.0.0.1:1");
+    member.hall = ZoneId("north");
+    return member;
+  }
+  PolicyView view;
+  void put(const std::string& key, const Bytes& value) {
+    REQUIRE(put_in_view(view, key, &value, Stamp{}));
+    board.policy.set(view);
+  }
+  explicit Stage(const Dialect& dialect = plain_dialect()) : entries(post, board, exchange, world.chance, self(), dialect) {
+    put("kind/model", R"({"refusals":[429]})");
+    put("lane/pay", R"({"path":"/pay","kind":"model","retries":2,"waiting":500})");
+    put("lane/tell", R"({"path":"/tell","kind":"model","repeatable":true,"retries":2,"waiting":500})");
+    for (const char* name : {"one", "two", "three", "outside"}) put(std::string("runner/") + name, std::string(R"({"kind":"model","address":"10.0.1.)") + std::to_string(view.runners.size() + 1) + R"(:80","hall":"north","slots":2})");
+    put("circle/model", R"({"members":["one","three","two"],"warm":["one","three","two"]})");
+    Members members;
+    members.all[self().address] = self();
+    board.members.set(members);
+    world.run_until(Moment{10000000});
+    permit();
+    board.news_tick = 0;
+    entries.start();
+  }
+  void permit() { board.permit_until = (world.now() + std::chrono::hours(1)).microseconds; }
+  void wait(Span span) { world.run_until(world.now() + span); }
+  std::shared_ptr<Seen> ask(const std::string& target, Entries::Id* id = nullptr, std::shared_ptr<SeeingCaller>* caller = nullptr) {
+    auto seen = std::make_shared<Seen>();
+    auto side = std::make_shared<SeeingCaller>(seen);
+    if (caller != nullptr) *caller = side;
+    const auto given = entries.arrive(LiveRequest{"POST", target, {{"Connection", "keep-alive"}, {"X-Request-Id", "r"}}, std::make_shared<const Bytes>("body")}, side);
+    if (id != nullptr) *id = given;
+    return seen;
+  }
+};
+
+#define EXPECT_ATTEMPTS(stage, count)                                                                                   \
+  REQUIRE_CALL((stage).exchange, start(_, _)).TIMES(count).LR_SIDE_EFFECT((stage).attempts.push_back({_1, _2})).LR_RETURN((stage).attempts.size())
+
+}  // namespace
--- /dev/null
+++ b/tests/events_test.cpp
@@ -0,0 +1,40 @@
+// Streams of events as they are taken up at another runner: whole events alone, none lost and none doubled.
+#include <catch2/catch.hpp>
+
+#include "routes/events.hpp"
+
+using namespace mothwalk;
+
+TEST_CASE("events are passed whole and unchanged, however their bytes come") {
+  const Bytes text = "id: 1\ndata: a\n\n: a comment\n\nid:2\r\ndata: b\r\ndata: c\r\n\r\nweights: 3\nid: 3\ndata: d\n\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    EventReader reader;
+    reader.begin(std::nullopt);
+    Bytes out;
+    for (std::size_t from = 0; from < text.size(); from += step) {
+      REQUIRE(reader.take(View(text).substr(from, step), out));
+      CHECK((out.empty() || out.ends_with("\n\n") || out.ends_with("\n\r\n")));
+    }
+    CHECK(out == text);
+    CHECK(reader.last() == std::optional<std::uint64_t>(3));
+  }
+}
+
+TEST_CASE("what a run broke off in the middle of an event is dropped, and the next run must go on at the next id") {
+  EventReader reader;
+  reader.begin(std::nullopt);
+  Bytes out;
+  REQUIRE(reader.take("id: 1\ndata: a\n\nid: 2\nda", out));
+  CHECK(out == "id: 1\ndata: a\n\n");
+  CHECK(reader.rest() == "id: 2\nda");
+  reader.begin(reader.last());
+  out.clear();
+  REQUIRE(reader.take("id: 2\ndata: b\n\n", out));
+  CHECK(out == "id: 2\ndata: b\n\n");
+  for (const char* wrong : {"id: 2\ndata: b\n\n", "id: 4\ndata: d\n\n"}) {
+    reader.begin(2);
+    out.clear();
+    CHECK_FALSE(reader.take(wrong, out));
+    CHECK(out.empty());
+  }
+}
