Lots: calls for any daemon, items as whole requests, bodies of unlisted items

Callers of other dialects hand in items that are requests of their own (path, headers, body, tokens). The head of a lot carries them with the times it was promised, and LotCalls is the one way to submit, read, end and fetch bodies.

--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -64,19 +64,19 @@
   for (const auto& each : value.as_object()) {
     std::optional<Fault> fault;
     if (each.key() == "lane") fault = JsonReader::read(each.value(), head.lane, "lane");
-    else if (each.key() == "horizon") fault = JsonReader::read(each.value(), head.horizon, "horizon");
+    else if (each.key() == "horizon") fault = JsonReader::read(each.value(), head.deadline, "horizon");
     else if (each.key() == "items") items = &each.value();
     else fault = Fault{FaultKind::invalid, std::string(each.key()), "this field is not known", "use only: lane, horizon, items"};
     if (fault) return *fault;
   }
   if (head.lane.empty()) return Fault{FaultKind::invalid, "lane", "the lot names no lane", "give the lane that its items go by"};
   if (items == nullptr || !items->is_array()) return Fault{FaultKind::invalid, "items", "the items are not a list", "give a list of JSON values"};
-  for (const auto& item : items->as_array()) head.items.push_back(item.is_string() ? std::string(item.as_string()) : json::serialize(item));
+  for (const auto& item : items->as_array()) head.items.push_back(LotItem{"", "", {}, item.is_string() ? std::string(item.as_string()) : json::serialize(item), 0});
   return head;
 }
 
 Control::Control(Post& post, Board& board, Chance& chance, Member self, std::function<json::value()> own_usage)
-    : post_(post), board_(board), chance_(chance), self_(std::move(self)), own_usage_(std::move(own_usage)), client_(post, board) {}
+    : post_(post), board_(board), chance_(chance), self_(std::move(self)), own_usage_(std::move(own_usage)), client_(post, board), lots_(post, board) {}
 
 std::optional<Control::Target> Control::split(View target) {
   Target split;
@@ -294,17 +294,15 @@
   const std::string& id = parts[1];
   if (id.empty() || id.size() > 100 || id.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != std::string::npos)
     return answer(faulty(Fault{FaultKind::invalid, "id", "the id has characters that are not allowed, or a length outside 1 to 100", "use letters, digits, - _ . :"}));
-  const std::string key = "lot/" + id;
-  const Moment until = post_.schedule().now() + write_horizon;
   if (parts.size() == 2 && request.method == "PUT") {
     if (board_.draining) return answer(faulty(Fault{FaultKind::refused, "lots", "this daemon is shutting down; the lot was not taken", "hand it in again at another daemon"}));
     auto head = read_lot(request.body);
     if (auto fault = fault_of(head)) return answer(faulty(*fault));
-    return client_.ask_owner<SubmitLot>(key, SubmitLot{id, std::move(std::get<LotHead>(head))}, until, false, give);
+    return lots_.submit(SubmitLot{id, std::move(std::get<LotHead>(head))}, write_horizon, give);
   }
-  if (parts.size() == 2 && request.method == "DELETE") return client_.ask_owner<CancelLot>(key, CancelLot{id}, until, false, give);
+  if (parts.size() == 2 && request.method == "DELETE") return lots_.end(id, write_horizon, give);
   if (parts.size() == 2 && request.method == "GET")
-    return client_.ask_owner<ReadLot>(key, ReadLot{id, 0, 0}, until, false, [answer](Result<LotPage> result) {
+    return lots_.read(ReadLot{id, 0, 0, {}}, write_horizon, [answer](Result<LotPage> result) {
       if (auto fault = fault_of(result)) return answer(faulty(*fault));
       answer(ControlReply{200, to_json(std::get<LotPage>(result).lot), false});
     });
@@ -316,7 +314,7 @@
         if (!number || *number > 1000000) return answer(faulty(Fault{FaultKind::invalid, name, "this is not a whole number in range", "give 0 to 1000000"}));
         *place = static_cast<std::uint32_t>(*number);
       }
-    return client_.ask_owner<ReadLot>(key, ReadLot{id, after, limit}, until, false, [answer](Result<LotPage> result) {
+    return lots_.read(ReadLot{id, after, limit, {}}, write_horizon, [answer](Result<LotPage> result) {
       if (auto fault = fault_of(result)) return answer(faulty(*fault));
       answer(ControlReply{200, page_json(std::get<LotPage>(result)), false});
     });
@@ -332,9 +330,10 @@
     bool whole = true;
   };
   auto gather = std::make_shared<Gather>();
-  gather->left = policy->roster.seats.size();
+  const auto& seats = policy->roster_of("lot/").seats;
+  gather->left = seats.size();
   if (gather->left == 0) return answer(faulty(Fault{FaultKind::refused, "lots", "this daemon knows of no holders yet", "try again in a second"}));
-  for (const auto& seat : policy->roster.seats)
+  for (const auto& seat : seats)
     post_.ask(seat.address, ListLots{}, milliseconds(1000), [gather, answer](Result<LotList> result) {
       if (auto* list = std::get_if<LotList>(&result))
         for (auto& lot : list->lots) gather->lots[lot.id] = lot;
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "coding/json.hpp"
 #include "kept/kept.hpp"
-#include "lots/messages.hpp"
+#include "lots/lot_calls.hpp"
 
 namespace mothwalk {
 
@@ -54,6 +54,7 @@
   Member self_;
   std::function<json::value()> own_usage_;
   KeptClient client_;
+  LotCalls lots_;
 };
 
 Result<LotHead> read_lot(View body);
--- a/source/lots/lots.cpp
+++ b/source/lots/lots.cpp
@@ -20,6 +20,7 @@
   post_.on_ask<SubmitLot>([this](const Address&, SubmitLot message, Answer<LotStatus> answer) { submit(std::move(message), std::move(answer)); });
   post_.on_ask<CancelLot>([this](const Address&, CancelLot message, Answer<LotStatus> answer) { cancel(message.id, std::move(answer)); });
   post_.on_ask<ReadLot>([this](const Address&, ReadLot message, Answer<LotPage> answer) { read(std::move(message), std::move(answer)); });
+  post_.on_ask<ReadItem>([this](const Address&, ReadItem message, Answer<ItemBody> answer) { body(std::move(message), std::move(answer)); });
   post_.on_ask<ListLots>([this](const Address&, ListLots, Answer<LotList> answer) {
     LotList list;
     for (const auto& slot : slots_)
@@ -240,7 +241,7 @@
     std::size_t position = read.after;
     for (; position < now_lot->results.size() && position - read.after < limit && bytes < (4u << 20); ++position) {
       const LotEntry& entry = now_lot->results[position];
-      page.results.push_back(LotResult{static_cast<std::uint32_t>(position), entry.item, entry.outcome, entry.status, entry.body});
+      page.results.push_back(LotResult{static_cast<std::uint32_t>(position), entry.item, entry.outcome, entry.status, entry.body, now_lot->head.items[entry.item].id});
       bytes += entry.body.size();
     }
     page.next = static_cast<std::uint32_t>(std::max<std::size_t>(position, read.after));
@@ -248,11 +249,20 @@
   });
 }
 
+void Lots::body(ReadItem read, Answer<ItemBody> answer) {
+  if_still_owner<ItemBody>(read.id, answer, [read, answer](Lot* lot) {
+    if (lot == nullptr) return answer(no_lot());
+    for (std::size_t index = 0; index < lot->items.size(); ++index)
+      if (lot->head.items[index].id == read.item && lot->items[index].state != ItemState::finished && !lot->cancelled) return answer(ItemBody{lot->head.items[index].body});
+    answer(Fault{FaultKind::unknown_name, "item", "the lot has no unlisted item of this id", "read the lot's results"});
+  });
+}
+
 void Lots::fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer) {
   if (!newest_placer(placer, incarnation, fetch))
     return answer(Fault{FaultKind::stale, "term", "runner '" + fetch.runner + "' has another placer", "wait for the news that names it"});
   struct Choice {
-    Moment horizon;
+    Moment deadline;
     Lot* lot;
   };
   const Moment now = post_.schedule().now();
@@ -264,11 +274,11 @@
       if (lot.pending == 0 || lot.cancelled || lot.cancelling) continue;
       auto lane = policy->lanes.find(lot.head.lane);
       if (lane == policy->lanes.end() || lane->second.spec.kind.text != fetch.runner_kind) continue;
-      if (lot.head.horizon > Span{} && now - lot.begun >= lot.head.horizon) continue;
+      if (lot.head.deadline > Span{} && now - lot.begun >= lot.head.deadline) continue;
       remaining += lot.pending;
-      choices.push_back(Choice{lot.head.horizon > Span{} ? lot.begun + lot.head.horizon : lot.begun + std::chrono::hours(24), &lot});
+      choices.push_back(Choice{lot.head.deadline > Span{} ? lot.begun + lot.head.deadline : lot.begun + std::chrono::hours(24), &lot});
     }
-  std::sort(choices.begin(), choices.end(), [](const Choice& left, const Choice& right) { return left.horizon < right.horizon; });
+  std::sort(choices.begin(), choices.end(), [](const Choice& left, const Choice& right) { return left.deadline < right.deadline; });
   auto reply = std::make_shared<ItemsReply>();
   auto left = std::make_shared<std::size_t>(1);
   auto finish = [reply, left, answer] {
@@ -305,7 +315,7 @@
         // Without a majority the start may yet stand, but the item never left: it is free again.
         if (!good || now_lot->cancelled) { item.state = ItemState::pending; ++now_lot->pending; continue; }
         item.state = ItemState::started;
-        reply->items.push_back(PlacedItem{now_lot->id, lane, entry.item, entry.attempt, now_lot->head.items[entry.item]});
+        reply->items.push_back(PlacedItem{now_lot->id, lane, entry.item, entry.attempt, now_lot->head.items[entry.item].body});
       }
       finish();
     });
@@ -407,7 +417,7 @@
     }
     return;
   }
-  const bool late = lot.head.horizon > Span{} && now - lot.begun >= lot.head.horizon;
+  const bool late = lot.head.deadline > Span{} && now - lot.begun >= lot.head.deadline;
   const auto members = board_.members.get();
   auto lane = policy->lanes.find(lot.head.lane);
   const bool repeatable = lane != policy->lanes.end() && lane->second.spec.repeatable;
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -54,6 +54,7 @@
   void submit(SubmitLot submit, Answer<LotStatus> answer);
   void cancel(const std::string& id, Answer<LotStatus> answer);
   void read(ReadLot read, Answer<LotPage> answer);
+  void body(ReadItem read, Answer<ItemBody> answer);
   void fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer);
   void finish(FinishItem finish, Answer<FinishReply> answer);
   void give_result(Lot& lot, std::uint32_t item, LotEntry entry, std::function<void(bool)> then);
--- a/source/lots/messages.hpp
+++ b/source/lots/messages.hpp
@@ -4,14 +4,28 @@
 
 namespace mothwalk {
 
+// An item is a request of its own. In a lot that is no batch it is a plain text: its id is its position, its path the lane's.
+struct LotItem {
+  std::string id, path;
+  std::vector<Header> headers;
+  Bytes body;
+  std::uint32_t tokens = 0;      // of the prompt and the most that may come out
+  MOTHWALK_FIELDS(id, path, headers, body, tokens)
+};
 struct LotHead {
   std::string lane;
-  Span horizon{};
-  std::vector<Bytes> items;
-  MOTHWALK_FIELDS(lane, horizon, items)
+  Span deadline{};               // of lots that are no batch: items without a result by then expire
+  std::vector<LotItem> items;
+  bool batch = false;            // items are whole requests that may run again, their answers series of events with rising ids
+  std::string host;              // of a batch, as its attempts carry it
+  Span completion{};             // of a batch, since its submission: by when all results are due
+  Span retention{};              // of a batch, since its submission: from when items may be given up
+  std::uint32_t attempts = 0;    // of a batch: answers of 500 that end an item
+  std::uint64_t revision = 0;    // of the configuration that the lane was found in
+  MOTHWALK_FIELDS(lane, deadline, items, batch, host, completion, retention, attempts, revision)
 };
 
-// What is appended to a lot's record. Elapsed is the steady time since submission as the owner knew it, so a horizon
+// What is appended to a lot's record. Elapsed is the steady time since submission as the owner knew it, so a deadline
 // needs no wall clock and survives a change of owner.
 struct LotEntry {
   std::string what;        // start, result, cancel
@@ -19,7 +33,7 @@
   Address placer;
   std::uint64_t incarnation = 0;
   Span elapsed{};
-  std::string outcome;     // answer, unknown, expired, cancelled
+  std::string outcome;     // answer, unknown, expired, cancelled; of a batch answer or abandoned
   std::int32_t status = 0;
   Bytes body;
   MOTHWALK_FIELDS(what, item, attempt, placer, incarnation, elapsed, outcome, status, body)
@@ -47,8 +61,9 @@
   std::uint32_t position = 0, item = 0;
   std::string outcome;
   std::int32_t status = 0;
-  Bytes body;
-  MOTHWALK_FIELDS(position, item, outcome, status, body)
+  Bytes body;                    // of a batch: the data of all events in order, joined by line feeds
+  std::string id = {};           // of a batch's item
+  MOTHWALK_FIELDS(position, item, outcome, status, body, id)
 };
 struct LotPage {
   LotStatus lot;
@@ -61,7 +76,19 @@
   using Reply = LotPage;
   std::string id;
   std::uint32_t after = 0, limit = 0;
-  MOTHWALK_FIELDS(id, after, limit)
+  Span wait{};                   // how long the answer may be held until there is a result at that position; at most a second
+  MOTHWALK_FIELDS(id, after, limit, wait)
+};
+struct ItemBody {
+  Bytes body;
+  MOTHWALK_FIELDS(body)
+};
+// The body of an item that is not listed yet.
+struct ReadItem {
+  static constexpr View kind = "lots.item";
+  using Reply = ItemBody;
+  std::string id, item;
+  MOTHWALK_FIELDS(id, item)
 };
 struct LotList {
   std::vector<LotStatus> lots;
