Lots: batches run as attempts of their own, texts go on after the last whole event, no starts on disk where items may repeat

Items of a batch are sent with their own path, headers and body through the dialect; the data of their events is the text, a broken stream is taken up after its last event by any placer, and 500, 422, retention and a removed lane end an item. Items that may run again leave no start on a disk: a new owner asks the placers what they hold, and hands out only under a recent word of a majority. Reads may wait, pages stay under 1 MB, reports go grouped.

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -2,6 +2,7 @@
 #include "circle/circle.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mothwalk {
 
@@ -14,6 +15,15 @@
 constexpr Span settle = milliseconds(2500);
 constexpr Span dark_span = std::chrono::seconds(5);
 constexpr Span appoint_after = milliseconds(1000);
+constexpr Span law_kept = std::chrono::seconds(15);  // a cycle that changes nothing is written no oftener
+}  // namespace
+
+namespace {
+std::set<std::string> names_of(const std::vector<RunnerId>& runners) {
+  std::set<std::string> names;
+  for (const auto& runner : runners) names.insert(runner.text);
+  return names;
+}
 }  // namespace
 
 double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners) {
@@ -44,12 +54,9 @@
     state.reports[{from, usage.items}] = Report{std::move(usage), now};
     if (fresh) pass();
   });
-  post_.on_tell<KindPending>([this](const Address&, KindPending pending) {
-    for (const auto& [kind, count] : pending.kinds)
-      if (auto found = states_.find(kind); found != states_.end()) {
-        found->second.pending = count;
-        found->second.pending_heard = post_.schedule().now();
-      }
+  post_.on_tell<KindPending>([this](const Address& from, KindPending pending) {
+    for (const auto& [kind, demand] : pending.kinds)
+      if (auto found = states_.find(kind); found != states_.end()) found->second.demands[from] = Demand{demand, post_.schedule().now()};
   });
 }
 
@@ -113,7 +120,8 @@
   }
   std::map<std::string, std::uint32_t> open;
   std::map<std::string, RunnerTotal> totals;
-  std::uint32_t queued = 0;
+  std::map<std::string, double> demand;      // live work by the zone that it came to
+  std::uint32_t queued = 0, live = 0;
   std::size_t fresh = 0;
   for (auto entry = state.reports.begin(); entry != state.reports.end();) {
     auto member = members->all.find(entry->first.first);
@@ -123,7 +131,11 @@
     fresh += !items && now - entry->second.heard <= aged;
     queued += entry->second.usage.queued;
     for (const auto& [name, usage] : entry->second.usage.runners) {
-      if (!items) open[name] += usage.open;
+      if (!items) {
+        open[name] += usage.open;
+        live += usage.open;
+        if (there) demand[member->second.hall.text] += usage.open;
+      }
       RunnerTotal& total = totals[name];
       (items ? total.items : total.open) += usage.open;
       auto placer = before.placers.find(name);
@@ -151,10 +163,23 @@
   if (state.samples.size() > 4096) state.samples.erase(state.samples.begin(), state.samples.begin() + 2048);
 
   const CircleSettings& circle = settings.circle;
-  const bool lots_wait = state.pending > 0 && now - state.pending_heard < aged;
+  std::erase_if(state.demands, [&](const auto& each) { return now - each.second.heard > aged; });
+  LotDemand lots;
+  for (const auto& [owner, each] : state.demands) {
+    lots.pending += each.lots.pending;
+    lots.at_once += each.lots.at_once;
+  }
+  const bool lots_wait = lots.pending > 0;
+  double slots = 0;
+  for (const auto& name : able) slots += policy->runners.at(name).spec.slots / static_cast<double>(able.size());
   const std::size_t lowest = std::min<std::size_t>(circle.floor, able.size());
   std::size_t highest = able.size();
-  if (lots_wait && highest > lowest) highest = std::max<std::size_t>(lowest, highest - std::min<std::size_t>(circle.reserve, highest));
+  if (lots_wait && highest > lowest) {
+    // The lots get what they need to be in time, but for what live work takes at medium load.
+    const auto wanted = std::max<std::size_t>(circle.reserve, slots == 0 ? 0 : static_cast<std::size_t>(std::ceil(lots.at_once / slots)));
+    const auto needed = lots.at_once > 0 && slots > 0 ? static_cast<std::size_t>(std::ceil((live + queued) / (circle.target * slots))) : 0;
+    highest = std::max({lowest, std::min(needed, highest), highest - std::min(wanted, highest)});
+  }
   Circle next = before;
   std::size_t size = before.members.size();
   std::string reason;
@@ -183,7 +208,7 @@
     if (size > highest && lots_wait) size = highest;
   }
   size = std::clamp(size, lowest, std::max(lowest, able.size()));
-  std::vector<std::string> chosen = match_members(*policy, able, current, size, before);
+  std::vector<std::string> chosen = match_members(*policy, able, current, size, before, demand);
   next.members.clear();
   for (const auto& name : chosen) next.members.push_back(RunnerId(name));
   next.warm.clear();
@@ -219,48 +244,97 @@
   if (reason.empty() && (next.warm != before.warm || next.generations != before.generations || next.ramps != before.ramps)) reason = "warmed";
   if (reason.empty() && next.placers != before.placers) reason = "placers";
   if (reason.empty() || state.writing) return;
+  const bool same = next.members == before.members && next.warm == before.warm && next.dark == before.dark && next.generations == before.generations && next.ramps == before.ramps && next.placers == before.placers;
+  if (same && reason == "cycle" && now - state.written < law_kept) return;
+  state.written = now;
   next.reason = reason;
   write(kind, state, std::move(next));
 }
 
-// Each runner outside has one placer: the one it had while that one lives, else the first in the agreed order, under a
-// higher term.
+// Each runner outside has one placer: the one it had while that one lives, else another, under a higher term. Where some
+// daemons keep nothing but lots, these place: in the runner's zone first, and evenly.
 void CircleDuty::appoint(const PolicyView& policy, const Members& members, const std::set<std::string>& able, const State& state, Circle& next) const {
   const bool settled = post_.schedule().now() - state.since > appoint_after;
+  std::map<Address, std::size_t> busy;
+  for (const auto& [address, member] : members.all)
+    if (member.keeps == "lots") busy[address] = 0;
+  const std::set<std::string> inside = names_of(next.members);
+  const bool warm_outside = std::any_of(able.begin(), able.end(), [&](const std::string& name) { return !inside.contains(name) && policy.runners.at(name).spec.cold <= Span{}; });
   std::map<std::string, Placer> placers;
+  std::vector<std::string> open;
   for (const auto& name : able) {
-    if (next.has(name)) continue;
+    if (inside.contains(name) || (warm_outside && policy.runners.at(name).spec.cold > Span{})) continue;
     auto had = next.placers.find(name);
     auto member = had == next.placers.end() ? members.all.end() : members.all.find(had->second.address);
-    const bool lives = member != members.all.end() && member->second.incarnation == had->second.incarnation;
+    const bool lives = member != members.all.end() && member->second.incarnation == had->second.incarnation && (busy.empty() || busy.contains(member->first));
     if (had != next.placers.end() && (lives || !settled)) {
       placers[name] = had->second;
-    } else if (const auto order = duty_order(members, "place/" + name, policy.runners.at(name).spec.hall); !order.empty()) {
-      placers[name] = Placer{order.front()->address, order.front()->incarnation, ++next.term};
+      if (auto found = busy.find(had->second.address); found != busy.end()) ++found->second;
+    } else {
+      open.push_back(name);
     }
   }
+  const std::size_t share = busy.empty() ? 0 : (placers.size() + open.size() + busy.size() - 1) / busy.size();
+  for (const auto& name : open) {
+    const ZoneId& zone = policy.runners.at(name).spec.hall;
+    const Member* first = nullptr;
+    const auto order = duty_order(members, "place/" + name, zone);
+    auto rank = [&](const Member* member) {
+      const std::size_t taken = busy.at(member->address);
+      return std::make_tuple(taken >= share, member->hall != zone, taken);
+    };
+    for (const Member* member : order) {
+      if (busy.empty()) {
+        first = member;
+        break;
+      }
+      if (busy.contains(member->address) && (first == nullptr || rank(member) < rank(first))) first = member;
+    }
+    if (first == nullptr) continue;
+    if (!busy.empty()) ++busy[first->address];
+    placers[name] = Placer{first->address, first->incarnation, ++next.term};
+  }
   next.placers = std::move(placers);
 }
 
-std::vector<std::string> CircleDuty::match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before) const {
-  std::map<std::string, std::size_t> in_hall;
-  auto hall = [&](const std::string& name) { return policy.runners.at(name).spec.hall.text; };
-  auto warm = [&](const std::string& name) { return std::find(before.warm.begin(), before.warm.end(), RunnerId(name)) != before.warm.end(); };
-  for (const auto& name : members) ++in_hall[hall(name)];
-  while (members.size() > size) {
-    auto leaver = std::max_element(members.begin(), members.end(), [&](const std::string& left, const std::string& right) {
-      return std::make_tuple(in_hall[hall(left)], !warm(left), hash_of(left)) < std::make_tuple(in_hall[hall(right)], !warm(right), hash_of(right));
-    });
-    --in_hall[hall(*leaver)];
-    members.erase(leaver);
+std::vector<std::string> CircleDuty::match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before, const std::map<std::string, double>& demand) const {
+  std::map<std::string, std::size_t> in_zone;
+  std::map<std::string, double> share;
+  double all = 0;
+  for (const auto& [zone, work] : demand) all += work;
+  auto zone = [&](const std::string& name) -> const std::string& { return policy.runners.at(name).spec.hall.text; };
+  for (const auto& name : able) share[zone(name)] = 0;
+  for (auto& [name, part] : share) {
+    auto work = demand.find(name);
+    // Evenly as far as nothing is known; work moves, so that the known part never is all.
+    part = all < 1 ? 1 : 0.3 / static_cast<double>(share.size()) + 0.7 * (work == demand.end() ? 0 : work->second / all);
   }
+  const std::set<std::string> warm_ones = names_of(before.warm);
+  auto warm = [&](const std::string& name) { return warm_ones.contains(name); };
+  auto cold = [&](const std::string& name) { return policy.runners.at(name).spec.cold > Span{}; };
+  for (const auto& name : members) ++in_zone[zone(name)];
+  auto leave = [&](auto better) {
+    auto leaver = std::max_element(members.begin(), members.end(), better);
+    --in_zone[zone(*leaver)];
+    members.erase(leaver);
+  };
+  // A cold runner has no place in the circle while there are warm ones outside it.
   std::set<std::string> outside = able;
   for (const auto& name : members) outside.erase(name);
+  std::size_t warm_outside = static_cast<std::size_t>(std::count_if(outside.begin(), outside.end(), [&](const std::string& name) { return !cold(name); }));
+  for (; warm_outside > 0 && std::any_of(members.begin(), members.end(), cold); --warm_outside)
+    leave([&](const std::string& left, const std::string& right) { return std::make_pair(cold(left), hash_of(left)) < std::make_pair(cold(right), hash_of(right)); });
+  while (members.size() > size)
+    leave([&](const std::string& left, const std::string& right) {
+      auto crowd = [&](const std::string& name) { return static_cast<double>(in_zone[zone(name)]) / share[zone(name)]; };
+      return std::make_tuple(cold(left), crowd(left), !warm(left), hash_of(left)) < std::make_tuple(cold(right), crowd(right), !warm(right), hash_of(right));
+    });
   while (members.size() < size && !outside.empty()) {
     auto entrant = std::min_element(outside.begin(), outside.end(), [&](const std::string& left, const std::string& right) {
-      return std::make_tuple(in_hall[hall(left)], hash_of(left)) < std::make_tuple(in_hall[hall(right)], hash_of(right));
+      auto crowd = [&](const std::string& name) { return static_cast<double>(in_zone[zone(name)] + (in_zone[zone(name)] > 0)) / share[zone(name)]; };
+      return std::make_tuple(cold(left), crowd(left), hash_of(left)) < std::make_tuple(cold(right), crowd(right), hash_of(right));
     });
-    ++in_hall[hall(*entrant)];
+    ++in_zone[zone(*entrant)];
     members.push_back(*entrant);
     outside.erase(entrant);
   }
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -43,6 +43,10 @@
     UsageReport usage;
     Moment heard;
   };
+  struct Demand {
+    LotDemand lots;
+    Moment heard;
+  };
   struct State {
     Epoch epoch;
     Law law;
@@ -51,8 +55,8 @@
     std::vector<double> samples;
     Moment since, last_cycle;
     std::map<std::string, Moment> entered, failed, ramped;
-    Moment pending_heard;
-    std::uint32_t pending = 0;
+    std::map<Address, Demand> demands;                   // of the lots of each owner
+    Moment written;
     std::map<std::string, Moment> dark_until;
     Moment totals_told;
   };
@@ -61,7 +65,8 @@
   void appoint(const PolicyView& policy, const Members& members, const std::set<std::string>& able, const State& state, Circle& next) const;
   void run(const std::string& kind, const Kind& settings, State& state);
   bool dark(const State& state, const std::string& runner, Moment now) const;
-  std::vector<std::string> match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before) const;
+  // Members spread over the zones as the live work does; every zone with work has one before any has two.
+  std::vector<std::string> match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before, const std::map<std::string, double>& demand) const;
   void write(const std::string& kind, State& state, Circle circle);
 
   Post& post_;
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -1,6 +1,7 @@
-// The owner's side of kept lots. A lot is a kept key: its head is what was handed in, its entries are the starts,
-// results and the cancellation. A start is on a majority of disks before the item leaves; results keep the positions
-// in which they were appended; whatever a new owner takes over it rebuilds from the record.
+// The owner's side of kept lots. A lot is a kept key: its head is what was handed in, its entries are the starts, results
+// and the end. A start of an item that may not run twice is on a majority of disks before the item leaves; for the others
+// a new owner asks the placers what they hold. Results keep the positions in which they were appended, and are shown once
+// they are on a majority of disks; whatever a new owner takes over it rebuilds from the record.
 #pragma once
 #include "kept/kept.hpp"
 #include "lots/messages.hpp"
@@ -16,63 +17,97 @@
   enum class ItemState { pending, starting, started, finishing, finished };
   struct Item {
     ItemState state = ItemState::pending;
-    std::uint32_t attempt = 0;
+    std::uint64_t attempt = 0;
+    std::uint32_t tries = 0, failures = 0;
     Address placer;
     std::uint64_t incarnation = 0;
     Moment since;
     std::optional<Moment> placer_missing;
+    StreamPart part;
+  };
+  struct Waiter {                      // a read held until there is a result at its position
+    std::uint64_t number = 0;
+    ReadLot read;
+    Answer<LotPage> answer;
   };
   struct Lot {
     std::string id;
     Epoch epoch;
     LotHead head;
-    Bytes head_bytes;
+    std::string content;               // names what was handed in: equal for a lot handed in again
     std::vector<Item> items;
     std::vector<LotEntry> results;     // on a majority of disks
+    std::set<std::uint32_t> pending, busy;  // items: free to run; with a placer or with a result being written
+    std::vector<Waiter> waiters;
     bool cancelled = false, cancelling = false, removing = false;
     Moment begun;                      // such that now - begun is the time since submission
-    Moment finished_at;
-    std::uint32_t pending = 0;
+    Moment due;                        // lots due earlier go first
+    Moment closed_at;
     bool finished() const { return results.size() == items.size(); }
+    bool closed() const { return finished() || (head.batch && cancelled && busy.empty()); }
   };
   using SlotLots = std::map<std::string, Lot>;
   struct Slot {
     Epoch epoch;
     bool loading = false, ready = false;
+    bool adopting = false;             // placers are asked what they hold; nothing is handed out meanwhile
+    std::optional<Moment> confirmed;   // when the last question began that a majority answered: this daemon owns the slot
+    bool confirming = false;
+    std::vector<std::function<void(bool)>> waiting;
     SlotLots lots;
   };
+  struct Finishing;
 
   void tick();
   void follow_ownership();
+  void leave(std::uint32_t slot);
   void load(std::uint32_t slot, Epoch epoch);
+  void adopt(std::uint32_t slot);
+  void adopted(std::uint32_t slot, const Address& placer, const SlotItems& held);
   Lot rebuild(const Record& record, Epoch epoch) const;
   Lot* find(const std::string& id, bool* ready);
   Lot* find_under(const std::string& id, Epoch epoch);
-  void append(const Lot& lot, std::vector<LotEntry> entries, std::function<void(Lot*, bool)> then);
-  // Goes on only after a majority has said that the slot still is owned under the epoch that the lots were read in.
-  template <class Reply> void if_still_owner(const std::string& id, Answer<Reply> answer, std::function<void(Lot*)> then);
+  void append(const Lot& lot, const std::vector<LotEntry>& entries, std::function<void(Lot*, bool)> then);
+  // Goes on once a majority has said that the slot still is owned under the epoch that the lots were read in: after this
+  // call began, or within the lease before it.
+  void confirm(std::uint32_t slot, std::function<void(bool)> then);
+  void lease(std::uint32_t slot, std::function<void(bool)> then);
+  bool leased(const Slot& slot) const;
+  void when_owner(const std::string& id, bool within_lease, std::function<void(bool, Lot*)> then);
   void submit(SubmitLot submit, Answer<LotStatus> answer);
   void cancel(const std::string& id, Answer<LotStatus> answer);
   void read(ReadLot read, Answer<LotPage> answer);
+  LotPage page(const Lot& lot, const ReadLot& read) const;
+  void answer_waiters(Lot& lot);
   void body(ReadItem read, Answer<ItemBody> answer);
-  void fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer);
-  void finish(FinishItem finish, Answer<FinishReply> answer);
-  void give_result(Lot& lot, std::uint32_t item, LotEntry entry, std::function<void(bool)> then);
+  void fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer, bool again);
+  void finish(FinishItems finish, Answer<FinishReply> answer);
+  // Whether the report is settled now; where not, either a result is being written or a majority has to be asked first.
+  enum class Settled { now, writing, later, unsure };
+  Settled take_report(FinishItem& finish, std::map<std::string, std::vector<LotEntry>>& results);
+  void give_results(Lot& lot, std::vector<LotEntry> entries, std::function<void(bool)> then);
+  void give_up(Lot& lot, const std::string& outcome);
   // Whether the fetch comes from the newest placer of the runner that this owner has heard of.
   bool newest_placer(const Address& placer, std::uint64_t incarnation, const FetchItems& fetch);
-  void requeue(Lot& lot, Item& item);
+  void requeue(Lot& lot, std::uint32_t index);
+  void queue(const Lot& lot);          // puts the lot among those that have items to run, or takes it out
+  bool leads(const PolicyView& policy, const Lot& lot, const std::string& kind) const;
+  bool repeatable(const Lot& lot) const;
   void sweep(Lot& lot, Moment now);
+  void remove(Lot& lot);
   void ask_placers(Moment now);
   void announce();
   LotStatus status(const Lot& lot) const;
-  std::map<std::string, std::uint32_t> pending_by_kind() const;
 
   Post& post_;
   Board& board_;
   std::vector<Slot> slots_{slot_count};
+  std::set<std::pair<Moment, std::string>> queue_;   // lots with items to run, by when they are due
   std::map<std::string, Placer> terms_;  // the highest known of each runner
-  std::uint64_t ticks_ = 0;
+  std::map<std::string, double> took_;   // by lane, about how many seconds an item runs
+  std::uint64_t ticks_ = 0, last_waiter_ = 0;
   bool announce_soon_ = false;
+  std::set<std::string> announced_;      // kinds
 };
 
 }  // namespace mothwalk
--- a/source/lots/messages.hpp
+++ b/source/lots/messages.hpp
@@ -29,7 +29,8 @@
 // needs no wall clock and survives a change of owner.
 struct LotEntry {
   std::string what;        // start, result, cancel
-  std::uint32_t item = 0, attempt = 0;
+  std::uint32_t item = 0;
+  std::uint64_t attempt = 0;
   Address placer;
   std::uint64_t incarnation = 0;
   Span elapsed{};
@@ -107,16 +108,34 @@
   std::map<std::string, std::uint32_t> kinds;
   MOTHWALK_FIELDS(kinds)
 };
+// What an owner's lots ask of a kind's runners: items that wait, and how many have to run at once to be in time.
+struct LotDemand {
+  std::uint32_t pending = 0;
+  double at_once = 0;
+  MOTHWALK_FIELDS(pending, at_once)
+};
 struct KindPending {
   static constexpr View kind = "circle.pending";
-  std::map<std::string, std::uint32_t> kinds;
+  std::map<std::string, LotDemand> kinds;
   MOTHWALK_FIELDS(kinds)
 };
+// What whole events have come of an item's answer, so that any runner can go on after the last of them.
+struct StreamPart {
+  Bytes text;
+  std::uint64_t last_event = 0;    // 0: none
+  std::string version;             // of the weights that answered
+  MOTHWALK_FIELDS(text, last_event, version)
+};
 struct PlacedItem {
   std::string lot, lane;
-  std::uint32_t item = 0, attempt = 0;
-  Bytes body;
-  MOTHWALK_FIELDS(lot, lane, item, attempt, body)
+  std::uint32_t item = 0;
+  std::uint64_t attempt = 0;
+  std::uint32_t failures = 0;      // answers of 500 so far
+  bool batch = false;
+  std::string host;
+  LotItem request;
+  StreamPart part;
+  MOTHWALK_FIELDS(lot, lane, item, attempt, failures, batch, host, request, part)
 };
 struct ItemsReply {
   std::vector<PlacedItem> items;
@@ -129,12 +148,14 @@
   std::string runner_kind, runner;
   std::uint32_t count = 0;
   std::uint64_t term = 0;          // the placer's, for this runner
-  MOTHWALK_FIELDS(runner_kind, runner, count, term)
+  std::uint64_t tokens = 0;        // that the items may have together; 0: no bound
+  MOTHWALK_FIELDS(runner_kind, runner, count, term, tokens)
 };
-// An owner asks a placer which of the items recorded as started with it are in its hands (running or being reported).
+// An owner asks a placer which of the items that it takes to be with it are in its hands (running or being reported).
 struct ItemName {
   std::string lot;
-  std::uint32_t item = 0, attempt = 0;
+  std::uint32_t item = 0;
+  std::uint64_t attempt = 0;
   auto operator<=>(const ItemName&) const = default;
   MOTHWALK_FIELDS(lot, item, attempt)
 };
@@ -149,17 +170,46 @@
   std::vector<ItemName> items;
   MOTHWALK_FIELDS(incarnation, items)
 };
-struct FinishReply { bool taken = true; MOTHWALK_FIELDS(taken) };
-// Outcome: answer (the runner's), lost (may have run), stopped (may have run, stopped by us), not_run (did not run).
+// A new owner asks all who may place which items of a slot's lots are in their hands, before it hands any out.
+struct SlotItems {
+  std::uint64_t incarnation = 0;
+  std::vector<ItemName> items;
+  MOTHWALK_FIELDS(incarnation, items)
+};
+struct AskSlot {
+  static constexpr View kind = "placing.slot";
+  using Reply = SlotItems;
+  std::uint32_t slot = 0;
+  MOTHWALK_FIELDS(slot)
+};
+// The lot was ended: its running items are of no use.
+struct StopLot {
+  static constexpr View kind = "placing.stop";
+  std::string lot;
+  MOTHWALK_FIELDS(lot)
+};
+// Outcome: answer (the runner's), lost (may have run), stopped (may have run, stopped by us), not_run (did not run); of a
+// batch also failed (500), impossible (422) and damaged (it did not go on after the part it was given).
 struct FinishItem {
-  static constexpr View kind = "lots.finish";
-  using Reply = FinishReply;
   std::string lot;
-  std::uint32_t item = 0, attempt = 0;
+  std::uint32_t item = 0;
+  std::uint64_t attempt = 0;
   std::string outcome;
   std::int32_t status = 0;
   Bytes body;
-  MOTHWALK_FIELDS(lot, item, attempt, outcome, status, body)
+  StreamPart part = {};            // of a batch, what came before the end
+  std::uint32_t failures = 0;
+  MOTHWALK_FIELDS(lot, item, attempt, outcome, status, body, part, failures)
+};
+struct FinishReply {
+  std::vector<std::uint32_t> heard;   // which of the reports are settled, by place in the list
+  MOTHWALK_FIELDS(heard)
+};
+struct FinishItems {
+  static constexpr View kind = "lots.finish";
+  using Reply = FinishReply;
+  std::vector<FinishItem> items;
+  MOTHWALK_FIELDS(items)
 };
 
 }  // namespace mothwalk
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -3,19 +3,36 @@
 
 #include <algorithm>
 
+#include "routes/events.hpp"
+
 namespace mothwalk {
 
 namespace {
 using std::chrono::milliseconds;
 constexpr Span tick_span = milliseconds(100);
-constexpr Span start_permit = milliseconds(1500);
-constexpr Span source_span = milliseconds(1000);
+constexpr Span start_lease = milliseconds(1000);
+constexpr Span fetch_limit = milliseconds(1500);
+constexpr Span work_gap = milliseconds(20);         // so that items that end together are replaced by one fetch
+constexpr Span report_gap = milliseconds(15);       // and reported by one message
+constexpr Span report_limit = milliseconds(2000);
+constexpr std::size_t most_reports = 64;
+constexpr std::size_t report_bytes = 1u << 20;
+constexpr Span source_span = milliseconds(1500);
 constexpr Span leave_span = milliseconds(2000);
 constexpr Span account_span = milliseconds(1500);  // totals told so long after a change are made of reports after it
 constexpr std::uint64_t usage_ticks = 10;
 constexpr std::size_t longest_body = 4u << 20;
+constexpr Span first_event_limit = milliseconds(5000), next_event_limit = milliseconds(3000);  // silence; what came is kept
+constexpr Span run_budget = milliseconds(30000);
+
+bool leads(const Lane& lane, const KindId& kind) {
+  for (const auto& share : lane.kinds())
+    if (share.kind == kind && share.weight > 0) return true;
+  return false;
+}
 }  // namespace
 
+// The answer is taken as it is.
 class Placing::Watcher : public AttemptWatcher {
  public:
   Watcher(Placing& placing, std::uint64_t attempt, std::vector<std::uint32_t> refusals) : placing_(placing), attempt_(attempt), refusals_(std::move(refusals)) {}
@@ -25,10 +42,10 @@
     else too_long_ = true;
   }
   void on_end(AttemptEnd end) override {
-    if (end == AttemptEnd::not_sent) return placing_.ended(attempt_, "not_run", 0, {});
-    if (end != AttemptEnd::whole || too_long_) return placing_.ended(attempt_, "lost", 0, {});
-    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end()) return placing_.ended(attempt_, "not_run", status_, {});
-    placing_.ended(attempt_, "answer", status_, std::move(body_));
+    if (end == AttemptEnd::not_sent) return placing_.ended(attempt_, {"not_run", 0, {}, {}});
+    if (end != AttemptEnd::whole || too_long_) return placing_.ended(attempt_, {"lost", 0, {}, {}});
+    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end()) return placing_.ended(attempt_, {"not_run", status_, {}, {}});
+    placing_.ended(attempt_, {"answer", status_, std::move(body_), {}});
   }
 
  private:
@@ -40,11 +57,73 @@
   bool too_long_ = false;
 };
 
+// The answer is a series of events: their data is the text, and only a whole answer ends it.
+class Placing::BatchWatcher : public AttemptWatcher {
+ public:
+  BatchWatcher(Placing& placing, std::uint64_t attempt, RequestFacts facts, StreamPart part) : placing_(placing), attempt_(attempt), facts_(std::move(facts)), part_(std::move(part)) {
+    reader_.begin(part_.last_event > 0 ? std::optional(part_.last_event) : std::nullopt);
+  }
+  void on_head(int status, const std::vector<Header>& headers) override {
+    status_ = status;
+    answer_ = placing_.dialect_.read_answer(status, headers, facts_);
+    // Under other weights the text would not be one.
+    if (good() && part_.last_event > 0 && answer_.version != part_.version) damaged_ = true;
+    if (good()) part_.version = answer_.version;
+  }
+  void on_piece(View piece) override {
+    if (!good() || damaged_) return;
+    Bytes events;
+    const bool sound = reader_.take(piece, events);
+    add(events);
+    if (reader_.last()) part_.last_event = *reader_.last();
+    damaged_ = !sound || part_.text.size() > longest_body;
+  }
+  void on_end(AttemptEnd end) override {
+    if (end == AttemptEnd::not_sent) return give("not_run");
+    if (status_ == 0 || answer_.foreign) return give("lost");
+    if (answer_.not_run || answer_.other_instance) return give("not_run");
+    if (damaged_) return give("damaged");
+    if (end != AttemptEnd::whole) return give("lost");
+    if (status_ == 500) return give("failed");
+    if (status_ == 422) return give("impossible");
+    if (!good() || !reader_.rest().empty()) return give("lost");
+    placing_.ended(attempt_, {"answer", status_, std::move(part_.text), {}});
+  }
+  StreamPart part() const { return part_.last_event > 0 && !damaged_ ? part_ : StreamPart{}; }
+
+ private:
+  bool good() const { return status_ >= 200 && status_ < 300 && !answer_.foreign && !answer_.not_run && !answer_.other_instance; }
+  void give(const char* outcome) { placing_.ended(attempt_, {outcome, status_, {}, part()}); }
+  void add(View events) {
+    while (!events.empty()) {
+      const auto end = std::min(events.find('\n'), events.size());
+      View line = events.substr(0, end);
+      events.remove_prefix(std::min(end + 1, events.size()));
+      if (line.ends_with('\r')) line.remove_suffix(1);
+      if (!line.starts_with("data:")) continue;
+      line.remove_prefix(5);
+      if (line.starts_with(' ')) line.remove_prefix(1);
+      if (any_ || part_.last_event > 0) part_.text += '\n';
+      part_.text += line;
+      any_ = true;
+    }
+  }
+
+  Placing& placing_;
+  std::uint64_t attempt_;
+  RequestFacts facts_;
+  StreamPart part_;
+  EventReader reader_;
+  AnswerFacts answer_;
+  int status_ = 0;
+  bool any_ = false, damaged_ = false;
+};
+
 Placing::Placing(Post& post, Board& board, Exchange& exchange, Chance& chance, const Dialect& dialect)
-    : post_(post), board_(board), exchange_(exchange), chance_(chance), dialect_(dialect), client_(post, board) {
+    : post_(post), board_(board), exchange_(exchange), chance_(chance), dialect_(dialect) {
   post_.on_tell<PendingItems>([this](const Address& from, PendingItems pending) {
     sources_[from] = Source{std::move(pending.kinds), post_.schedule().now()};
-    work();
+    work_soon();
   });
   post_.on_ask<AskHeld>([this](const Address&, AskHeld ask, Answer<HeldReply> answer) {
     if (ask.incarnation != post_.incarnation()) return answer(Fault{FaultKind::stale, "incarnation", "the placer was started anew", "take its items as lost"});
@@ -53,6 +132,18 @@
       if (!held_.contains(item)) reply.missing.push_back(std::move(item));
     answer(std::move(reply));
   });
+  post_.on_ask<AskSlot>([this](const Address&, AskSlot ask, Answer<SlotItems> answer) {
+    SlotItems reply{post_.incarnation(), {}};
+    for (const auto& name : held_)
+      if (slot_of("lot/" + name.lot) == ask.slot) reply.items.push_back(name);
+    answer(std::move(reply));
+  });
+  post_.on_tell<StopLot>([this](const Address&, StopLot ended) {
+    std::vector<std::uint64_t> stopped;
+    for (const auto& [number, attempt] : attempts_)
+      if (attempt.item.lot == ended.lot) stopped.push_back(number);
+    stop(stopped);
+  });
 }
 
 void Placing::start() { tick(); }
@@ -66,22 +157,32 @@
 }
 
 std::optional<std::uint64_t> Placing::appointed(const PolicyView& policy, const std::string& name, const Runner& runner) const {
-  if (!outside(policy, name, runner)) return std::nullopt;
-  const auto& placers = policy.circles.at(runner.kind.text).spec.placers;
+  auto circle = policy.circles.find(runner.kind.text);
+  if (circle == policy.circles.end()) return std::nullopt;
+  const auto& placers = circle->second.spec.placers;
   auto placer = placers.find(name);
   if (placer == placers.end() || placer->second.address != post_.self() || placer->second.incarnation != post_.incarnation()) return std::nullopt;
+  if (!outside(policy, name, runner)) return std::nullopt;
   return placer->second.term;
 }
 
 // Slots free of items and of streams that began while the runner was in the circle; none until the totals are newer
-// than the change that made this daemon its placer.
-std::uint32_t Placing::room(const std::string& name, const Runner& runner, const Work& state) const {
+// than the change that made this daemon its placer. A runner that may turn cold at any moment is never given more in a
+// second than a cold one bears.
+std::uint32_t Placing::room(const std::string& name, const Runner& runner, const Kind& kind, Work& state) {
   const auto usage = board_.usage.get();
-  auto kind = usage->find(runner.kind.text);
-  if (kind == usage->end() || !state.outside_since || kind->second.heard < *state.outside_since + account_span) return 0;
-  auto found = kind->second.runners.find(name);
-  const std::uint32_t taken = state.open + (found == kind->second.runners.end() ? 0 : found->second.open + found->second.foreign);
-  return taken < runner.slots ? runner.slots - taken : 0;
+  auto totals = usage->find(runner.kind.text);
+  if (totals == usage->end() || !state.outside_since || totals->second.heard < *state.outside_since + account_span) return 0;
+  auto found = totals->second.runners.find(name);
+  const std::uint32_t taken = state.open + (found == totals->second.runners.end() ? 0 : found->second.open + found->second.foreign);
+  std::uint32_t free = taken < runner.slots ? runner.slots - taken : 0;
+  if (kind.cold_rate > 0) {
+    const Moment now = post_.schedule().now();
+    while (!state.sent.empty() && now - state.sent.front() > milliseconds(1100)) state.sent.pop_front();
+    const auto bound = static_cast<std::size_t>(std::max(1.0, kind.cold_rate * (runner.cold > Span{} ? 0.5 : 1.2)));
+    free = std::min(free, static_cast<std::uint32_t>(bound - std::min(bound, state.sent.size())));
+  }
+  return free;
 }
 
 void Placing::report_usage() {
@@ -107,9 +208,18 @@
 void Placing::tick() {
   const Moment now = post_.schedule().now();
   const auto policy = board_.policy.get();
-  // Items on a runner that entered the circle get a bounded time to end; repeatable ones are then stopped.
-  for (auto& [name, state] : works_) {
+  mine_.clear();
+  for (const auto& [kind, circle] : policy->circles)
+    for (const auto& [name, placer] : circle.spec.placers)
+      if (placer.address == post_.self()) works_.try_emplace(name);
+  // Items on a runner that entered the circle get a bounded time to end; those that may run again are then stopped.
+  for (auto each = works_.begin(); each != works_.end();) {
+    auto& [name, state] = *each;
     auto runner = policy->runners.find(name);
+    if (runner == policy->runners.end() && state.open == 0 && !state.fetching) {
+      each = works_.erase(each);
+      continue;
+    }
     const bool out = runner != policy->runners.end() && outside(*policy, name, runner->second.spec);
     if (out) state.inside_since.reset();
     else if (!state.inside_since) state.inside_since = now;
@@ -117,114 +227,211 @@
     if (!term) state.outside_since.reset();
     else if (!state.outside_since || state.term != *term) state.outside_since = now;
     state.term = term.value_or(0);
+    if (term) mine_.insert(name);
+    ++each;
   }
   if (++ticks_ % usage_ticks == 0) report_usage();
-  std::vector<std::uint64_t> stop;
+  std::vector<std::uint64_t> late;
   for (const auto& [number, attempt] : attempts_)
-    if (const Work& state = works_[attempt.runner]; attempt.repeatable && state.inside_since && now - *state.inside_since > leave_span) stop.push_back(number);
-  for (const std::uint64_t number : stop) {
-    exchange_.cancel(attempts_[number].exchange);
-    ended(number, "stopped", 0, {});
-  }
+    if (const Work& state = works_[attempt.runner]; attempt.repeatable && state.inside_since && now - *state.inside_since > leave_span) late.push_back(number);
+  stop(late);
   std::erase_if(sources_, [&](const auto& entry) { return now - entry.second.heard > source_span; });
   work();
+  if (!reports_.empty()) flush();
   post_.schedule().after(tick_span, [this] { tick(); });
 }
 
+void Placing::stop(const std::vector<std::uint64_t>& numbers) {
+  for (const std::uint64_t number : numbers) {
+    auto found = attempts_.find(number);
+    if (found == attempts_.end()) continue;
+    exchange_.cancel(found->second.exchange);
+    ended(number, {"stopped", 0, {}, found->second.batch ? found->second.batch->part() : StreamPart{}});
+  }
+}
+
+void Placing::work_soon() {
+  if (work_soon_) return;
+  work_soon_ = true;
+  post_.schedule().after(work_gap, [this] {
+    work_soon_ = false;
+    work();
+  });
+}
+
 void Placing::work() {
   const Moment now = post_.schedule().now();
-  if (sources_.empty() || !board_.permitted(now) || board_.draining) return;
+  if (sources_.empty() || mine_.empty() || !board_.permitted(now) || board_.draining) return;
   const auto policy = board_.policy.get();
-  for (const auto& [name, entry] : policy->runners) {
-    const Runner& runner = entry.spec;
+  for (const auto& name : mine_) {
+    auto entry = policy->runners.find(name);
+    if (entry == policy->runners.end()) continue;
+    const Runner& runner = entry->second.spec;
+    auto kind = policy->kinds.find(runner.kind.text);
+    if (kind == policy->kinds.end()) continue;
+    Work& state = works_[name];
+    if (state.fetching || now < state.not_before) continue;
     const auto term = appointed(*policy, name, runner);
     if (!term) continue;
-    Work& state = works_[name];
-    const std::uint32_t free = room(name, runner, state);
-    if (state.fetching || free == 0 || now < state.not_before) continue;
-    std::vector<Address> owners;
-    for (const auto& [address, source] : sources_)
-      if (auto found = source.kinds.find(runner.kind.text); found != source.kinds.end() && found->second > 0) owners.push_back(address);
-    if (owners.empty()) continue;
-    const Address owner = owners[chance_.below(owners.size())];
-    state.fetching = true;
+    const std::uint32_t free = room(name, runner, kind->second.spec, state);
     // A runner that failed lately gets one item to prove itself with.
-    const std::uint32_t count = state.failures > 0 ? 1 : free;
-    post_.ask(owner, FetchItems{runner.kind.text, name, count, *term}, milliseconds(3000), [this, name, owner, kind = runner.kind.text, began = now](Result<ItemsReply> result) {
-      Work& now_state = works_[name];
-      now_state.fetching = false;
-      auto* reply = std::get_if<ItemsReply>(&result);
-      if (reply == nullptr) {
-        sources_.erase(owner);
-        return;
-      }
-      if (auto source = sources_.find(owner); source != sources_.end()) source->second.kinds[kind] = reply->remaining;
-      const Moment now_moment = post_.schedule().now();
-      const auto now_policy = board_.policy.get();
-      auto found = now_policy->runners.find(name);
-      const bool good = found != now_policy->runners.end() && appointed(*now_policy, name, found->second.spec) && board_.permitted(now_moment) && now_moment - began < start_permit;
-      for (const auto& item : reply->items) {
-        held_.insert(ItemName{item.lot, item.item, item.attempt});
-        if (good) send(name, item);
-        else report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}});
-      }
-      if (!reply->items.empty()) work();
-    });
+    if (free > 0 && (state.failures == 0 || state.open == 0)) fetch(name, runner, state, *term, state.failures > 0 ? 1 : free, kind->second.spec);
   }
 }
 
+void Placing::fetch(const std::string& name, const Runner& runner, Work& state, std::uint64_t term, std::uint32_t count, const Kind& kind) {
+  FetchItems ask{runner.kind.text, name, count, term, 0};
+  if (kind.engine.memory_tokens > 0) {
+    if (state.tokens >= kind.engine.memory_tokens) return;
+    ask.tokens = kind.engine.memory_tokens - state.tokens;
+  }
+  std::vector<Address> owners;
+  for (const auto& [address, source] : sources_)
+    if (auto found = source.kinds.find(runner.kind.text); found != source.kinds.end() && found->second > 0) owners.push_back(address);
+  if (owners.empty()) return;
+  const Address owner = owners[chance_.below(owners.size())];
+  state.fetching = true;
+  post_.ask(owner, ask, fetch_limit, [this, name, owner, kind = runner.kind.text, began = post_.schedule().now()](Result<ItemsReply> result) {
+    works_[name].fetching = false;
+    auto* reply = std::get_if<ItemsReply>(&result);
+    if (reply == nullptr) {
+      sources_.erase(owner);
+      return;
+    }
+    if (auto source = sources_.find(owner); source != sources_.end()) source->second.kinds[kind] = reply->remaining;
+    const Moment now = post_.schedule().now();
+    const auto policy = board_.policy.get();
+    auto found = policy->runners.find(name);
+    const bool good = found != policy->runners.end() && appointed(*policy, name, found->second.spec) && board_.permitted(now) && now - began < start_lease;
+    for (const auto& item : reply->items) {
+      held_.insert(ItemName{item.lot, item.item, item.attempt});
+      if (good) send(name, item);
+      else report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}, {}, item.failures});
+    }
+    work_soon();
+  });
+}
+
 void Placing::send(const std::string& name, const PlacedItem& item) {
   const auto policy = board_.policy.get();
   auto lane = policy->lanes.find(item.lane);
   auto runner = policy->runners.find(name);
-  if (lane == policy->lanes.end() || runner == policy->runners.end()) return report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}});
-  auto kind = policy->kinds.find(runner->second.spec.kind.text);
+  auto kind = runner == policy->runners.end() ? policy->kinds.end() : policy->kinds.find(runner->second.spec.kind.text);
+  if (lane == policy->lanes.end() || kind == policy->kinds.end() || !leads(lane->second.spec, runner->second.spec.kind))
+    return report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}, {}, item.failures});
   const std::uint64_t number = ++last_attempt_;
-  ++works_[name].open;
-  works_[name].last_sent = post_.schedule().now();
+  const Moment now = post_.schedule().now();
+  Work& state = works_[name];
+  ++state.open;
+  state.tokens += item.request.tokens;
+  state.last_sent = now;
+  if (kind->second.spec.cold_rate > 0) state.sent.push_back(now);
   Attempt& attempt = attempts_[number];
-  attempt = Attempt{name, item, 0, lane->second.spec.repeatable};
+  attempt = Attempt{name, item, 0, item.batch || lane->second.spec.repeatable, nullptr};
   AttemptRequest request;
   request.to = runner->second.spec.address;
   request.method = "POST";
-  request.target = lane->second.spec.path;
-  request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", item.lot + "/" + std::to_string(item.item)}, {"X-Mothwalk-Lot", item.lot}};
-  request.body = std::make_shared<const Bytes>(item.body);
+  request.body = std::make_shared<const Bytes>(std::move(attempt.item.request.body));
   request.connecting = lane->second.spec.connecting;
   request.first_piece = lane->second.spec.first_piece;
   request.between_pieces = lane->second.spec.between_pieces;
-  auto watcher = std::make_shared<Watcher>(*this, number, kind == policy->kinds.end() ? std::vector<std::uint32_t>{} : kind->second.spec.refusals);
+  request.runner = name;
+  request.repeatable = attempt.repeatable;
+  std::shared_ptr<AttemptWatcher> watcher;
+  if (item.batch) {
+    request.target = item.request.path;
+    request.headers = item.request.headers;
+    request.first_piece = std::min(request.first_piece, first_event_limit);
+    request.between_pieces = std::min(request.between_pieces, next_event_limit);
+    RequestFacts facts = dialect_.read_request(request.headers);
+    facts.id = item.request.id;
+    facts.host = item.host;
+    AttemptFacts given{name, run_budget, std::nullopt};
+    if (item.part.last_event > 0) given.last_event = item.part.last_event;
+    dialect_.write_attempt(request, facts, given);
+    watcher = attempt.batch = std::make_shared<BatchWatcher>(*this, number, std::move(facts), std::move(attempt.item.part));
+  } else {
+    request.target = lane->second.spec.path;
+    request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", item.lot + "/" + std::to_string(item.item)}, {"X-Mothwalk-Lot", item.lot}};
+    watcher = std::make_shared<Watcher>(*this, number, kind->second.spec.refusals);
+  }
   attempt.exchange = exchange_.start(request, watcher);
 }
 
-void Placing::ended(std::uint64_t number, const std::string& outcome, int status, Bytes body) {
+void Placing::ended(std::uint64_t number, Ending ending) {
   auto found = attempts_.find(number);
   if (found == attempts_.end()) return;
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
+  const std::string& outcome = ending.outcome;
+  const Moment now = post_.schedule().now();
   Work& state = works_[attempt.runner];
   --state.open;
-  if (outcome == "answer") {
+  state.tokens -= std::min<std::uint64_t>(state.tokens, attempt.item.request.tokens);
+  if (outcome == "answer" || outcome == "failed" || outcome == "impossible") {
     state.failures = 0;
-  } else if (outcome == "not_run" && status != 0) {
-    state.not_before = post_.schedule().now() + milliseconds(200);  // it is busy, and sound
+  } else if (outcome == "not_run" && ending.status != 0 && ending.status != 421) {
+    state.not_before = now + milliseconds(200);  // it is busy, and sound
   } else if (outcome != "stopped") {
     state.failures = std::min(state.failures + 1, 5u);
-    state.not_before = post_.schedule().now() + milliseconds(200 << state.failures);
+    state.not_before = now + milliseconds(200 << state.failures);
   }
-  report(FinishItem{attempt.item.lot, attempt.item.item, attempt.item.attempt, outcome, status, std::move(body)});
-  work();
+  FinishItem finish{attempt.item.lot, attempt.item.item, attempt.item.attempt, outcome, ending.status, std::move(ending.body), std::move(ending.part), attempt.item.failures};
+  finish.failures += outcome == "failed";
+  report(std::move(finish));
+  work_soon();
 }
 
-// A report goes on until the owner has heard it: until then the item counts as held.
+// ---- reports: each goes on until the owner has heard it; until then the item counts as held
+
 void Placing::report(FinishItem finish) {
-  const std::string key = "lot/" + finish.lot;
   const ItemName name{finish.lot, finish.item, finish.attempt};
-  const auto copy = std::make_shared<FinishItem>(finish);
-  client_.ask_owner<FinishItem>(key, std::move(finish), post_.schedule().now() + std::chrono::seconds(30), false, [this, name, copy](Result<FinishReply> result) {
-    if (fault_of(result)) return report(std::move(*copy));
-    held_.erase(name);
+  reports_[name] = Report{std::move(finish), false};
+  report_soon();
+}
+
+void Placing::report_soon() {
+  if (report_soon_) return;
+  report_soon_ = true;
+  post_.schedule().after(report_gap, [this] {
+    report_soon_ = false;
+    flush();
   });
 }
 
+void Placing::flush() {
+  const auto policy = board_.policy.get();
+  const auto members = board_.members.get();
+  struct Parcel {
+    FinishItems message;
+    std::vector<ItemName> names;
+    std::size_t bytes = 0;
+  };
+  std::map<Address, Parcel> parcels;
+  for (auto& [name, report] : reports_) {
+    if (report.on_its_way) continue;
+    const std::string key = "lot/" + name.lot;
+    const Seat* seat = slot_owner(policy->roster_of(key), *members, slot_of(key));
+    if (seat == nullptr) continue;
+    Parcel& parcel = parcels[seat->address];
+    if (parcel.names.size() >= most_reports || parcel.bytes >= report_bytes) continue;
+    report.on_its_way = true;
+    parcel.bytes += report.finish.body.size() + report.finish.part.text.size();
+    parcel.names.push_back(name);
+    parcel.message.items.push_back(report.finish);
+  }
+  for (auto& [owner, parcel] : parcels)
+    post_.ask(owner, parcel.message, report_limit, [this, names = std::move(parcel.names)](Result<FinishReply> result) {
+      for (const auto& name : names)
+        if (auto found = reports_.find(name); found != reports_.end()) found->second.on_its_way = false;
+      auto* reply = std::get_if<FinishReply>(&result);
+      if (reply == nullptr) return;            // the next tick sends them again
+      for (const std::uint32_t place : reply->heard) {
+        if (place >= names.size()) continue;
+        reports_.erase(names[place]);
+        held_.erase(names[place]);
+      }
+    });
+}
+
 }  // namespace mothwalk
--- a/tests/lots_test.cpp
+++ b/tests/lots_test.cpp
@@ -36,7 +36,7 @@
   REQUIRE(wire.last("kept.list") != nullptr);
   reply_to(*wire.last("kept.list"), false);
   for (bool still_owner : {false, true}) {
-    post.take(Envelope{placer, 1, "lots", "placing", "lots.finish", 77, false, to_cbor(FinishItem{"unheard-of", 0, 1, "answer", 200, "done"}), protocol_number});
+    post.take(Envelope{placer, 1, "lots", "placing", "lots.finish", 77, false, to_cbor(FinishItems{{FinishItem{"unheard-of", 0, 1, "answer", 200, "done"}}}), protocol_number});
     REQUIRE(wire.last("kept.confirmslot") != nullptr);
     reply_to(*wire.last("kept.confirmslot"), !still_owner);
     CHECK(wire.sent.back().call == 77);
@@ -65,7 +65,7 @@
   board.members.set(std::move(members));
   Lots lots(post, board);
   auto ask = [&](const Address& placer, std::uint64_t term) {
-    post.take(Envelope{placer, 1, "lots", "placing", "lots.fetch", 9, false, to_cbor(FetchItems{"model", "model-1", 4, term}), protocol_number});
+    post.take(Envelope{placer, 1, "lots", "placing", "lots.fetch", 9, false, to_cbor(FetchItems{"model", "model-1", 4, term, 0}), protocol_number});
     return wire.sent.back().kind;
   };
   CHECK(ask(old_placer, 3) == "reply");
