--- /dev/null
+++ b/source/host/libraries_asio.cpp
@@ -0,0 +1,2 @@
+// Compiles Asio once.
+#include <boost/asio/impl/src.hpp>
--- /dev/null
+++ b/source/host/libraries_beast.cpp
@@ -0,0 +1,2 @@
+// Compiles Beast once.
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/source/host/libraries_json.cpp
@@ -0,0 +1,2 @@
+// Compiles Boost.JSON once.
+#include <boost/json/src.hpp>
