--- a/source/kept/kept.hpp
+++ b/source/kept/kept.hpp
@@ -145,7 +145,8 @@
       if (fault != nullptr && fault->kind == FaultKind::busy) return again(sent);
       if (fault != nullptr && (fault->kind == FaultKind::lost || fault->kind == FaultKind::unknown)) return again(true);
       // A second sending that comes too late for its version may be the first one's own success.
-      if (fault != nullptr && fault->kind == FaultKind::stale && sent)
+      // Likewise a later refusal says nothing of an earlier sending.
+      if (fault != nullptr && (fault->kind == FaultKind::stale || fault->kind == FaultKind::refused) && sent)
         return answer(Fault{FaultKind::unknown, key, "an earlier sending may have taken effect and been changed since", "read the resource again"});
       answer(std::move(result));
     });
--- a/tests/lot_batches_test.cpp
+++ b/tests/lot_batches_test.cpp
@@ -1,4 +1,5 @@
 // Batches at their owner: positions over a change of owner, ends, doubtful writes, waiting reads, pages and bodies.
+#include "lots/lot_calls.hpp"
 #include "lots_stage.hpp"
 
 using namespace mothwalk;
@@ -274,3 +275,40 @@
   owner.good(SubmitLot{"lot", OwnerStage::batch(5)});
   CHECK(owner.good(FetchItems{"model", "model-1", 5, 1, 35}).items.size() == 3);
 }
+
+TEST_CASE("a refusal after a sending whose outcome is not known refuses nothing") {
+  struct Refusing : Wire {
+    void send(const Address&, Envelope envelope) override { asked.push_back(std::move(envelope)); }
+    std::vector<Envelope> asked;
+  };
+  for (const bool unsure_before : {false, true}) {
+    Refusing wire;
+    simulate::World world(3);
+    simulate::SimulatedSchedule schedule(world, std::make_shared<simulate::Life>());
+    const Address owner("10.0.0.2:1");
+    Post post(wire, schedule, Address("10.0.0.1:1"), 1, "control");
+    Board board;
+    PolicyView view;
+    const Bytes roster = R"({"version":1,"seats":[{"holder":"holder","address":"10.0.0.2:1","hall":"h"}]})";
+    REQUIRE(put_in_view(view, "roster", &roster, Stamp{}));
+    board.policy.set(view);
+    Members members;
+    members.all[owner].address = owner;
+    members.all[owner].holder = HolderId("holder");
+    board.members.set(members);
+    LotCalls calls(post, board);
+    std::optional<Result<LotStatus>> outcome;
+    calls.submit(SubmitLot{"lot", OwnerStage::batch(1)}, seconds(2), [&](Result<LotStatus> result) { outcome = std::move(result); });
+    auto give = [&](FaultKind kind) {
+      post.take(Envelope{owner, 1, "control", "lots", "fault", wire.asked.back().call, true, to_cbor(WireFault{static_cast<std::int32_t>(kind), "lots", "no", "again"}), protocol_number});
+      world.run_until(world.now() + milliseconds(150));
+    };
+    REQUIRE(wire.asked.size() == 1);
+    if (unsure_before) give(FaultKind::unknown);
+    REQUIRE(wire.asked.size() == (unsure_before ? 2u : 1u));
+    give(FaultKind::refused);
+    REQUIRE(outcome);
+    REQUIRE(fault_of(*outcome) != nullptr);
+    CHECK(fault_of(*outcome)->kind == (unsure_before ? FaultKind::unknown : FaultKind::refused));
+  }
+}
