--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -14,6 +14,7 @@
 constexpr Span starting_span = milliseconds(2500);
 constexpr Span static_after = milliseconds(1000);
 constexpr Span silence = milliseconds(1000);       // after which a runner that gave nothing at all counts as failing
+constexpr Span watch_span = milliseconds(100);
 constexpr Span stale_listing = milliseconds(1500);
 constexpr std::size_t high_backlog = 256u << 10, low_backlog = 64u << 10;
 
@@ -86,6 +87,48 @@
   passes();
 }
 
+// Runners that go dark keep their connections: nothing but their silence shows it. Where a lane says how soon its answers
+// are wanted, a runner that gave nothing at all to this daemon for well over that is left, and repeatable work goes elsewhere.
+Span Entries::patience(const Record& record) const {
+  const Lane& lane = record.lane;
+  if (record.read && lane.streaming) return lane.gap > Span{} ? std::max<Span>(lane.gap * 3, milliseconds(500)) : Span::max();
+  if (lane.aim == Span{}) return Span::max();
+  return lane.streaming ? std::clamp<Span>(lane.aim * 3, milliseconds(600), milliseconds(1500)) : std::clamp<Span>(lane.aim * 5 / 2, milliseconds(250), milliseconds(1500));
+}
+
+void Entries::arm_watch() {
+  if (watch_armed_ || table_.empty()) return;
+  watch_armed_ = true;
+  post_.schedule().after(watch_span, [this] {
+    watch_armed_ = false;
+    watch();
+  });
+}
+
+void Entries::watch() {
+  const Moment now = post_.schedule().now();
+  std::vector<Id> dark;
+  for (const auto& [id, record] : table_) {
+    if ((record.state != State::sent && record.state != State::relaying) || record.held_since) continue;
+    if (now - std::max(record.sent, sights_.heard(record.runner)) > patience(record)) dark.push_back(id);
+  }
+  for (const Id id : dark) {
+    Record& record = table_.at(id);
+    sights_.suspect(record.runner);
+    const bool streams_on = record.state == State::sent || record.events;
+    if (!record.repeatable || !streams_on || !attempts_left(record) || retry_tokens_ < 1) continue;
+    exchange_.cancel(record.exchange);
+    sights_.ended(record.runner, record.demand, std::nullopt, record.read);
+    record.may_have_run = true;
+    retry_tokens_ -= 1;
+    counts_.resumed += record.head_given;
+    ++counts_.left_dark;
+    again(record);
+  }
+  if (!dark.empty()) passes();
+  arm_watch();
+}
+
 void Entries::arm_deadline() {
   if (deadlines_.empty()) return;
   const Moment first = deadlines_.begin()->first;
@@ -150,6 +193,7 @@
   }
   arm_deadline();
   arm_tick();
+  arm_watch();
   return id;
 }
 
@@ -304,6 +348,7 @@
   record.runner = name;
   record.attempt = ++last_attempt_;
   record.read = false;
+  record.sent = post_.schedule().now();
   ++record.attempts;
   ++counts_.attempts;
   ++(runner.hall == self_.hall ? counts_.own_hall : counts_.other_hall);
@@ -339,6 +384,7 @@
   if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::sent) return;
   Record& record = found->second;
   const AnswerFacts facts = dialect_.read_answer(status, headers, record.facts);
+  sights_.read(record.runner, record.demand, false);
   if (facts.load) sights_.told(record.runner, *facts.load);
   if (facts.foreign) {
     exchange_.cancel(record.exchange);
@@ -389,10 +435,7 @@
   auto found = table_.find(id);
   if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::relaying) return;
   Record& record = found->second;
-  if (!record.read) {
-    record.read = true;
-    sights_.read(record.runner, record.demand);
-  }
+  sights_.read(record.runner, record.demand, !std::exchange(record.read, true));
   if (record.events) {
     Bytes whole;
     const bool in_order = record.events->take(piece, whole);
--- a/source/routes/entries.hpp
+++ b/source/routes/entries.hpp
@@ -31,10 +31,10 @@
 };
 
 struct EntryCounts {
-  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0, retries = 0, resumed = 0, own_hall = 0, other_hall = 0;
+  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0, retries = 0, resumed = 0, left_dark = 0, own_hall = 0, other_hall = 0;
   std::map<std::string, std::uint64_t> refusals, unknowns, breaks;  // by reason
   std::map<std::string, AimCounts> aims;
-  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, resumed, own_hall, other_hall, refusals, unknowns, breaks, aims)
+  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, resumed, left_dark, own_hall, other_hall, refusals, unknowns, breaks, aims)
 };
 
 class Entries {
@@ -65,7 +65,7 @@
     std::vector<std::string> kinds;            // the one whose share it is, then those that may stand in
     Demand demand;
     bool repeatable = false;
-    Moment arrived, waiting_since, deadline;
+    Moment arrived, waiting_since, deadline, sent;
     std::string kind, runner;
     Exchange::Id exchange = 0;
     std::uint64_t attempt = 0;
@@ -85,6 +85,9 @@
   void tick();
   void arm_tick();
   void arm_deadline();
+  void arm_watch();
+  void watch();
+  Span patience(const Record& record) const;
   void expire(Record& record);
   void passes();
   void match_pass();
@@ -137,7 +140,7 @@
   double retry_tokens_ = 20;
   std::uint64_t last_attempt_ = 0;
   std::map<std::string, std::uint32_t> answered_now_, answered_last_;  // by lane, in this second and the last
-  bool in_passes_ = false, passes_wanted_ = false, tick_armed_ = false, report_armed_ = false;
+  bool in_passes_ = false, passes_wanted_ = false, tick_armed_ = false, watch_armed_ = false, report_armed_ = false;
 };
 
 }  // namespace mothwalk
--- a/source/routes/sights.cpp
+++ b/source/routes/sights.cpp
@@ -170,9 +170,9 @@
   if (cold(sight, kind, now)) sight.cold_next = now + Span(static_cast<std::int64_t>(1e6 * static_cast<double>(daemons()) / (kind.cold_rate * cold_share)));
 }
 
-void Sights::read(const std::string& runner, const Demand& demand) {
+void Sights::read(const std::string& runner, const Demand& demand, bool first) {
   Sight& sight = sights_[runner];
-  sight.unread -= std::min<std::uint64_t>(sight.unread, demand.prompt_tokens);
+  if (first) sight.unread -= std::min<std::uint64_t>(sight.unread, demand.prompt_tokens);
   sight.heard = post_.schedule().now();
 }
 
@@ -197,13 +197,23 @@
     }
     sight.failures = 0;
   } else {
-    sight.failures = std::min(sight.failures + 1, 6u);
-    sight.failed = now;
-    report_soon = true;
-    sight.not_before = now + milliseconds(150 << sight.failures);
+    failed(sight, now);
   }
 }
 
+void Sights::failed(Sight& sight, Moment now) {
+  sight.failures = std::min(sight.failures + 1, 6u);
+  sight.failed = now;
+  report_soon = true;
+  sight.not_before = now + milliseconds(150 << sight.failures);
+}
+
+void Sights::suspect(const std::string& runner) {
+  Sight& sight = sights_[runner];
+  const Moment now = post_.schedule().now();
+  if (now >= sight.not_before) failed(sight, now);
+}
+
 void Sights::rest(const std::string& runner, Span span) {
   Sight& sight = sights_[runner];
   sight.not_before = std::max(sight.not_before, post_.schedule().now() + span);
--- a/source/routes/sights.hpp
+++ b/source/routes/sights.hpp
@@ -33,9 +33,10 @@
   // able to take anything), "busy".
   std::optional<std::string> choose(const PolicyView& policy, const std::string& kind, const Demand& demand, const std::set<std::string>& tried, std::string* why);
   void sent(const std::string& runner, const Kind& kind, const Demand& demand);
-  void read(const std::string& runner, const Demand& demand);           // the first piece came
+  void read(const std::string& runner, const Demand& demand, bool first);  // something of its answer came, the first piece
   // Sound: it answered as it should; not sound: it failed; neither: the attempt says nothing of it.
   void ended(const std::string& runner, const Demand& demand, std::optional<bool> sound, bool was_read);
+  void suspect(const std::string& runner);                              // it keeps silent
   void rest(const std::string& runner, Span span);                      // nothing is sent to it for that long
   void told(const std::string& runner, const RunnerLoad& load);
   // Whether a report of failures should leave sooner than the next one.
@@ -54,6 +55,7 @@
     bool here;
   };
   void follow(const PolicyView& policy);
+  void failed(Sight& sight, Moment now);
   bool takes(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle, const Demand& demand, Moment now);
   bool cold(const Sight& sight, const Kind& kind, Moment now) const { return kind.cold_rate > 0 && now < sight.cold_until; }
   double load(const Sight& sight, const Runner& runner, const Kind& kind) const;
--- a/tests/dialect_entries_test.cpp
+++ b/tests/dialect_entries_test.cpp
@@ -392,3 +392,52 @@
   CHECK(stage.entries.counts().refusals.at("busy") >= 3);
   CHECK(stage.entries.counts().refusals.at("busy") < 5);
 }
+
+TEST_CASE("a runner that goes dark under streams is left: they go on elsewhere, and it gets nothing new meanwhile") {
+  SpeakingStage stage;
+  stage.put("circle/model", R"({"members":["one","two"],"warm":["one","two"]})");
+  stage.put("lane/stream", R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":2,"aim":250,"gap":200,"whole":5000})");
+  stage.put("lane/once", R"({"path":"/once","kind":"model","streaming":true,"attempts":1,"aim":250,"gap":200,"whole":5000})");
+  ALLOW_CALL(stage.exchange, start(_, _)).LR_SIDE_EFFECT(stage.attempts.push_back({_1, _2})).LR_RETURN(stage.attempts.size());
+  auto first = stage.say("/stream", {});
+  const std::string dark = stage.told(0, "Runner");
+  stage.attempts[0].watcher->on_head(200, {});
+  stage.attempts[0].watcher->on_piece("id: 1\ndata: a\n\n");
+  // Silent for a while, as a stream may be.
+  stage.wait(std::chrono::milliseconds(500));
+  CHECK(stage.attempts.size() == 1);
+  REQUIRE_CALL(stage.exchange, cancel(1)).TIMES(1);
+  stage.wait(std::chrono::milliseconds(300));
+  REQUIRE(stage.attempts.size() == 2);
+  CHECK((stage.told(1, "Runner") != dark && stage.told(1, "After") == "1"));
+  stage.attempts[1].watcher->on_head(200, {});
+  stage.attempts[1].watcher->on_piece("id: 2\ndata: b\n\n");
+  stage.attempts[1].watcher->on_end(AttemptEnd::whole);
+  CHECK((first->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" && first->ended));
+  for (std::size_t count = 2; count < 5; ++count) {
+    stage.say("/once", {});
+    CHECK(stage.told(count, "Runner") != dark);
+  }
+}
+
+TEST_CASE("work that may not be repeated stays with a silent runner; a runner that answers others is not silent") {
+  SpeakingStage stage;
+  stage.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  stage.put("lane/once", R"({"path":"/once","kind":"model","streaming":true,"attempts":2,"aim":250,"gap":200,"whole":5000})");
+  stage.put("lane/stream", R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":2,"aim":250,"gap":200,"whole":5000})");
+  EXPECT_ATTEMPTS(stage, 2);
+  auto once = stage.say("/once", {});
+  auto waits = stage.say("/stream", {});
+  stage.attempts[0].watcher->on_head(200, {});
+  for (int count = 1; count < 6; ++count) {
+    stage.attempts[0].watcher->on_piece("id: " + std::to_string(count) + "\ndata: a\n\n");
+    stage.wait(std::chrono::milliseconds(400));
+  }
+  CHECK((once->text.size() > 50 && waits->status == 0));
+  stage.attempts[1].watcher->on_head(200, {});
+  stage.attempts[1].watcher->on_end(AttemptEnd::whole);
+  stage.wait(std::chrono::milliseconds(2000));
+  CHECK_FALSE(once->broken);
+  stage.attempts[0].watcher->on_end(AttemptEnd::whole);
+  CHECK(once->ended);
+}
