--- a/source/simulate/town.cpp
+++ b/source/simulate/town.cpp
@@ -122,19 +122,22 @@
   world.point("send " + message, name);
   Machine* target = town_.machine_at(to);
   if (target == nullptr || !target->alive()) return;
-  auto shared = std::make_shared<Envelope>(std::move(envelope));
-  Span delay{20};
-  if (target != this) {
-    // The form that goes over the wire is made and read here as well, so that the simulation covers it.
-    const Bytes form = to_cbor(*shared);
-    ++frames;
-    bytes += form.size() + 4;
-    if (world.is_cut(name, hall, target->name, target->hall)) return;
-    if (world.loss > 0 && world.chance.uniform() < world.loss) return;
-    if (auto read = from_cbor<Envelope>(form)) *shared = std::move(*read);
-    delay = world.delay(hall, target->hall);
+  if (target == this) return world.at(Span{20}, life_, [this, shared = std::make_shared<Envelope>(std::move(envelope))] { take(std::move(*shared)); });
+  // The form that goes over the wire is made and read here as well, so that the simulation covers it.
+  auto form = std::make_shared<const Bytes>(to_cbor(envelope));
+  ++frames;
+  bytes += form->size() + 4;
+  if (world.measuring) {
+    World::Carried& carried = world.carried[message];
+    ++carried.messages;
+    carried.bytes += form->size() + 4;
+    target->bytes_in += form->size() + 4;
   }
-  world.at(delay, target->life(), [target, shared] { target->take(std::move(*shared)); });
+  if (world.is_cut(name, hall, target->name, target->hall)) return;
+  if (world.loss > 0 && world.chance.uniform() < world.loss) return;
+  world.at(world.delay(hall, target->hall), target->life(), [target, form] {
+    if (auto read = from_cbor<Envelope>(*form)) target->take(std::move(*read));
+  });
 }
 
 void Machine::take(Envelope envelope) {
@@ -478,7 +481,7 @@
   for (const auto& [key, spec] : shape.resources) documents->emplace_back(key, json::serialize(spec));
   for (const auto& runner : runners) documents->emplace_back("runner/" + runner->name, json::serialize(json::object{{"kind", runner->kind}, {"address", runner->address.text}, {"hall", runner->hall}, {"slots", runner->slots}}));
   apply_all(documents, 0);
-  watch_rules();
+  if (watched) watch_rules();
 }
 
 void Town::apply_all(std::shared_ptr<std::vector<std::pair<std::string, std::string>>> documents, std::size_t index) {
--- a/source/simulate/town.hpp
+++ b/source/simulate/town.hpp
@@ -96,7 +96,7 @@
   Entries* entries() { return duties_ ? duties_->entries.get() : nullptr; }
   Control* control() { return duties_ ? duties_->control.get() : nullptr; }
   Kept* kept() { return duties_ ? duties_->kept.get() : nullptr; }
-  std::uint64_t frames = 0, bytes = 0;
+  std::uint64_t frames = 0, bytes = 0, bytes_in = 0;  // sent; what was taken while the world measures
   Span clock{};                          // how far its wall clock is off
   bool keeps_disk = false;               // its disk is full, not broken: it ends and returns with its records
   Moment undisturbed_since;              // since when nothing was done to it
@@ -160,6 +160,7 @@
   };
   std::vector<Acknowledged> acknowledged;
   std::vector<std::string> broken;                 // rules that the town itself watches
+  bool watched = true;                             // whether it does
   void watch_rules();
 
  private:
--- a/source/simulate/world.cpp
+++ b/source/simulate/world.cpp
@@ -1,10 +1,20 @@
 // The loop of events, the network's delays and cuts, schedules and disks.
 #include "simulate/world.hpp"
 
+#include <ctime>
+
 #include <algorithm>
 
 namespace mothwalk::simulate {
 
+namespace {
+std::uint64_t processor_time() {
+  timespec time{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<std::uint64_t>(time.tv_sec) * 1000000000 + static_cast<std::uint64_t>(time.tv_nsec);
+}
+}  // namespace
+
 void World::at(Span span, LifePointer life, Task task) {
   queue_.push(Event{now_ + std::max(span, Span{0}), ++order_, std::move(life), std::make_shared<Task>(std::move(task))});
 }
@@ -20,8 +30,10 @@
       continue;
     }
     ++events;
+    const std::uint64_t began = measuring && event.life ? processor_time() : 0;
     (*event.task)();
     event.task.reset();
+    if (began > 0) event.life->processor += processor_time() - began;
     graveyard.clear();
   }
   now_ = std::max(now_, end);
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -12,6 +12,7 @@
 // One life of a process: what belongs to it happens only while it lives, and not while it is frozen.
 struct Life {
   bool alive = true, frozen = false;
+  std::uint64_t processor = 0;     // nanoseconds of real processor time, while the world measures
   std::vector<std::pair<std::uint64_t, Task>> deferred;
 };
 using LifePointer = std::shared_ptr<Life>;
@@ -48,6 +49,12 @@
   void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void mend() { cuts_.clear(); }
   bool is_cut(const std::string& from, const std::string& from_hall, const std::string& to, const std::string& to_hall) const;
+  // What was sent between machines, by message, and whether each life's processor time is counted.
+  struct Carried {
+    std::uint64_t messages = 0, bytes = 0;
+  };
+  std::map<std::string, Carried> carried;
+  bool measuring = false;
   double loss = 0;                 // share of messages between machines that vanish
 
   void write(json::object line);
