Platform: settings, configuration, headers, list of runners, calls; one loop for all duties

The adapter for the users' platform in platform/, the seam that it fills (host/place.hpp), the product's calls on the fleet as a whole, the single duty that reads the list of runners, and duties that share one event loop.

--- a/source/coding/json.cpp
+++ b/source/coding/json.cpp
@@ -70,4 +70,28 @@
   return text;
 }
 
+std::optional<Bytes> base64_bytes(View text) {
+  Bytes out;
+  std::uint32_t bits = 0;
+  int count = 0;
+  std::size_t padding = 0;
+  if (text.size() % 4 != 0) return std::nullopt;
+  for (const char letter : text) {
+    int value = -1;
+    if (letter >= 'A' && letter <= 'Z') value = letter - 'A';
+    else if (letter >= 'a' && letter <= 'z') value = letter - 'a' + 26;
+    else if (letter >= '0' && letter <= '9') value = letter - '0' + 52;
+    else if (letter == '+') value = 62;
+    else if (letter == '/') value = 63;
+    else if (letter == '=' && ++padding <= 2) continue;
+    if (value < 0 || padding > 0) return std::nullopt;
+    bits = bits << 6 | static_cast<std::uint32_t>(value);
+    if ((count += 6) >= 8) {
+      count -= 8;
+      out.push_back(static_cast<char>(bits >> count & 255));
+    }
+  }
+  return out;
+}
+
 }  // namespace mothwalk
--- a/source/coding/json.hpp
+++ b/source/coding/json.hpp
@@ -109,6 +109,8 @@
 // Whether the bytes can stand in JSON as a text, as they are; and their form where they can't.
 bool is_text(View bytes);
 std::string base64(View bytes);
+// The bytes that a text in base64 stands for; none where it is not such a text.
+std::optional<Bytes> base64_bytes(View text);
 
 template <class T> Result<T> from_json(View text) {
   auto parsed = parse_json(text);
--- /dev/null
+++ b/source/control/fleet_calls.cpp
@@ -0,0 +1,113 @@
+// Each change reads the newest document from its owner, and is written on condition that nothing came between.
+#include "control/fleet_calls.hpp"
+
+#include <algorithm>
+
+#include "coding/json.hpp"
+
+namespace mothwalk {
+
+namespace {
+constexpr std::size_t remembered_changes = 32;
+constexpr std::size_t least_holders = 3;   // of which one may be lost
+using std::chrono::milliseconds;
+}  // namespace
+
+void FleetCalls::change(ConfigurationChange change, Span limit, Answer<Version> answer) {
+  attempt(std::make_shared<ConfigurationChange>(std::move(change)), post_.schedule().now() + limit, false, std::move(answer));
+}
+
+void FleetCalls::attempt(std::shared_ptr<ConfigurationChange> change, Moment until, bool sent, Answer<Version> answer) {
+  const std::string key(configuration_key);
+  client_.read(key, until - post_.schedule().now(), [this, change, until, sent, answer, key](Result<ReadReply> result) {
+    if (auto fault = fault_of(result)) return answer(sent ? Fault{FaultKind::unknown, key, fault->message, fault->remedy} : *fault);
+    const ReadReply& reply = std::get<ReadReply>(result);
+    FleetConfiguration current;
+    if (reply.found && !reply.record.removed) {
+      auto read = from_cbor<FleetConfiguration>(reply.record.head);
+      if (!read) return answer(Fault{FaultKind::damaged, key, "the kept configuration can't be read", "run the version of mothwalk that wrote it"});
+      current = std::move(*read);
+    }
+    if (std::find(current.taken.begin(), current.taken.end(), change->hash) != current.taken.end()) return answer(Version{current.revision});
+    if (current.revision != change->base)
+      return answer(Fault{FaultKind::conflict, "base", "revision " + std::to_string(current.revision) + " is current, not " + std::to_string(change->base), "read the configuration again and build on that"});
+    auto made = change->make(current);
+    if (auto fault = fault_of(made)) return answer(*fault);
+    FleetConfiguration next = std::move(std::get<FleetConfiguration>(made));
+    if (next.revision <= current.revision)
+      return answer(Fault{FaultKind::invalid, "revision", "revision " + std::to_string(next.revision) + " is not above the current one, " + std::to_string(current.revision), "give a higher one"});
+    next.taken = current.taken;
+    next.taken.push_back(change->hash);
+    if (next.taken.size() > remembered_changes) next.taken.erase(next.taken.begin());
+    Write write;
+    write.key = key;
+    write.head = to_cbor(next);
+    write.expected = reply.found && !reply.record.removed ? reply.record.stamp.version.value : 0;
+    write.token = std::to_string(change->hash);
+    client_.write(std::move(write), until - post_.schedule().now(), [this, change, until, answer, revision = next.revision](Result<WriteReply> written) {
+      auto fault = fault_of(written);
+      if (fault == nullptr) return answer(Version{revision});
+      // Another change, or an earlier sending of this one, came between: the newest document tells which.
+      if (fault->kind == FaultKind::stale || (fault->kind == FaultKind::unknown && post_.schedule().now() < until)) return attempt(change, until, true, answer);
+      answer(*fault);
+    });
+  });
+}
+
+void FleetCalls::show(Span limit, Answer<FleetConfiguration> answer) {
+  client_.read(std::string(configuration_key), limit, [answer](Result<ReadReply> result) {
+    if (auto fault = fault_of(result)) return answer(*fault);
+    const ReadReply& reply = std::get<ReadReply>(result);
+    if (!reply.found || reply.record.removed) return answer(Fault{FaultKind::unknown_name, "configuration", "no configuration was taken yet", "give the first one"});
+    auto read = from_cbor<FleetConfiguration>(reply.record.head);
+    if (!read) return answer(Fault{FaultKind::damaged, "configuration", "the kept configuration can't be read", "run the version of mothwalk that wrote it"});
+    answer(std::move(*read));
+  });
+}
+
+void FleetCalls::evacuate(const ZoneId& zone, bool evacuated, Span limit, Answer<Done> answer) {
+  Write write;
+  write.key = "hall/" + zone.text;
+  write.head = json::serialize(to_json(Hall{evacuated}));
+  client_.write(std::move(write), limit, [answer](Result<WriteReply> result) {
+    if (auto fault = fault_of(result)) return answer(*fault);
+    answer(Done{});
+  });
+}
+
+void FleetCalls::retire(const std::string& machine, Span limit, Answer<Done> answer) {
+  const auto policy = board_.policy.get();
+  const auto members = board_.members.get();
+  Address address;
+  for (const auto& [at, member] : members->all)
+    if (member.name == machine && member.keeps == "lots") address = at;
+  for (const auto& seat : policy->lot_roster.seats)
+    if (seat.name == machine) address = seat.address;
+  if (address.empty()) return answer(Fault{FaultKind::unknown_name, "machine", "no machine '" + machine + "' holds lots", "check the name"});
+  std::set<Address> remaining;
+  for (const auto& seat : policy->lot_roster.seats) remaining.insert(seat.address);
+  for (const auto& [at, member] : members->all)
+    if (member.keeps == "lots") remaining.insert(at);
+  remaining.erase(address);
+  std::erase_if(remaining, [&](const Address& at) {
+    auto mark = policy->holders.find(at.text);
+    return mark != policy->holders.end() && mark->second.spec.retired;
+  });
+  if (remaining.size() < least_holders) return answer(Fault{FaultKind::conflict, "machine", "only " + std::to_string(remaining.size()) + " machines that hold lots would remain", "add a machine first"});
+  Write write;
+  write.key = "holder/" + address.text;
+  write.head = json::serialize(to_json(HolderMark{true}));
+  client_.write(std::move(write), limit, [answer](Result<WriteReply> result) {
+    if (auto fault = fault_of(result)) return answer(*fault);
+    answer(Done{});
+  });
+}
+
+void FleetCalls::retired(const std::string& machine, Span, Answer<bool> answer) {
+  const auto policy = board_.policy.get();
+  for (const auto& seat : policy->lot_roster.seats)
+    if (seat.name == machine) return answer(false);
+  answer(!policy->lot_roster.seats.empty());
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/control/fleet_calls.hpp
@@ -0,0 +1,35 @@
+// Operators' calls on the fleet as a whole: the configuration that is changed as one document under the operators' own
+// revisions, evacuation of zones, and the retirement of machines that hold lots.
+#pragma once
+#include "kept/kept.hpp"
+
+namespace mothwalk {
+
+struct ConfigurationChange {
+  std::uint64_t base = 0;              // the revision that it builds on; 0 for the first
+  std::uint64_t hash = 0;              // of the whole change: one sent again is answered as it was the first time
+  // The next revision and document, or why the change is refused.
+  std::function<Result<FleetConfiguration>(const FleetConfiguration& current)> make;
+};
+
+class FleetCalls {
+ public:
+  FleetCalls(Post& post, Board& board) : post_(post), board_(board), client_(post, board) {}
+  // Faults: conflict (another revision is current), invalid, unknown (send it again), refused (nothing was done).
+  void change(ConfigurationChange change, Span limit, Answer<Version> answer);
+  void show(Span limit, Answer<FleetConfiguration> answer);
+  void evacuate(const ZoneId& zone, bool evacuated, Span limit, Answer<Done> answer);
+  // Faults: unknown_name (no such machine), conflict (too few would remain).
+  void retire(const std::string& machine, Span limit, Answer<Done> answer);
+  // Whether all that the machine held is held by others, so that it may go with its disk.
+  void retired(const std::string& machine, Span limit, Answer<bool> answer);
+
+ private:
+  void attempt(std::shared_ptr<ConfigurationChange> change, Moment until, bool sent, Answer<Version> answer);
+
+  Post& post_;
+  Board& board_;
+  KeptClient client_;
+};
+
+}  // namespace mothwalk
--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -20,19 +20,21 @@
 }
 }  // namespace
 
-Daemon::Daemon(Settings settings, std::string version) : settings_(std::move(settings)) {
+Daemon::Daemon(Settings settings, std::string version, std::unique_ptr<Place> place) : settings_(std::move(settings)), place_(std::move(place)) {
   self_.address = settings_.address;
   self_.hall = settings_.hall;
   self_.callers = settings_.callers;
   self_.control = settings_.control;
   self_.version = std::move(version);
+  self_.keeps = settings_.keeps;
+  self_.name = settings_.name;
   // Later starts at one address have higher incarnations; a clock that went back only delays the newer one's standing.
   self_.incarnation = new_incarnation(std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()), kept_duty_.thread.chance());
 }
 
 Daemon::~Daemon() {
   if (wire_) wire_->stop();
-  for (Duty* duty : {&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_}) duty->thread.stop();
+  for (Duty* duty : duties_) duty->thread.stop();
   if (disk_) disk_->stop();
 }
 
@@ -44,15 +46,14 @@
 }
 
 Result<Done> Daemon::open() {
-  wire_ = std::make_unique<TcpWire>(settings_.address, [](View sentence) { logs::warn("wire", sentence); });
+  wire_ = std::make_unique<TcpWire>(settings_.address, [](View sentence) { logs::warn("wire", sentence); }, shared_);
+  const bool holder = !settings_.data_folder.empty();
+  const bool keeps_control = holder && settings_.keeps != "lots", keeps_lots = holder && settings_.keeps != "control";
+  const Dialect& dialect = place_ ? place_->dialect() : plain_dialect();
+  const ConfigurationFormat* format = place_ ? &place_->format() : nullptr;
   make_post(sessions_duty_, "sessions");
   make_post(news_duty_, "news");
-  make_post(circle_duty_, "circle");
-  make_post(lots_duty_, "lots");
-  make_post(placing_duty_, "placing");
-  make_post(routes_duty_, "routes");
   make_post(control_duty_, "control");
-  const bool holder = !settings_.data_folder.empty();
   if (holder) {
     make_post(kept_duty_, "kept");
     disk_ = std::make_unique<FileDisk>(settings_.data_folder, [this](Task task) { boost::asio::post(kept_duty_.thread.context(), std::move(task)); });
@@ -68,29 +69,60 @@
     auto loaded = kept_->load();
     if (auto fault = fault_of(loaded)) return *fault;
     self_.holder = kept_->identity();
+  }
+  if (keeps_control) {
+    make_post(circle_duty_, "circle");
     circle_ = std::make_unique<CircleDuty>(*circle_duty_.post, board_);
+  }
+  if (keeps_lots) {
+    make_post(lots_duty_, "lots");
     lots_ = std::make_unique<Lots>(*lots_duty_.post, board_);
   }
   sessions_ = std::make_unique<Sessions>(*sessions_duty_.post, board_, self_, settings_.seeds);
-  news_ = std::make_unique<News>(*news_duty_.post, board_, news_duty_.thread.chance(), holder);
-  lot_exchange_ = std::make_unique<BeastExchange>(placing_duty_.thread.context());
-  placing_ = std::make_unique<Placing>(*placing_duty_.post, board_, *lot_exchange_, placing_duty_.thread.chance());
-  live_exchange_ = std::make_unique<BeastExchange>(routes_duty_.thread.context());
-  entries_ = std::make_unique<Entries>(*routes_duty_.post, board_, *live_exchange_, routes_duty_.thread.chance(), self_);
+  news_ = std::make_unique<News>(*news_duty_.post, board_, news_duty_.thread.chance(), keeps_control, format);
+  // Where machines hold lots alone, these place the items as well.
+  if (!place_ || settings_.keeps == "lots") {
+    make_post(placing_duty_, "placing");
+    lot_exchange_ = std::make_unique<BeastExchange>(placing_duty_.thread.context());
+    placing_ = std::make_unique<Placing>(*placing_duty_.post, board_, *lot_exchange_, placing_duty_.thread.chance(), dialect);
+  }
+  if (place_ && !settings_.control.empty()) {
+    make_post(listing_duty_, "listing");
+    list_exchange_ = std::make_unique<BeastExchange>(listing_duty_.thread.context());
+    list_source_ = place_->list_source();
+    runner_list_ = std::make_unique<RunnerList>(*listing_duty_.post, board_, *list_exchange_, listing_duty_.thread.chance(), *list_source_);
+  }
   control_ = std::make_unique<Control>(*control_duty_.post, board_, control_duty_.thread.chance(), self_, [this] { return usage(); });
-  front_ = std::make_unique<Front>(routes_duty_.thread.context(), *entries_, [this](ControlRequest request, ControlAnswer answer) {
-    return control_duty_.thread.offer([this, request = std::move(request), answer = std::move(answer)]() mutable { control_->handle(std::move(request), std::move(answer)); });
-  }, most_sessions());
-  for (auto result : {wire_->listen(), front_->listen(settings_.callers, true), front_->listen(settings_.control, false)})
-    if (auto fault = fault_of(result)) return *fault;
-  return Done{};
+  if (place_) surface_ = place_->surface(*control_duty_.post, board_, control_duty_.thread.chance(), self_);
+  if (!settings_.callers.empty()) {
+    make_post(routes_duty_, "routes");
+    live_exchange_ = std::make_unique<BeastExchange>(routes_duty_.thread.context());
+    entries_ = std::make_unique<Entries>(*routes_duty_.post, board_, *live_exchange_, routes_duty_.thread.chance(), self_, dialect);
+    front_ = std::make_unique<Front>(routes_duty_.thread.context(), *entries_, [this](ControlRequest request, ControlAnswer answer) {
+      return control_duty_.thread.offer([this, request = std::move(request), answer = std::move(answer)]() mutable { handle(std::move(request), std::move(answer)); });
+    }, most_sessions());
+  }
+  return listen();
+}
+
+Result<Done> Daemon::listen() {
+  auto result = wire_->listen();
+  if (front_ && !fault_of(result)) result = front_->listen(settings_.callers, true);
+  for (const Address& address : {settings_.control, settings_.health})
+    if (front_ && !address.empty() && !fault_of(result)) result = front_->listen(address, false);
+  return result;
+}
+
+void Daemon::handle(ControlRequest request, ControlAnswer answer) {
+  if (surface_) surface_->handle(std::move(request), std::move(answer));
+  else control_->handle(std::move(request), std::move(answer));
 }
 
 json::value Daemon::usage() {
   std::lock_guard lock(counts_mutex_);
   const WireCounts& wire = wire_->counts();
   json::object dropped;
-  for (Duty* duty : {&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_})
+  for (Duty* duty : duties_)
     if (duty->post && duty->thread.dropped() > 0) dropped[duty->post->slice()] = duty->thread.dropped();
   return json::object{{"entries", to_json(counts_)}, {"open", open_}, {"placed", placed_},
                       {"wire", json::object{{"frames_out", wire.frames_out.load()}, {"bytes_out", wire.bytes_out.load()}, {"frames_in", wire.frames_in.load()}, {"bytes_in", wire.bytes_in.load()}, {"foreign", wire.foreign.load()}}},
@@ -100,27 +132,28 @@
 int Daemon::run() {
   logs::note("daemon", "Serving callers at " + settings_.callers.text + " and operators at " + settings_.control.text + ".");
   wire_->start();
-  for (Duty* duty : {&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_}) duty->thread.start();
+  for (Duty* duty : duties_) duty->thread.start();
   sessions_duty_.thread.offer([this] { sessions_->start(); });
   news_duty_.thread.offer([this] { news_->start(); });
-  placing_duty_.thread.offer([this] { placing_->start(); });
-  routes_duty_.thread.offer([this] { entries_->start(); });
-  if (kept_) {
-    kept_duty_.thread.offer([this] { kept_->start(); });
-    circle_duty_.thread.offer([this] { circle_->start(); });
-    lots_duty_.thread.offer([this] { lots_->start(); });
-  }
-  boost::asio::signal_set signals(main_, SIGTERM, SIGINT);
+  if (placing_) placing_duty_.thread.offer([this] { placing_->start(); });
+  if (entries_) routes_duty_.thread.offer([this] { entries_->start(); });
+  if (kept_) kept_duty_.thread.offer([this] { kept_->start(); });
+  if (circle_) circle_duty_.thread.offer([this] { circle_->start(); });
+  if (lots_) lots_duty_.thread.offer([this] { lots_->start(); });
+  if (runner_list_) listing_duty_.thread.offer([this] { runner_list_->start(); });
+  boost::asio::signal_set signals(main_, SIGTERM, SIGINT, SIGHUP);
   boost::asio::steady_timer timer(main_);
-  Moment drain_until{};
+  Moment drain_until{}, drain_began{};
+  // Watchers of a place's health answers need a moment to send new callers elsewhere.
+  const Span drain_least = settings_.health.empty() ? Span(std::chrono::milliseconds(200)) : Span(std::chrono::milliseconds(2600));
   std::string last_state;
   std::function<void()> watch = [&] {
-    routes_duty_.thread.offer([this] {
+    if (entries_) routes_duty_.thread.offer([this] {
       std::lock_guard lock(counts_mutex_);
       counts_ = entries_->counts();
       open_ = entries_->open();
     });
-    placing_duty_.thread.offer([this] {
+    if (placing_) placing_duty_.thread.offer([this] {
       std::lock_guard lock(counts_mutex_);
       placed_ = placing_->open();
     });
@@ -135,7 +168,9 @@
         std::lock_guard lock(counts_mutex_);
         left = open_ + placed_;
       }
-      if (left == 0 || now > drain_until) {
+      const bool long_enough = now - drain_began >= drain_least;
+      if (long_enough && front_) front_->close();
+      if ((left == 0 && long_enough) || now > drain_until) {
         logs::note("daemon", left == 0 ? "Drained; ending." : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
         main_.stop();
         return;
@@ -145,12 +180,14 @@
     timer.async_wait([&](const boost::system::error_code&) { watch(); });
   };
   std::function<void()> wait = [&] {
-    signals.async_wait([&](const boost::system::error_code& error, int) {
+    signals.async_wait([&](const boost::system::error_code& error, int signal) {
       if (error) return;
+      if (signal == SIGHUP) return wait();
       if (drain_until.microseconds > 0) return main_.stop();
       logs::note("daemon", "Draining: new requests are refused, open ones end.");
       board_.draining = true;
-      drain_until = steady_now() + settings_.drain + std::chrono::milliseconds(400);
+      drain_began = steady_now();
+      drain_until = drain_began + settings_.drain + std::chrono::milliseconds(place_ ? 0 : 400);
       wait();
     });
   };
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -1,10 +1,12 @@
-// One daemon: its duties, each on a thread of its own, joined by bounded rings and the wire.
+// One daemon: the duties that its place and its folder call for, each on a thread of its own or all on one, joined by
+// bounded rings and the wire.
 #pragma once
 #include "circle/circle.hpp"
 #include "control/control.hpp"
 #include "host/beast_exchange.hpp"
 #include "host/file_disk.hpp"
 #include "host/front.hpp"
+#include "host/place.hpp"
 #include "host/settings.hpp"
 #include "host/tcp_wire.hpp"
 #include "lots/lots.hpp"
@@ -17,7 +19,7 @@
 
 class Daemon {
  public:
-  Daemon(Settings settings, std::string version);
+  Daemon(Settings settings, std::string version, std::unique_ptr<Place> place = nullptr);
   ~Daemon();
   Result<Done> open();
   // Runs until a signal has drained it or its disk has failed; gives the exit code.
@@ -27,18 +29,26 @@
   struct Duty {
     DutyThread thread;
     std::unique_ptr<Post> post;
-    explicit Duty(std::string name) : thread(std::move(name)) {}
+    Duty(std::string name, boost::asio::io_context* shared) : thread(std::move(name), shared) {}
   };
   void make_post(Duty& duty, const std::string& slice);
+  Result<Done> listen();
+  void handle(ControlRequest request, ControlAnswer answer);
   json::value usage();
 
   Settings settings_;
+  std::unique_ptr<Place> place_;
+  boost::asio::io_context main_{1};
+  boost::asio::io_context* shared_ = settings_.single_thread ? &main_ : nullptr;
   Member self_;
   Board board_;
   std::unique_ptr<TcpWire> wire_;
-  Duty sessions_duty_{"sessions"}, news_duty_{"news"}, kept_duty_{"kept"}, circle_duty_{"circle"}, lots_duty_{"lots"}, placing_duty_{"placing"}, routes_duty_{"routes"}, control_duty_{"control"};
+  Duty sessions_duty_{"sessions", shared_}, news_duty_{"news", shared_}, kept_duty_{"kept", shared_}, circle_duty_{"circle", shared_}, lots_duty_{"lots", shared_}, placing_duty_{"placing", shared_}, routes_duty_{"routes", shared_}, control_duty_{"control", shared_}, listing_duty_{"listing", shared_};
+  const std::vector<Duty*> duties_{&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_, &listing_duty_};
   std::unique_ptr<FileDisk> disk_;
-  std::unique_ptr<BeastExchange> live_exchange_, lot_exchange_;
+  std::unique_ptr<BeastExchange> live_exchange_, lot_exchange_, list_exchange_;
+  std::unique_ptr<ListSource> list_source_;
+  std::unique_ptr<RunnerList> runner_list_;
   std::unique_ptr<Sessions> sessions_;
   std::unique_ptr<News> news_;
   std::unique_ptr<Kept> kept_;
@@ -47,8 +57,8 @@
   std::unique_ptr<Placing> placing_;
   std::unique_ptr<Entries> entries_;
   std::unique_ptr<Control> control_;
+  std::unique_ptr<Surface> surface_;
   std::unique_ptr<Front> front_;
-  boost::asio::io_context main_{1};
   std::mutex counts_mutex_;
   EntryCounts counts_;
   std::size_t open_ = 0, placed_ = 0;
--- a/source/host/duty_thread.cpp
+++ b/source/host/duty_thread.cpp
@@ -58,6 +58,7 @@
 }
 
 void DutyThread::start() {
+  if (!own_) return;
   thread_ = std::thread([this] {
     pthread_setname_np(pthread_self(), name_.substr(0, 15).c_str());
     context_.run();
@@ -65,7 +66,8 @@
 }
 
 void DutyThread::stop() {
-  context_.stop();
+  if (!own_) return;
+  own_->stop();
   if (thread_.joinable()) thread_.join();
 }
 
--- a/source/host/duty_thread.hpp
+++ b/source/host/duty_thread.hpp
@@ -1,4 +1,5 @@
-// A thread for one duty: an event loop, a bounded ring for what other threads hand in, and the steady schedule.
+// An event loop for one duty, a bounded ring for what others hand in, and the steady schedule. The loop has a thread of
+// its own, or is one that several duties share: then nothing wakes another thread, which is cheaper on a small machine.
 #pragma once
 #include <atomic>
 #include <boost/asio.hpp>
@@ -34,7 +35,11 @@
 
 class DutyThread {
  public:
-  explicit DutyThread(std::string name) : name_(std::move(name)), schedule_(context_), chance_(hash_of(name_)), ring_(8192) {}
+  // Runs on the shared loop where one is given.
+  explicit DutyThread(std::string name, boost::asio::io_context* shared = nullptr)
+      : name_(std::move(name)), own_(shared == nullptr ? std::make_unique<boost::asio::io_context>(1) : nullptr), context_(shared == nullptr ? *own_ : *shared), schedule_(context_), chance_(hash_of(name_)), ring_(8192) {
+    if (own_) work_.emplace(own_->get_executor());
+  }
   ~DutyThread() { stop(); }
   boost::asio::io_context& context() { return context_; }
   AsioSchedule& schedule() { return schedule_; }
@@ -46,8 +51,9 @@
 
  private:
   std::string name_;
-  boost::asio::io_context context_{1};
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{context_.get_executor()};
+  std::unique_ptr<boost::asio::io_context> own_;
+  boost::asio::io_context& context_;
+  std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> work_;
   AsioSchedule schedule_;
   SystemChance chance_;
   Ring<Task> ring_;
--- a/source/host/main.cpp
+++ b/source/host/main.cpp
@@ -8,18 +8,24 @@
 int main(int count, char** words) {
   using namespace mothwalk;
   auto complain = [](const Fault& fault) { std::cerr << "mothwalk-daemon: " << fault.field << ": " << fault.message << "; " << fault.remedy << ".\n"; };
-  auto line = read_command_line(count, words);
+  std::unique_ptr<Place> place = count == 1 ? place_of_process() : nullptr;
+  auto line = place ? Result<CommandLine>(CommandLine{}) : read_command_line(count, words);
   if (auto fault = fault_of(line)) {
     complain(*fault);
     return 2;
   }
-  const CommandLine& given = std::get<CommandLine>(line);
+  CommandLine& given = std::get<CommandLine>(line);
+  if (place) {
+    auto told = place->settings();
+    if (auto fault = fault_of(told)) return complain(*fault), 2;
+    given.settings = std::move(std::get<Settings>(told));
+  }
   if (given.help) return std::cout << daemon_help(), 0;
   if (given.version) return std::cout << "mothwalk-daemon " MOTHWALK_VERSION "\n", 0;
   if (given.check) return std::cout << "The settings are good.\n", 0;
   std::signal(SIGPIPE, SIG_IGN);
   logs::start(given.settings.log_level, given.settings.log_file);
-  Daemon daemon(given.settings, MOTHWALK_VERSION);
+  Daemon daemon(given.settings, MOTHWALK_VERSION, std::move(place));
   auto opened = daemon.open();
   if (auto fault = fault_of(opened)) {
     complain(*fault);
--- a/source/host/settings.cpp
+++ b/source/host/settings.cpp
@@ -26,6 +26,9 @@
     {"hall", "hall", "NAME   the hall (zone) it stands in"},
     {"seeds", "seeds", "IP:PORT,IP:PORT,IP:PORT   three other daemons' addresses, or its own among them"},
     {"data-folder", "data_folder", "FOLDER   where it holds state; without one it holds none"},
+    {"name", "name", "NAME   of the machine, as operators know it"},
+    {"keeps", "keeps", "control|lots   what the data folder holds (default: both)"},
+    {"health", "health", "IP:PORT   where watchers ask whether callers may come"},
     {"log-level", "log_level", "notes|warnings|quiet"},
     {"log-file", "log_file", "FILE   instead of standard output"},
     {"drain", "drain", "MILLISECONDS   how long SIGTERM waits for open requests (default 20000)"},
@@ -47,6 +50,8 @@
     for (std::size_t other = 0; other < index; ++other)
       if (settings.seeds[other] == settings.seeds[index]) return wrong("seeds[" + std::to_string(index) + "]", "the seed is given twice", "give three different addresses");
   }
+  if (!settings.keeps.empty() && settings.keeps != "control" && settings.keeps != "lots") return wrong("keeps", "'" + settings.keeps + "' is not known", "give control or lots, or leave it out");
+  if (!settings.health.empty() && !endpoint_of(settings.health)) return wrong("health", "'" + settings.health.text + "' is not an address", "give ip:port");
   if (settings.log_level != "notes" && settings.log_level != "warnings" && settings.log_level != "quiet") return wrong("log_level", "'" + settings.log_level + "' is not a log level", "give notes, warnings or quiet");
   return std::nullopt;
 }
--- a/source/host/settings.hpp
+++ b/source/host/settings.hpp
@@ -12,7 +12,13 @@
   std::string log_level = "notes";     // notes, warnings, quiet
   std::string log_file;                // empty: standard output
   Span drain = std::chrono::seconds(20);
-  MOTHWALK_FIELDS(address, callers, control, hall, seeds, data_folder, log_level, log_file, drain)
+  std::string name;                    // of the machine, as operators know it; may be empty
+  std::string keeps;                   // what the data folder holds: empty for control state and lots, or "control", "lots"
+  std::optional<bool> first_start;     // whether the whole fleet starts with empty folders; absent: the seeds hold state and know
+  bool single_thread = false;          // all duties on one thread: fewer wake-ups where processor time is dear
+  Address health;                      // where watchers ask whether callers may come; empty: at control alone
+  std::uint64_t memory_bytes = 0;      // that the process may use; 0: not known
+  MOTHWALK_FIELDS(address, callers, control, hall, seeds, data_folder, log_level, log_file, drain, name, keeps, first_start, single_thread, health, memory_bytes)
 };
 
 struct CommandLine {
--- a/source/host/tcp_wire.cpp
+++ b/source/host/tcp_wire.cpp
@@ -44,7 +44,7 @@
   Bytes body;
 };
 
-TcpWire::TcpWire(Address self, std::function<void(View)> note) : self_(std::move(self)), note_(std::move(note)), acceptor_(thread_.context()) {}
+TcpWire::TcpWire(Address self, std::function<void(View)> note, asio::io_context* shared) : self_(std::move(self)), note_(std::move(note)), thread_("wire", shared), acceptor_(thread_.context()) {}
 
 Result<Done> TcpWire::listen() {
   const auto endpoint = endpoint_of(self_);
--- a/source/host/tcp_wire.hpp
+++ b/source/host/tcp_wire.hpp
@@ -14,7 +14,7 @@
 
 class TcpWire : public Wire {
  public:
-  TcpWire(Address self, std::function<void(View)> note);
+  TcpWire(Address self, std::function<void(View)> note, boost::asio::io_context* shared = nullptr);
   // Every slice's envelopes go to its duty's thread; set before start.
   void route(const std::string& slice, std::function<void(Envelope)> taker) { takers_[slice] = std::move(taker); }
   Result<Done> listen();
@@ -36,7 +36,7 @@
 
   Address self_;
   std::function<void(View)> note_;
-  DutyThread thread_{"wire"};
+  DutyThread thread_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::map<std::string, std::function<void(Envelope)>> takers_;
   std::map<Address, std::shared_ptr<Link>> links_;
--- /dev/null
+++ b/source/listing/listing.cpp
@@ -0,0 +1,129 @@
+// Reading pages, gathering them, and telling what changed.
+#include "listing/listing.hpp"
+
+#include "news/news.hpp"
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr Span page_span = milliseconds(600);
+constexpr std::size_t most_pages = 200;   // a list whose pages lead in a circle ends here
+constexpr std::size_t longest_page = 4u << 20;
+
+// Cold time runs down by itself: only that it begins, ends or grows is news.
+bool same_listing(const RunnerListing& told, const RunnerListing& now) {
+  if (told.runners.size() != now.runners.size()) return false;
+  for (const auto& [name, runner] : now.runners) {
+    auto found = told.runners.find(name);
+    if (found == told.runners.end()) return false;
+    const Runner& before = found->second;
+    if (before.address != runner.address || before.kind != runner.kind || before.hall != runner.hall || before.slots != runner.slots || before.leaving != runner.leaving) return false;
+    if ((before.cold > Span{}) != (runner.cold > Span{}) || runner.cold > before.cold) return false;
+  }
+  return true;
+}
+}  // namespace
+
+class RunnerList::Watcher : public AttemptWatcher {
+ public:
+  explicit Watcher(std::function<void(std::optional<ListBody>)> then) : then_(std::move(then)) {}
+  void on_head(int status, const std::vector<Header>&) override { body_.status = status; }
+  void on_piece(View piece) override {
+    if (body_.body.size() + piece.size() <= longest_page) body_.body.append(piece);
+    else body_.status = 0;
+  }
+  void on_end(AttemptEnd end) override { end == AttemptEnd::whole ? then_(std::move(body_)) : then_(std::nullopt); }
+
+ private:
+  std::function<void(std::optional<ListBody>)> then_;
+  ListBody body_;
+};
+
+RunnerList::RunnerList(Post& post, Board& board, Exchange& exchange, Chance& chance, ListSource& source)
+    : post_(post), board_(board), exchange_(exchange), chance_(chance), source_(source) {
+  post_.on_ask<FetchListPage>([this](const Address&, FetchListPage page, Answer<ListBody> answer) {
+    fetch(page.target, [answer](std::optional<ListBody> body) {
+      if (body) answer(std::move(*body));
+      else answer(Fault{FaultKind::lost, "list", "the list can't be read from here either", "ask another daemon"});
+    });
+  });
+}
+
+void RunnerList::start() { tick(); }
+
+void RunnerList::tick() {
+  const auto owned = board_.owned.get();
+  auto slot = owned->slots.find(slot_of(listing_key));
+  const Epoch epoch = slot == owned->slots.end() ? Epoch{} : slot->second;
+  if (epoch != epoch_) {
+    epoch_ = epoch;
+    version_ = 0;
+    failures_ = 0;
+    told_.reset();
+  }
+  if (epoch_.value > 0 && !reading_) {
+    reading_ = true;
+    pages_ = 0;
+    gathered_ = RunnerListing{};
+    read(std::nullopt);
+  }
+  post_.schedule().after(epoch_.value > 0 ? source_.period() : Span(milliseconds(200)), [this] { tick(); });
+}
+
+void RunnerList::fetch(const std::string& target, std::function<void(std::optional<ListBody>)> then) {
+  AttemptRequest request;
+  request.to = source_.address();
+  request.method = "GET";
+  request.target = target;
+  request.headers = {{"Host", source_.address().text}};
+  request.body = std::make_shared<const Bytes>();
+  request.connecting = request.first_piece = request.between_pieces = page_span;
+  ++reads_;
+  exchange_.start(request, std::make_shared<Watcher>(std::move(then)));
+}
+
+void RunnerList::read(std::optional<std::string> next) {
+  const std::string target = source_.target(next);
+  const auto members = board_.members.get();
+  std::vector<Address> others;
+  // After two failures on its own way others read for it; now and then the own way is tried again.
+  through_others_ = failures_ >= 2 && reads_ % 8 != 0;
+  if (through_others_)
+    for (const auto& [address, member] : members->all)
+      if (address != post_.self()) others.push_back(address);
+  if (others.empty()) through_others_ = false;
+  if (!through_others_) return fetch(target, [this](std::optional<ListBody> body) { take_page(std::move(body)); });
+  ++reads_;
+  post_.ask(others[chance_.below(others.size())], FetchListPage{target}, page_span + milliseconds(200), [this](Result<ListBody> result) {
+    if (auto* body = std::get_if<ListBody>(&result)) take_page(std::move(*body));
+    else failed();
+  });
+}
+
+void RunnerList::failed() {
+  ++failures_;
+  reading_ = false;
+}
+
+void RunnerList::take_page(std::optional<ListBody> body) {
+  if (!body || body->status != 200) return failed();
+  auto page = source_.read(body->body);
+  if (fault_of(page) || ++pages_ > most_pages) return failed();
+  auto& read_page = std::get<ListPage>(page);
+  gathered_.runners.merge(read_page.runners);
+  if (read_page.next) return read(std::move(read_page.next));
+  reading_ = false;
+  if (!through_others_) failures_ = 0;
+  tell();
+}
+
+void RunnerList::tell() {
+  const auto owned = board_.owned.get();
+  auto slot = owned->slots.find(slot_of(listing_key));
+  if (slot == owned->slots.end() || slot->second != epoch_ || (told_ && same_listing(*told_, gathered_))) return;
+  told_ = gathered_;
+  post_.tell(post_.self(), Spread{{NewsItem{std::string(listing_key), Stamp{epoch_, Version{++version_}}, false, to_cbor(gathered_)}}});
+}
+
+}  // namespace mothwalk
--- a/source/policy/resources.hpp
+++ b/source/policy/resources.hpp
@@ -139,8 +139,9 @@
   HolderId holder;
   Address address;
   ZoneId hall;
+  std::string name = {};            // of the machine, where operators name one
   auto operator<=>(const Seat&) const = default;
-  MOTHWALK_FIELDS(holder, address, hall)
+  MOTHWALK_FIELDS(holder, address, hall, name)
 };
 
 struct Roster {
