--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -54,6 +54,10 @@
   make_post(sessions_duty_, "sessions");
   make_post(news_duty_, "news");
   make_post(control_duty_, "control");
+  if (settings_.first_start) {
+    make_post(founding_duty_, "founding");
+    founding_ = std::make_unique<Founding>(*founding_duty_.post, board_, *settings_.first_start);
+  }
   if (holder) {
     make_post(kept_duty_, "kept");
     disk_ = std::make_unique<FileDisk>(settings_.data_folder, [this](Task task) { boost::asio::post(kept_duty_.thread.context(), std::move(task)); });
@@ -65,7 +69,7 @@
       logs::warn("kept", "The disk failed; this daemon ends.");
       boost::asio::post(main_, [this] { exit_code_ = 5; main_.stop(); });
     };
-    kept_ = std::make_unique<Kept>(*kept_duty_.post, board_, *disk_, kept_duty_.thread.chance(), self_, settings_.seeds, std::move(report));
+    kept_ = std::make_unique<Kept>(*kept_duty_.post, board_, *disk_, kept_duty_.thread.chance(), self_, settings_.seeds, std::move(report), settings_.first_start);
     auto loaded = kept_->load();
     if (auto fault = fault_of(loaded)) return *fault;
     self_.holder = kept_->identity();
@@ -100,7 +104,8 @@
     entries_ = std::make_unique<Entries>(*routes_duty_.post, board_, *live_exchange_, routes_duty_.thread.chance(), self_, dialect);
     front_ = std::make_unique<Front>(routes_duty_.thread.context(), *entries_, [this](ControlRequest request, ControlAnswer answer) {
       return control_duty_.thread.offer([this, request = std::move(request), answer = std::move(answer)]() mutable { handle(std::move(request), std::move(answer)); });
-    }, most_sessions());
+    }, most_sessions(), surface_ ? Front::ToControlSide([this](View method, View target, const std::vector<Header>& headers) { return surface_->takes(method, target, headers); }) : Front::ToControlSide());
+    entries_->serves_while_draining = place_ != nullptr;
   }
   return listen();
 }
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -6,6 +6,7 @@
 #include "host/beast_exchange.hpp"
 #include "host/file_disk.hpp"
 #include "host/front.hpp"
+#include "kept/founding.hpp"
 #include "host/place.hpp"
 #include "host/settings.hpp"
 #include "host/tcp_wire.hpp"
@@ -43,14 +44,15 @@
   Member self_;
   Board board_;
   std::unique_ptr<TcpWire> wire_;
-  Duty sessions_duty_{"sessions", shared_}, news_duty_{"news", shared_}, kept_duty_{"kept", shared_}, circle_duty_{"circle", shared_}, lots_duty_{"lots", shared_}, placing_duty_{"placing", shared_}, routes_duty_{"routes", shared_}, control_duty_{"control", shared_}, listing_duty_{"listing", shared_};
-  const std::vector<Duty*> duties_{&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_, &listing_duty_};
+  Duty sessions_duty_{"sessions", shared_}, news_duty_{"news", shared_}, kept_duty_{"kept", shared_}, circle_duty_{"circle", shared_}, lots_duty_{"lots", shared_}, placing_duty_{"placing", shared_}, routes_duty_{"routes", shared_}, control_duty_{"control", shared_}, listing_duty_{"listing", shared_}, founding_duty_{"founding", shared_};
+  const std::vector<Duty*> duties_{&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_, &listing_duty_, &founding_duty_};
   std::unique_ptr<FileDisk> disk_;
   std::unique_ptr<BeastExchange> live_exchange_, lot_exchange_, list_exchange_;
   std::unique_ptr<ListSource> list_source_;
   std::unique_ptr<RunnerList> runner_list_;
   std::unique_ptr<Sessions> sessions_;
   std::unique_ptr<News> news_;
+  std::unique_ptr<Founding> founding_;
   std::unique_ptr<Kept> kept_;
   std::unique_ptr<CircleDuty> circle_;
   std::unique_ptr<Lots> lots_;
