--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -26,12 +26,12 @@
 }
 }  // namespace
 
-double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners) {
+double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners, std::uint32_t concurrency) {
   double busy = queued, slots = 0;
   for (const auto& member : members) {
     auto runner = runners.find(member.text);
     if (runner == runners.end()) continue;
-    slots += runner->second.spec.slots;
+    slots += concurrency == 0 ? runner->second.spec.slots : std::min(concurrency, runner->second.spec.slots);
     if (auto found = open.find(member.text); found != open.end()) busy += found->second;
   }
   return slots == 0 ? 0 : busy / slots;
@@ -146,13 +146,14 @@
   // No oftener than the reports that the totals are made of.
   if (now - state.totals_told >= totals_span) {
     state.totals_told = now;
-    for (const auto& [address, member] : members->all) post_.tell(address, UsageTotals{kind, totals});
+    const UsageTotals told{kind, totals};
+    for (const auto& [address, member] : members->all) member.keeps == "lots" ? post_.tell(address, PlacerTotals{told}) : post_.tell(address, told);
   }
 
   std::vector<std::string> current;
   for (const auto& member : before.members)
     if (able.contains(member.text)) current.push_back(member.text);
-  const double usage = usage_of(open, queued, before.members, policy->runners);
+  const double usage = usage_of(open, queued, before.members, policy->runners, settings.circle.concurrency);
   state.samples.push_back(usage);
   const std::size_t recent = std::min<std::size_t>(state.samples.size(), 8);
   double recent_usage = 0, mean_usage = 0;
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -32,6 +32,12 @@
   std::map<std::string, RunnerTotal> runners;
   MOTHWALK_FIELDS(runner_kind, runners)
 };
+// The same to daemons that keep lots alone: they route no live prompts, but place items.
+struct PlacerTotals {
+  static constexpr View kind = "placing.totals";
+  UsageTotals totals;
+  MOTHWALK_FIELDS(totals)
+};
 
 class CircleDuty {
  public:
@@ -75,6 +81,6 @@
 };
 
 // The usage of the members: open prompts and their share of the queued ones, over their slots.
-double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners);
+double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners, std::uint32_t concurrency = 0);
 
 }  // namespace mothwalk
--- a/source/policy/resources.hpp
+++ b/source/policy/resources.hpp
@@ -9,12 +9,13 @@
 struct CircleSettings {
   bool all = false;                 // plain kinds may put every runner in the circle
   double target = 0.6;              // medium usage (ours)
+  std::uint32_t concurrency = 0;    // live prompts that count as full usage of a runner, where fewer than its slots; 0: its slots
   double high_water = 0.9;          // an early cycle above this usage (ours)
   Span cycle = std::chrono::seconds(60);
   std::uint32_t floor = 2;
   std::uint32_t reserve = 1;        // runners kept outside while lots are pending (ours)
   Span ramp = std::chrono::seconds(10);
-  MOTHWALK_FIELDS(all, target, high_water, cycle, floor, reserve, ramp)
+  MOTHWALK_FIELDS(all, target, concurrency, high_water, cycle, floor, reserve, ramp)
 };
 
 // What a kind's model engine bears; zero tokens of memory: these runners are no model engines.
