--- a/source/scale/main.cpp
+++ b/source/scale/main.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "scale/loopback.hpp"
 #include "scale/scale.hpp"
 
 using namespace mothwalk;
@@ -20,7 +21,9 @@
 int usage(const std::string& what) {
   std::cerr << "scale-run: " << what << "\n"
             << "scale-run [--daemons 20,60,120] [--control 5] [--storage 6] [--zones 7] [--runners 600] [--kinds 4] [--lanes 12]\n"
-            << "          [--requests 0] [--changes 10] [--seconds 10] [--seed 1] [--table FILE]\n";
+            << "          [--requests 0] [--changes 10] [--seconds 10] [--seed 1] [--table FILE]\n"
+            << "scale-run --hollow 20,60,120 [--real 5] [--control 5] [--program target/mothwalk-daemon] [--runners 600] [--changes 10] [--seconds 10]\n"
+            << "The first runs on virtual time in one process; the second over loopback, with real daemons beside hollow ones.\n";
   return 2;
 }
 
@@ -97,12 +100,17 @@
   Size size;
   std::vector<std::size_t> daemons{20, 60, 120};
   std::string table;
-  const option options[] = {{"daemons", 1, nullptr, 'd'}, {"control", 1, nullptr, 'c'}, {"storage", 1, nullptr, 'o'}, {"zones", 1, nullptr, 'z'}, {"runners", 1, nullptr, 'r'}, {"kinds", 1, nullptr, 'k'}, {"lanes", 1, nullptr, 'l'}, {"requests", 1, nullptr, 'q'}, {"changes", 1, nullptr, 'n'}, {"seconds", 1, nullptr, 's'}, {"seed", 1, nullptr, 'e'}, {"table", 1, nullptr, 't'}, {nullptr, 0, nullptr, 0}};
+  bool over_loopback = false;
+  LoopbackSize loopback;
+  loopback.program = "target/mothwalk-daemon";
+  const option options[] = {{"daemons", 1, nullptr, 'd'}, {"control", 1, nullptr, 'c'}, {"storage", 1, nullptr, 'o'}, {"zones", 1, nullptr, 'z'}, {"runners", 1, nullptr, 'r'}, {"kinds", 1, nullptr, 'k'}, {"lanes", 1, nullptr, 'l'}, {"requests", 1, nullptr, 'q'}, {"changes", 1, nullptr, 'n'}, {"seconds", 1, nullptr, 's'}, {"seed", 1, nullptr, 'e'}, {"table", 1, nullptr, 't'}, {"hollow", 1, nullptr, 'h'}, {"real", 1, nullptr, 'a'}, {"program", 1, nullptr, 'p'}, {nullptr, 0, nullptr, 0}};
   for (int found; (found = getopt_long(count, words, "", options, nullptr)) != -1;) {
     if (found == '?') return usage("a flag is not known or lacks its value");
     const std::string text(optarg);
     if (found == 't') { table = text; continue; }
-    if (found == 'd') {
+    if (found == 'p') { loopback.program = text; continue; }
+    if (found == 'd' || found == 'h') {
+      over_loopback = found == 'h';
       daemons.clear();
       std::istringstream list(text);
       for (std::string each; std::getline(list, each, ',');) {
@@ -113,24 +121,42 @@
     }
     const auto value = number(text);
     if (!value) return usage("'" + text + "' is not a number from 0 to 9999999");
-    if (found == 'c') size.control = *value;
+    if (found == 'a') loopback.real = *value;
+    if (found == 'c') size.control = loopback.control = *value;
     if (found == 'o') size.storage = *value;
     if (found == 'z') size.zones = *value;
-    if (found == 'r') size.runners = *value;
+    if (found == 'r') size.runners = loopback.runners = *value;
     if (found == 'k') size.kinds = *value;
     if (found == 'l') size.lanes = *value;
     if (found == 'q') size.requests = static_cast<double>(*value);
-    if (found == 'n') size.changes = *value;
-    if (found == 's') size.window = std::chrono::seconds(std::max<std::size_t>(*value, 1));
+    if (found == 'n') size.changes = loopback.changes = *value;
+    if (found == 's') size.window = std::chrono::seconds(loopback.seconds = std::max<std::size_t>(*value, 1));
     if (found == 'e') size.seed = *value;
   }
   if (optind < count) return usage(std::string("'") + words[optind] + "' is not a flag");
   struct sysinfo machine{};
   ::sysinfo(&machine);
+  const std::uint64_t memory = static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit;
+  if (over_loopback) {
+    for (const std::size_t each : daemons) {
+      loopback.hollow = each;
+      if (auto result = check_size(loopback, memory); fault_of(result)) return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
+    }
+    bool sound = true;
+    for (const std::size_t each : daemons) {
+      loopback.hollow = each;
+      for (const auto& wrong : run(loopback)) {
+        std::cout << "  FAILED: " << wrong << "\n";
+        sound = false;
+      }
+      std::cout << std::flush;
+    }
+    return sound ? 0 : 1;
+  }
   for (const std::size_t each : daemons) {
     Size checked = size;
     checked.daemons = each;
-    if (auto result = check_size(checked, static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit); fault_of(result)) return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
+    if (auto result = check_size(checked, memory); fault_of(result)) return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
   }
   std::vector<std::vector<double>> all;
   bool good = true;
