Hand-overs carry only what the other side lacks; a holder's retirement can be asked for

Cause: promises and installations carried every record of a slot, megabytes where lots have large bodies; a seat that missed a hand-over was never given it; a returning copy fetched records each second that it then did not take. Change: records know when they were written, hand-overs name content by that; messages stay near 1 MB. Owners give missed hand-overs to seats that are back. Retirement(roster key, address), asked of the owner of the roster's key, tells when a machine may go with its disk.

--- a/source/kept/kept.cpp
+++ b/source/kept/kept.cpp
@@ -24,6 +24,12 @@
 
 bool newsy(View key) { return !lot_key(key); }
 
+std::size_t size_of(const Record& record) {
+  std::size_t size = record.key.size() + record.head.size() + 64;
+  for (const auto& entry : record.entries) size += entry.size() + 8;
+  return size;
+}
+
 std::uint64_t record_hash(const Record& record) {
   return hash_of(record.key, record.stamp.epoch.value * 1000003 + record.stamp.version.value * 2 + record.removed);
 }
@@ -40,7 +46,7 @@
     if (!lots_only() && roster_.seats.empty() && found.roster.seated(identity_)) {
       roster_ = found.roster;
       tell_seats();
-      return persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}}, [this, answer] { answer(WhoReply{identity_, self_.address, self_.hall, roster_}); });
+      return persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}, .content = {}}, [this, answer] { answer(WhoReply{identity_, self_.address, self_.hall, roster_}); });
     }
     answer(WhoReply{identity_, self_.address, self_.hall, roster_});
   });
@@ -49,23 +55,33 @@
     if (promise.slot >= slot_count) return answer(not_me());
     Held& held = held_[promise.slot];
     if (promise.roster.version > roster_.version) adopt(promise.roster);
-    if (promise.roster.version < roster_.version || promise.epoch <= held.promised) return answer(PromiseReply{false, held.promised, held.installed, roster_, {}});
+    if (promise.roster.version < roster_.version || promise.epoch <= held.promised) return answer(PromiseReply{false, held.promised, held.installed, roster_, {}, {}});
     held.promised = promise.epoch;
     held.promised_to = promise.owner;
     if (promise.owner != identity_ && owned_[promise.slot].state != Owned::State::none) step_down(promise.slot, milliseconds(500));
-    DiskEntry entry{.what = "promise", .holder = promise.owner, .roster = {}, .slot = promise.slot, .epoch = promise.epoch, .change = {}, .records = {}, .address = {}};
+    DiskEntry entry{.what = "promise", .holder = promise.owner, .roster = {}, .slot = promise.slot, .epoch = promise.epoch, .change = {}, .records = {}, .address = {}, .content = {}};
     persist(std::move(entry), [this, promise, answer] {
       const Held& kept = held_[promise.slot];
-      PromiseReply reply{kept.promised == promise.epoch, kept.promised, kept.installed, roster_, {}};
-      for (const auto& [key, record] : kept.records) reply.records.push_back(record);
+      PromiseReply reply{kept.promised == promise.epoch, kept.promised, kept.installed, roster_, {}, {}};
+      std::map<View, const RecordStamp*> have;
+      for (const auto& each : promise.have) have[each.key] = &each;
+      std::size_t size = 0;
+      for (const auto& [key, record] : kept.records) {
+        auto found = have.find(key);
+        if (found != have.end() && found->second->stamp >= record.stamp) continue;
+        const bool same = found != have.end() && found->second->written == record.written;
+        if (!same) size += size_of(record);
+        if (!same && size <= longest_message) reply.records.push_back(record);
+        else reply.more.push_back(RecordStamp{key, record.stamp, record.written});
+      }
       answer(std::move(reply));
     });
   });
   auto gate = [this](const HolderId& target, const HolderId& owner, std::uint32_t slot, Epoch epoch, Version roster, Answer<StoreReply>& answer) {
     if (target != identity_ || slot >= slot_count) return answer(not_me()), false;
     Held& held = held_[slot];
-    if (epoch < held.promised || (epoch == held.promised && owner != held.promised_to)) return answer(StoreReply{"refused", held.promised, {}}), false;
-    if (roster != roster_.version) return answer(StoreReply{"roster", held.promised, roster_}), false;
+    if (epoch < held.promised || (epoch == held.promised && owner != held.promised_to)) return answer(StoreReply{"refused", held.promised, {}, {}}), false;
+    if (roster != roster_.version) return answer(StoreReply{"roster", held.promised, roster_, {}}), false;
     return true;
   };
   auto raise = [this](std::uint32_t slot, Epoch epoch, const HolderId& owner) {
@@ -74,7 +90,7 @@
     held.promised = epoch;
     held.promised_to = owner;
     if (owner != identity_ && owned_[slot].state != Owned::State::none) step_down(slot, milliseconds(500));
-    persist(DiskEntry{.what = "promise", .holder = owner, .roster = {}, .slot = slot, .epoch = epoch, .change = {}, .records = {}, .address = {}}, [] {});
+    persist(DiskEntry{.what = "promise", .holder = owner, .roster = {}, .slot = slot, .epoch = epoch, .change = {}, .records = {}, .address = {}, .content = {}}, [] {});
   };
   post_.on_ask<Store>([this, gate, raise](const Address&, Store store, Answer<StoreReply> answer) {
     if (!gate(store.target, store.owner, store.slot, store.epoch, store.roster, answer)) return;
@@ -82,28 +98,34 @@
     Held& held = held_[store.slot];
     auto found = held.records.find(store.change.key);
     const Stamp have = found == held.records.end() ? Stamp{} : found->second.stamp;
-    if (have >= store.change.stamp) return append({}, [answer] { answer(StoreReply{"stored", {}, {}}); });
-    if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}});
+    if (have >= store.change.stamp) return append({}, [answer] { answer(StoreReply{"stored", {}, {}, {}}); });
+    if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}, {}});
     apply(held, store.change);
     const bool roster_change = store.change.key == "roster" && store.change.head;
-    DiskEntry entry{.what = "change", .holder = {}, .roster = {}, .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change), .records = {}, .address = {}};
+    DiskEntry entry{.what = "change", .holder = {}, .roster = {}, .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change), .records = {}, .address = {}, .content = {}};
     if (roster_change)
       if (auto next = from_json<Roster>(*entry.change.head); !fault_of(next)) adopt(std::get<Roster>(next));
-    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}}); });
+    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}, {}}); });
   });
   post_.on_ask<Install>([this, gate, raise](const Address&, Install install, Answer<StoreReply> answer) {
     if (!gate(install.target, install.owner, install.slot, install.epoch, install.roster, answer)) return;
     raise(install.slot, install.epoch, install.owner);
     Held& held = held_[install.slot];
-    held.installed = install.epoch;
-    held.records.clear();
-    held.digest = held.removed_lots = 0;
-    for (const auto& record : install.records) put_record(held, record);
-    DiskEntry entry{.what = "install", .holder = install.owner, .roster = {}, .slot = install.slot, .epoch = install.epoch, .change = {}, .records = std::move(install.records), .address = {}};
-    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}}); });
+    auto missing = this->install(held, install.epoch, install.content);
+    if (!missing.empty()) return answer(StoreReply{"behind", held.promised, {}, std::move(missing)});
+    DiskEntry entry{.what = "handover", .holder = install.owner, .roster = {}, .slot = install.slot, .epoch = install.epoch, .change = {}, .records = {}, .address = {}, .content = std::move(install.content)};
+    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}, {}}); });
+  });
+  post_.on_ask<Copies>([this, gate, raise](const Address&, Copies copies, Answer<StoreReply> answer) {
+    if (!gate(copies.target, copies.owner, copies.slot, copies.epoch, copies.roster, answer)) return;
+    raise(copies.slot, copies.epoch, copies.owner);
+    DiskEntry entry{.what = "copies", .holder = copies.owner, .roster = {}, .slot = copies.slot, .epoch = copies.epoch, .change = {}, .records = {}, .address = {}, .content = {}};
+    entry.records = copies.records;
+    put_copies(held_[copies.slot], std::move(copies.records));
+    persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}, {}}); });
   });
   post_.on_ask<Confirm>([gate](const Address&, Confirm confirm, Answer<StoreReply> answer) {
-    if (gate(confirm.target, confirm.owner, confirm.slot, confirm.epoch, confirm.roster, answer)) answer(StoreReply{"stored", {}, {}});
+    if (gate(confirm.target, confirm.owner, confirm.slot, confirm.epoch, confirm.roster, answer)) answer(StoreReply{"stored", {}, {}, {}});
   });
   post_.on_tell<RosterNews>([this](const Address&, RosterNews news) {
     if (news.keeps == self_.keeps && news.roster.version > roster_.version) adopt(news.roster);
@@ -111,9 +133,17 @@
   post_.on_ask<Settled>([this](const Address&, Settled settled, Answer<SettledReply> answer) {
     SettledReply reply;
     for (std::uint32_t slot = 0; slot < slot_count; ++slot)
-      if (owned_[slot].state == Owned::State::owned && owned_[slot].roster == settled.roster) reply.slots.push_back(slot);
+      if (owned_[slot].state == Owned::State::owned && owned_[slot].roster == settled.roster) {
+        reply.slots.push_back(slot);
+        reply.epochs.push_back(owned_[slot].epoch);
+      }
+    for (const auto& held : held_) {
+      reply.installed.push_back(held.installed);
+      reply.digests.push_back(held.digest);
+    }
     answer(std::move(reply));
   });
+  post_.on_ask<Retirement>([this](const Address&, Retirement asked, Answer<RetirementReply> answer) { retirement(asked, std::move(answer)); });
   post_.on_ask<Digests>([this](const Address&, Digests, Answer<DigestsReply> answer) {
     DigestsReply reply;
     for (const auto& held : held_) reply.digests.push_back(held.digest);
@@ -122,14 +152,20 @@
   post_.on_ask<Range>([this](const Address&, Range range, Answer<RangeReply> answer) {
     RangeReply reply;
     if (range.slot < slot_count)
-      for (const auto& [key, record] : held_[range.slot].records) reply.stamps.push_back(Record{key, record.stamp, record.removed, {}, {}, {}});
+      for (const auto& [key, record] : held_[range.slot].records) reply.stamps.push_back(Record{key, record.stamp, record.removed, {}, {}, {}, record.written});
     answer(std::move(reply));
   });
   post_.on_ask<FetchRecords>([this](const Address&, FetchRecords fetch, Answer<RecordsReply> answer) {
     RecordsReply reply;
+    std::size_t size = 0;
     if (fetch.slot < slot_count)
-      for (const auto& key : fetch.keys)
-        if (auto found = held_[fetch.slot].records.find(key); found != held_[fetch.slot].records.end()) reply.records.push_back(found->second);
+      for (const auto& key : fetch.keys) {
+        auto found = held_[fetch.slot].records.find(key);
+        if (found == held_[fetch.slot].records.end()) continue;
+        size += size_of(found->second);
+        if (size > longest_message && !reply.records.empty()) break;  // the rest is asked for again
+        reply.records.push_back(found->second);
+      }
     answer(std::move(reply));
   });
   post_.on_ask<Write>([this](const Address&, Write request, Answer<WriteReply> answer) { write(std::move(request), std::move(answer)); });
@@ -186,6 +222,9 @@
       held.records.clear();
       held.digest = held.removed_lots = 0;
       for (auto& record : entry.records) put_record(held, std::move(record));
+    } else if (entry.what == "copies") put_copies(held, std::move(entry.records));
+    else if (entry.what == "handover") {
+      if (!install(held, entry.epoch, entry.content).empty()) return Fault{FaultKind::damaged, "record_file", "a hand-over names records that the file does not have", "empty the data folder so that this machine joins as a new holder"};
     } else return Fault{FaultKind::damaged, "record_file", "a record is of the unknown kind '" + entry.what + "'", "run the version of mothwalk that wrote this folder"};
   }
   if (identity_.empty()) {
@@ -217,14 +256,14 @@
 }
 
 Bytes Kept::snapshot() const {
-  Bytes whole = frame_entry(DiskEntry{.what = "identity", .holder = identity_, .roster = {}, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = self_.address});
-  if (!roster_.seats.empty()) whole += frame_entry(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}});
+  Bytes whole = frame_entry(DiskEntry{.what = "identity", .holder = identity_, .roster = {}, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = self_.address, .content = {}});
+  if (!roster_.seats.empty()) whole += frame_entry(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}, .content = {}});
   for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
     const Held& held = held_[slot];
-    DiskEntry install{.what = "install", .holder = {}, .roster = {}, .slot = slot, .epoch = held.installed, .change = {}, .records = {}, .address = {}};
+    DiskEntry install{.what = "install", .holder = {}, .roster = {}, .slot = slot, .epoch = held.installed, .change = {}, .records = {}, .address = {}, .content = {}};
     for (const auto& [key, record] : held.records) install.records.push_back(record);
     if (!install.records.empty() || held.installed.value > 0) whole += frame_entry(install);
-    if (held.promised.value > 0) whole += frame_entry(DiskEntry{.what = "promise", .holder = held.promised_to, .roster = {}, .slot = slot, .epoch = held.promised, .change = {}, .records = {}, .address = {}});
+    if (held.promised.value > 0) whole += frame_entry(DiskEntry{.what = "promise", .holder = held.promised_to, .roster = {}, .slot = slot, .epoch = held.promised, .change = {}, .records = {}, .address = {}, .content = {}});
   }
   return whole;
 }
@@ -254,6 +293,7 @@
 }
 
 void Kept::put_record(Held& held, Record record) {
+  if (record.written == Stamp{}) record.written = record.stamp;
   Record& place = held.records[record.key];
   if (!place.key.empty()) held.digest ^= record_hash(place);
   if (record.key.starts_with("lot/")) held.removed_lots += static_cast<std::size_t>(record.removed) - static_cast<std::size_t>(place.removed);
@@ -261,11 +301,50 @@
   place = std::move(record);
 }
 
+void Kept::erase_record(Held& held, const std::string& key) {
+  auto found = held.records.find(key);
+  if (found == held.records.end()) return;
+  held.digest ^= record_hash(found->second);
+  if (lot_key(key)) held.removed_lots -= found->second.removed;
+  held.records.erase(found);
+}
+
+void Kept::put_copies(Held& held, std::vector<Record> records) {
+  for (auto& record : records) {
+    auto mine = held.records.find(record.key);
+    if (mine == held.records.end() || mine->second.stamp < record.stamp) put_record(held, std::move(record));
+  }
+}
+
+std::vector<std::string> Kept::install(Held& held, Epoch epoch, const std::vector<RecordStamp>& content) {
+  std::vector<std::string> missing;
+  for (const auto& each : content) {
+    auto mine = held.records.find(each.key);
+    if (mine == held.records.end() || (mine->second.written != each.written && mine->second.stamp.epoch != epoch)) missing.push_back(each.key);
+  }
+  if (!missing.empty()) return missing;
+  std::set<View> named;
+  for (const auto& each : content) {
+    named.insert(each.key);
+    Record& mine = held.records[each.key];
+    held.digest ^= record_hash(mine);
+    if (mine.stamp.epoch != epoch) mine.stamp = Stamp{epoch, each.stamp.version};
+    held.digest ^= record_hash(mine);
+  }
+  std::vector<std::string> others;
+  for (const auto& [key, record] : held.records)
+    if (!named.contains(key) && record.stamp.epoch != epoch) others.push_back(key);
+  for (const auto& key : others) erase_record(held, key);
+  held.installed = epoch;
+  return missing;
+}
+
 void Kept::apply(Held& held, const Change& change) {
   Record record;
   if (auto found = held.records.find(change.key); found != held.records.end() && !change.full) record = found->second;
   record.key = change.key;
   record.stamp = change.stamp;
+  record.written = change.written == Stamp{} ? change.stamp : change.written;
   record.removed = change.removed;
   if (change.head) record.head = *change.head;
   if (change.removed) { record.head.clear(); record.entries.clear(); }
@@ -278,7 +357,7 @@
   if (roster.version <= roster_.version) return;
   roster_ = roster;
   tell_seats();
-  persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}}, [] {});
+  persist(DiskEntry{.what = "roster", .holder = {}, .roster = roster_, .slot = 0, .epoch = {}, .change = {}, .records = {}, .address = {}, .content = {}}, [] {});
 }
 
 void Kept::tell_seats() {
@@ -323,7 +402,7 @@
       const Seat* first = slot_owner(roster_, *members, slot);
       if (first != nullptr && first->holder == identity_) take(slot);
     }
-    if (ticks_ % 10 == 0) { repair(); forget_removed_lots(); }
+    if (ticks_ % 10 == 0) { install_at_returned(); repair(); forget_removed_lots(); }
     if (!lots_only() && ticks_ % 3 == 0) { roster_duty(); lot_roster_duty(); }
   }
   rewrite_when_long();
@@ -430,21 +509,37 @@
   owned.roster = roster_.version;
   const Epoch epoch{std::max(held_[slot].promised, owned.epoch).value + 1};
   owned.epoch = epoch;
-  auto replies = std::make_shared<std::vector<PromiseReply>>();
-  auto left = std::make_shared<std::size_t>(roster_.seats.size());
-  auto enough = std::make_shared<bool>(false);
+  struct Round {
+    std::vector<std::pair<Seat, PromiseReply>> replies;
+    std::size_t left = 0;
+    bool enough = false, own = false;
+  };
+  auto round = std::make_shared<Round>();
+  round->left = roster_.seats.size();
   const std::size_t majority = roster_.majority();
+  Promise promise{{}, {}, slot, epoch, roster_, {}};
+  for (const auto& [key, record] : held_[slot].records) promise.have.push_back(RecordStamp{key, record.stamp, record.written});
   for (const auto& seat : roster_.seats)
-    ask_seat(seat, Promise{{}, {}, slot, epoch, roster_}, peer_horizon, [this, slot, epoch, replies, left, enough, majority](Result<PromiseReply> result) {
-      --*left;
+    ask_seat(seat, promise, peer_horizon, [this, seat, slot, epoch, round, majority](Result<PromiseReply> result) {
+      --round->left;
       Owned& now_owned = owned_[slot];
-      if (*enough || now_owned.state != Owned::State::taking || now_owned.epoch != epoch) return;
+      if (round->enough || now_owned.state != Owned::State::taking || now_owned.epoch != epoch) return;
       if (auto* reply = std::get_if<PromiseReply>(&result)) {
         if (reply->granted) {
-          replies->push_back(std::move(*reply));
-          if (replies->size() == majority) {
-            *enough = true;
-            return taken(slot, epoch, std::move(*replies));
+          round->replies.emplace_back(seat, std::move(*reply));
+          round->own = round->own || seat.holder == identity_;
+          // Its own promise is among them, so that what it has itself does not change any more.
+          if (round->replies.size() >= majority && round->own) {
+            round->enough = true;
+            auto taking = std::make_shared<Taking>();
+            for (auto& [from, given] : round->replies) {
+              taking->installed = std::max(taking->installed, given.installed);
+              for (auto& record : given.records)
+                if (Record& place = taking->newer[record.key]; place.key.empty() || place.stamp < record.stamp) place = std::move(record);
+              for (auto& each : given.more)
+                if (auto& place = taking->lacking[each.key]; place.first.stamp < each.stamp) place = {std::move(each), from};
+            }
+            return taken(slot, epoch, taking);
           }
         } else {
           if (reply->roster.version > roster_.version) adopt(reply->roster);
@@ -452,48 +547,131 @@
           if (reply->epoch >= epoch) return step_down(slot, milliseconds(200 + chance_.below(600)));
         }
       }
-      if (*left == 0) step_down(slot, milliseconds(100 + chance_.below(300)));
+      if (round->left == 0) step_down(slot, milliseconds(100 + chance_.below(300)));
     });
 }
 
-void Kept::taken(std::uint32_t slot, Epoch epoch, std::vector<PromiseReply> replies) {
-  Epoch installed;
-  for (const auto& reply : replies) installed = std::max(installed, reply.installed);
-  Records newest;
-  for (auto& reply : replies)
-    for (auto& record : reply.records) {
-      if (record.stamp.epoch < installed) continue;  // not in the last whole hand-over, so never on a majority
-      Record& place = newest[record.key];
-      if (place.key.empty() || place.stamp < record.stamp) place = std::move(record);
-    }
-  Install install{{}, {}, slot, epoch, roster_.version, {}};
-  for (auto& [key, record] : newest) {
+// Fetches what did not fit into the promises' replies; then the slot's content is known.
+void Kept::taken(std::uint32_t slot, Epoch epoch, TakingPointer taking) {
+  if (owned_[slot].state != Owned::State::taking || owned_[slot].epoch != epoch) return;
+  const Records& mine = held_[slot].records;
+  taking->installed = std::max(taking->installed, held_[slot].installed);
+  std::erase_if(taking->lacking, [&](const auto& each) {
+    auto newer = taking->newer.find(each.first);
+    auto own = mine.find(each.first);
+    const auto& [key, stamp, written] = each.second.first;
+    if (stamp.epoch < taking->installed || (newer != taking->newer.end() && newer->second.stamp >= stamp) || (own != mine.end() && own->second.stamp >= stamp)) return true;
+    if (own == mine.end() || own->second.written != written) return false;
+    taking->raised[key] = stamp;
+    return true;
+  });
+  if (taking->lacking.empty()) return hand_over(slot, epoch, taking);
+  const Seat from = taking->lacking.begin()->second.second;
+  FetchRecords fetch{slot, {}};
+  for (const auto& [key, each] : taking->lacking)
+    if (each.second == from) fetch.keys.push_back(key);
+  post_.ask(from.address, fetch, peer_horizon, [this, slot, epoch, taking](Result<RecordsReply> result) {
+    if (owned_[slot].state != Owned::State::taking || owned_[slot].epoch != epoch) return;
+    auto* reply = std::get_if<RecordsReply>(&result);
+    const std::size_t before = taking->lacking.size();
+    if (reply != nullptr)
+      for (auto& record : reply->records) {
+        auto wanted = taking->lacking.find(record.key);
+        if (wanted == taking->lacking.end() || wanted->second.first.stamp != record.stamp) continue;
+        taking->lacking.erase(wanted);
+        taking->newer[record.key] = std::move(record);
+      }
+    if (taking->lacking.size() == before) return step_down(slot, milliseconds(100 + chance_.below(300)));
+    taken(slot, epoch, taking);
+  });
+}
+
+// Each seat is told the whole content by key and stamp, and given the records that it says it lacks.
+void Kept::hand_over(std::uint32_t slot, Epoch epoch, TakingPointer taking) {
+  const Records& mine = held_[slot].records;
+  std::map<std::string, std::pair<Stamp, const Record*>> newest;
+  for (const auto& [key, record] : mine) newest[key] = {std::max(record.stamp, taking->raised[key]), &record};
+  for (const auto& [key, record] : taking->newer)
+    if (auto& place = newest[key]; place.first < record.stamp) place = {record.stamp, &record};
+  for (const auto& [key, each] : newest) {
+    const auto& [stamp, record] = each;
+    if (stamp.epoch < taking->installed) continue;  // not in the last whole hand-over, so never on a majority
     // The hand-over forgets removed lots: what older copies still hold of them is below its epoch and counts no more.
-    if (record.removed && key.starts_with("lot/")) continue;
-    record.stamp.epoch = epoch;
-    install.records.push_back(std::move(record));
+    if (record->removed && lot_key(key)) continue;
+    taking->content.push_back(RecordStamp{key, stamp, record->written});
   }
-  auto acks = std::make_shared<std::size_t>(0);
-  auto left = std::make_shared<std::size_t>(roster_.seats.size());
-  const std::size_t majority = roster_.majority();
-  for (const auto& seat : roster_.seats)
-    ask_seat(seat, install, peer_horizon, [this, slot, epoch, acks, left, majority](Result<StoreReply> result) {
-      --*left;
-      Owned& owned = owned_[slot];
-      if (owned.state != Owned::State::taking || owned.epoch != epoch) return;
-      auto* reply = std::get_if<StoreReply>(&result);
-      if (reply != nullptr && reply->outcome == "stored" && ++*acks == majority) {
-        if (held_[slot].installed != epoch) return step_down(slot, milliseconds(100));
-        owned.state = Owned::State::owned;
-        publish();
-        std::vector<const Record*> news;
-        for (const auto& [key, record] : held_[slot].records) news.push_back(&record);
-        spread(news);
+  // What this holder has itself is sent from its own copy.
+  std::erase_if(taking->newer, [&](const auto& each) { return newest[each.first].second != &each.second; });
+  owned_[slot].whole.clear();
+  taking->left = roster_.seats.size();
+  const Version roster = roster_.version;
+  for (const auto& seat : std::vector<Seat>(roster_.seats)) install_at(seat, slot, epoch, roster, taking, 3);
+}
+
+void Kept::install_at(const Seat& seat, std::uint32_t slot, Epoch epoch, Version roster, TakingPointer taking, int times) {
+  ask_seat(seat, Install{{}, {}, slot, epoch, roster, taking->content}, peer_horizon, [this, seat, slot, epoch, roster, taking, times](Result<StoreReply> result) {
+    Owned& owned = owned_[slot];
+    if (owned.state == Owned::State::none || owned.epoch != epoch) return;
+    auto* reply = std::get_if<StoreReply>(&result);
+    if (reply != nullptr && reply->outcome == "behind" && times > 1) {
+      Copies copies{{}, {}, slot, epoch, roster, {}};
+      std::size_t size = 0;
+      auto send = [&] {
+        if (!copies.records.empty()) ask_seat(seat, copies, peer_horizon, [](Result<StoreReply>) {});
+        copies.records.clear();
+        size = 0;
+      };
+      for (const auto& key : reply->missing) {
+        auto newer = taking->newer.find(key);
+        auto own = held_[slot].records.find(key);
+        const Record* record = newer != taking->newer.end() ? &newer->second : own != held_[slot].records.end() ? &own->second : nullptr;
+        if (own != held_[slot].records.end() && own->second.stamp.epoch == epoch) record = &own->second;
+        if (record == nullptr) continue;
+        if (size + size_of(*record) > longest_message) send();
+        size += size_of(*record);
+        copies.records.push_back(*record);
+        copies.records.back().stamp.epoch = epoch;
+      }
+      send();
+      return install_at(seat, slot, epoch, roster, taking, times - 1);
+    }
+    --taking->left;
+    if (reply != nullptr && reply->outcome == "stored") {
+      ++taking->stored;
+      owned.whole.insert(seat.holder);
+    }
+    if (reply != nullptr && reply->roster.version > roster_.version) adopt(reply->roster);
+    if (owned.state != Owned::State::taking) return;
+    if (taking->stored >= roster_.majority() && roster_.version == roster) {
+      if (held_[slot].installed != epoch) {
+        if (taking->left == 0) step_down(slot, milliseconds(100));
         return;
       }
-      if (reply != nullptr && reply->roster.version > roster_.version) adopt(reply->roster);
-      if (*left == 0) step_down(slot, milliseconds(100 + chance_.below(300)));
-    });
+      owned.state = Owned::State::owned;
+      publish();
+      std::vector<const Record*> news;
+      for (const auto& [key, record] : held_[slot].records) news.push_back(&record);
+      return spread(news);
+    }
+    if (taking->left == 0) step_down(slot, milliseconds(100 + chance_.below(300)));
+  });
+}
+
+// A seat that missed a hand-over gets it once it is back.
+void Kept::install_at_returned() {
+  const auto members = board_.members.get();
+  for (const auto& seat : roster_.seats) {
+    const Member* member = members->holder(seat.holder);
+    if (member == nullptr || member->stalled) continue;
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
+      Owned& owned = owned_[slot];
+      if (owned.state != Owned::State::owned || owned.roster != roster_.version || owned.whole.contains(seat.holder)) continue;
+      auto taking = std::make_shared<Taking>();
+      for (const auto& [key, record] : held_[slot].records) taking->content.push_back(RecordStamp{key, record.stamp, record.written});
+      taking->left = 1;
+      install_at(seat, slot, owned.epoch, roster_.version, taking, 2);
+    }
+  }
 }
 
 void Kept::step_down(std::uint32_t slot, Span pause) {
@@ -558,7 +736,7 @@
       first.answer(Fault{FaultKind::unknown_name, "name", "there is nothing of this name", "check the name"});
       continue;
     }
-    Change change{key, before, Stamp{owned.epoch, before.version.next()}, false, first.write.removed, first.write.head, first.write.appends, first.write.token};
+    Change change{key, before, Stamp{owned.epoch, before.version.next()}, false, first.write.removed, first.write.head, first.write.appends, first.write.token, {}};
     if (absent && record != nullptr) change.full = true;
     std::vector<Answer<WriteReply>> answers{first.answer};
     const bool only_appends = !first.write.head && !first.write.removed;
@@ -642,7 +820,7 @@
       auto found = held_[slot].records.find(change.key);
       if (found == held_[slot].records.end() || found->second.stamp != change.stamp) return acknowledged(seat, false);
       const Record& record = found->second;
-      Change full{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token};
+      Change full{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token, record.written};
       ask_seat(seat, Store{{}, {}, slot, epoch, roster_version, full}, peer_horizon, [seat, acknowledged](Result<StoreReply> second) {
         auto* stored = std::get_if<StoreReply>(&second);
         acknowledged(seat, stored != nullptr && stored->outcome == "stored");
@@ -712,7 +890,7 @@
         FetchRecords fetch{slot, {}};
         for (const auto& theirs : range->stamps) {
           auto mine = held_[slot].records.find(theirs.key);
-          if (theirs.stamp.epoch >= held_[slot].promised && (mine == held_[slot].records.end() || mine->second.stamp < theirs.stamp)) fetch.keys.push_back(theirs.key);
+          if (theirs.stamp.epoch == held_[slot].promised && (mine == held_[slot].records.end() || mine->second.stamp < theirs.stamp)) fetch.keys.push_back(theirs.key);
         }
         if (fetch.keys.empty()) return;
         post_.ask(peer.address, fetch, peer_horizon, [this, slot](Result<RecordsReply> fetched) {
@@ -722,9 +900,9 @@
             Held& held = held_[slot];
             auto mine = held.records.find(record.key);
             if (record.stamp.epoch != held.promised || (mine != held.records.end() && mine->second.stamp >= record.stamp) || slot_of(record.key) != slot) continue;
-            Change change{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token};
+            Change change{record.key, {}, record.stamp, true, record.removed, record.head, record.entries, record.token, record.written};
             apply(held, change);
-            persist(DiskEntry{.what = "change", .holder = {}, .roster = {}, .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change), .records = {}, .address = {}}, [] {});
+            persist(DiskEntry{.what = "change", .holder = {}, .roster = {}, .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change), .records = {}, .address = {}, .content = {}}, [] {});
           }
         });
       });
@@ -813,6 +991,46 @@
   return next;
 }
 
+void Kept::retirement(const Retirement& asked, Answer<RetirementReply> answer) {
+  const std::uint32_t slot = slot_of(asked.roster);
+  if ((asked.roster != "roster" && asked.roster != lot_roster_key) || owned_[slot].state != Owned::State::owned || !keeps_key(asked.roster)) return answer(moved());
+  confirm(slot, [this, slot, asked, answer](bool good) {
+    auto found = held_[slot].records.find(asked.roster);
+    if (!good || owned_[slot].state != Owned::State::owned || found == held_[slot].records.end() || changing_.contains(asked.roster)) return answer(moved());
+    auto read = from_json<Roster>(found->second.head);
+    if (fault_of(read) != nullptr) return answer(moved());
+    const Roster roster = std::get<Roster>(std::move(read));
+    const auto policy = board_.policy.get();
+    RetirementReply reply;
+    if (auto mark = policy->holders.find(asked.holder.text); mark != policy->holders.end()) reply.known = true, reply.retired = mark->second.spec.retired;
+    for (const auto& seat : roster.seats) reply.seated = reply.seated || seat.address == asked.holder;
+    reply.known = reply.known || reply.seated || board_.members.get()->all.contains(asked.holder);
+    Copied& copied = copied_[asked.roster];
+    if (copied.roster != roster.version) copied = Copied{roster.version, {}};
+    reply.complete = reply.retired && !reply.seated && copied.slots.size() == slot_count;
+    if (reply.complete || reply.seated || !reply.retired) return answer(reply);
+    auto replies = std::make_shared<std::vector<SettledReply>>();
+    auto left = std::make_shared<std::size_t>(roster.seats.size());
+    for (const auto& seat : roster.seats)
+      post_.ask(seat.address, Settled{roster.version}, peer_horizon, [this, replies, left, reply, answer, key = asked.roster, version = roster.version, seats = roster.seats.size()](Result<SettledReply> result) {
+        if (auto* settled = std::get_if<SettledReply>(&result); settled != nullptr && settled->installed.size() == slot_count && settled->digests.size() == slot_count && settled->epochs.size() == settled->slots.size()) replies->push_back(std::move(*settled));
+        if (--*left > 0) return;
+        Copied& now_copied = copied_[key];
+        if (now_copied.roster != version || replies->size() != seats) return answer(reply);
+        for (const auto& owner : *replies)
+          for (std::size_t index = 0; index < owner.slots.size(); ++index) {
+            const std::uint32_t number = owner.slots[index];
+            bool whole = number < slot_count;
+            for (const auto& copy : *replies) whole = whole && (copy.installed[number] >= owner.epochs[index] || copy.digests[number] == owner.digests[number]);
+            if (whole) now_copied.slots.insert(number);
+          }
+        RetirementReply final_reply = reply;
+        final_reply.complete = now_copied.slots.size() == slot_count;
+        answer(final_reply);
+      });
+  });
+}
+
 void Kept::change_when_settled(const std::string& key, const Roster& current, Roster next) {
   changing_.insert(key);
   struct Count {
--- a/source/kept/kept.hpp
+++ b/source/kept/kept.hpp
@@ -51,6 +51,7 @@
     Version roster;
     Moment not_before;
     std::map<std::string, Queue> queues;
+    std::set<HolderId> whole;   // the seats that hold the hand-over
     bool confirming = false;
     std::vector<std::function<void(bool)>> confirm_now, confirm_next;
   };
@@ -60,6 +61,10 @@
   void rewrite_when_long();
   Bytes snapshot() const;
   void put_record(Held& held, Record record);
+  void erase_record(Held& held, const std::string& key);
+  void put_copies(Held& held, std::vector<Record> records);
+  // Takes the content over to the epoch, or names what is missing and changes nothing.
+  std::vector<std::string> install(Held& held, Epoch epoch, const std::vector<RecordStamp>& content);
   void apply(Held& held, const Change& change);
   void adopt(const Roster& roster);
   void tell_seats();
@@ -71,7 +76,20 @@
   void gather();
   void propose(Roster roster, std::size_t seed);
   void take(std::uint32_t slot);
-  void taken(std::uint32_t slot, Epoch epoch, std::vector<PromiseReply> replies);
+  struct Taking {               // what the promises of a majority brought
+    Epoch installed;
+    Records newer;              // than what this holder has
+    std::map<std::string, std::pair<RecordStamp, Seat>> lacking;  // newer still, and who has it
+    std::map<std::string, Stamp> raised;  // of what this holder has the content of
+    std::vector<RecordStamp> content;
+    std::size_t stored = 0, left = 0;
+  };
+  using TakingPointer = std::shared_ptr<Taking>;
+  void taken(std::uint32_t slot, Epoch epoch, TakingPointer taking);
+  void hand_over(std::uint32_t slot, Epoch epoch, TakingPointer taking);
+  void install_at_returned();
+  void install_at(const Seat& seat, std::uint32_t slot, Epoch epoch, Version roster, TakingPointer taking, int times);
+  void retirement(const Retirement& asked, Answer<RetirementReply> answer);
   void step_down(std::uint32_t slot, Span pause);
   void publish();
   void write(Write write, Answer<WriteReply> answer);
@@ -113,6 +131,11 @@
     std::map<HolderId, Moment> missing_since, first_seen;
   };
   std::map<std::string, Watched> watched_;
+  struct Copied {                         // the slots seen whole on every seat under a version of a roster
+    Version roster;
+    std::set<std::uint32_t> slots;
+  };
+  std::map<std::string, Copied> copied_;
   std::size_t newcomers_ = 0;             // holders of lots seen before their first roster, and since when so many
   Moment newcomers_since_;
 };
--- a/source/kept/messages.hpp
+++ b/source/kept/messages.hpp
@@ -13,7 +13,8 @@
   Bytes head;
   std::vector<Bytes> entries;
   std::string token;
-  MOTHWALK_FIELDS(key, stamp, removed, head, entries, token)
+  Stamp written{};  // at its last change; a hand-over raises the stamp alone, so equal ones of a key tell equal content
+  MOTHWALK_FIELDS(key, stamp, removed, head, entries, token, written)
 };
 
 // One change to a record. It applies to the record at `before`; a full change carries all and applies to anything older.
@@ -24,7 +25,8 @@
   std::optional<Bytes> head;
   std::vector<Bytes> appends;
   std::string token;
-  MOTHWALK_FIELDS(key, before, stamp, full, removed, head, appends, token)
+  Stamp written{};  // where it is not this change that wrote it
+  MOTHWALK_FIELDS(key, before, stamp, full, removed, head, appends, token, written)
 };
 
 struct WriteReply {
@@ -79,12 +81,23 @@
 };
 
 // Between holders. Each names the identity it is meant for, so that a wiped folder never answers for its forerunner.
+struct RecordStamp {
+  std::string key;
+  Stamp stamp, written;
+  MOTHWALK_FIELDS(key, stamp, written)
+};
+// Records go in messages of about this size; one larger record goes alone.
+inline constexpr std::size_t longest_message = 1u << 20;
+
+// A promise comes with the records that are newer than what the taker has. Those of which it has the content already, or
+// that did not fit, are only named.
 struct PromiseReply {
   bool granted = false;
   Epoch epoch, installed;
   Roster roster;
   std::vector<Record> records;
-  MOTHWALK_FIELDS(granted, epoch, installed, roster, records)
+  std::vector<RecordStamp> more{};
+  MOTHWALK_FIELDS(granted, epoch, installed, roster, records, more)
 };
 struct Promise {
   static constexpr View kind = "kept.promise";
@@ -93,13 +106,15 @@
   std::uint32_t slot = 0;
   Epoch epoch;
   Roster roster;
-  MOTHWALK_FIELDS(target, owner, slot, epoch, roster)
+  std::vector<RecordStamp> have{};
+  MOTHWALK_FIELDS(target, owner, slot, epoch, roster, have)
 };
 struct StoreReply {
   std::string outcome;  // stored, behind, refused, roster
   Epoch epoch;
   Roster roster;
-  MOTHWALK_FIELDS(outcome, epoch, roster)
+  std::vector<std::string> missing{};  // what an installation lacks
+  MOTHWALK_FIELDS(outcome, epoch, roster, missing)
 };
 struct Store {
   static constexpr View kind = "kept.store";
@@ -111,8 +126,9 @@
   Change change;
   MOTHWALK_FIELDS(target, owner, slot, epoch, roster, change)
 };
-struct Install {
-  static constexpr View kind = "kept.install";
+// Records of a hand-over that a seat lacks, under its epoch.
+struct Copies {
+  static constexpr View kind = "kept.copies";
   using Reply = StoreReply;
   HolderId target, owner;
   std::uint32_t slot = 0;
@@ -121,6 +137,18 @@
   std::vector<Record> records;
   MOTHWALK_FIELDS(target, owner, slot, epoch, roster, records)
 };
+// The whole content of a slot at its hand-over, by key and by when it was written. All of it goes over to the epoch, and
+// what is not named is dropped.
+struct Install {
+  static constexpr View kind = "kept.install";
+  using Reply = StoreReply;
+  HolderId target, owner;
+  std::uint32_t slot = 0;
+  Epoch epoch;
+  Version roster;
+  std::vector<RecordStamp> content;
+  MOTHWALK_FIELDS(target, owner, slot, epoch, roster, content)
+};
 struct Confirm {
   static constexpr View kind = "kept.confirm";
   using Reply = StoreReply;
@@ -155,9 +183,13 @@
   Roster roster;
   MOTHWALK_FIELDS(roster)
 };
+// The slots that a holder owns under the roster, and for every slot what its copy is: the last whole hand-over and digest.
 struct SettledReply {
   std::vector<std::uint32_t> slots;
-  MOTHWALK_FIELDS(slots)
+  std::vector<Epoch> epochs;               // of those
+  std::vector<Epoch> installed;
+  std::vector<std::uint64_t> digests;
+  MOTHWALK_FIELDS(slots, epochs, installed, digests)
 };
 struct Settled {
   static constexpr View kind = "kept.settled";
@@ -165,6 +197,19 @@
   Version roster;
   MOTHWALK_FIELDS(roster)
 };
+// How far the retirement of a holder is; asked of the owner of its roster's key. Complete: the roster in force is without
+// it, and every remaining seat has held all of every slot under that roster, so that another disk may go as well.
+struct RetirementReply {
+  bool known = false, retired = false, seated = false, complete = false;
+  MOTHWALK_FIELDS(known, retired, seated, complete)
+};
+struct Retirement {
+  static constexpr View kind = "kept.retirement";
+  using Reply = RetirementReply;
+  std::string roster;                      // the key: "roster" or "roster/lots"
+  Address holder;
+  MOTHWALK_FIELDS(roster, holder)
+};
 struct DigestsReply {
   std::vector<std::uint64_t> digests;
   MOTHWALK_FIELDS(digests)
--- a/source/kept/record_file.hpp
+++ b/source/kept/record_file.hpp
@@ -6,7 +6,7 @@
 namespace mothwalk {
 
 struct DiskEntry {
-  std::string what;  // identity, roster, promise, change, install
+  std::string what;  // identity, roster, promise, change, install, copies, handover
   HolderId holder;
   Roster roster;
   std::uint32_t slot = 0;
@@ -14,7 +14,8 @@
   Change change;
   std::vector<Record> records;
   Address address;   // of the holder, with its identity
-  MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records, address)
+  std::vector<RecordStamp> content;  // of a hand-over
+  MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records, address, content)
 };
 
 struct ReadFile {
--- a/source/simulate/town.cpp
+++ b/source/simulate/town.cpp
@@ -69,6 +69,7 @@
   duties_->placing = std::make_unique<Placing>(post("placing"), *board_, *duties_->lot_exchange, world.chance);
   duties_->entries = std::make_unique<Entries>(post("routes"), *board_, *duties_->live_exchange, world.chance, self);
   duties_->control = std::make_unique<Control>(post("control"), *board_, world.chance, self, [] { return json::value(nullptr); });
+  duties_->client = std::make_unique<KeptClient>(*duties_->posts["control"], *board_);
   duties_->sessions->start();
   duties_->news->start();
   duties_->placing->start();
@@ -127,6 +128,7 @@
   auto form = std::make_shared<const Bytes>(to_cbor(envelope));
   ++frames;
   bytes += form->size() + 4;
+  town_.longest_message = std::max(town_.longest_message, form->size());
   if (world.measuring) {
     World::Carried& carried = world.carried[message];
     ++carried.messages;
@@ -548,6 +550,13 @@
   });
 }
 
+void Town::retirement(const std::string& roster, const Address& holder, std::function<void(RetirementReply)> then) {
+  KeptClient* client = any_alive().client();
+  client->ask_owner<Retirement>(roster, Retirement{roster, holder}, world.now() + std::chrono::seconds(2), false, [then](Result<RetirementReply> result) {
+    if (auto* reply = std::get_if<RetirementReply>(&result)) then(*reply);
+  });
+}
+
 void Town::crash_runner(RunnerModel& runner) {
   world.history(runner.name + " crashes");
   runner.down = true;
--- a/source/simulate/town.hpp
+++ b/source/simulate/town.hpp
@@ -94,6 +94,7 @@
   SimulatedDisk& disk() { return disk_; }
   LifePointer life() { return life_; }
   Entries* entries() { return duties_ ? duties_->entries.get() : nullptr; }
+  KeptClient* client() { return duties_ ? duties_->client.get() : nullptr; }
   Control* control() { return duties_ ? duties_->control.get() : nullptr; }
   Kept* kept() { return duties_ ? duties_->kept.get() : nullptr; }
   std::uint64_t frames = 0, bytes = 0, bytes_in = 0;  // sent; what was taken while the world measures
@@ -114,6 +115,7 @@
     std::unique_ptr<Placing> placing;
     std::unique_ptr<Entries> entries;
     std::unique_ptr<Control> control;
+    std::unique_ptr<KeptClient> client;
   };
   Town& town_;
   LifePointer life_;
@@ -147,6 +149,9 @@
   void crash_runner(RunnerModel& runner);
   std::size_t slow_callers = 0;                    // one in so many takes its pieces slowly, one in five times so many never
   std::size_t longest_backlog = 0;
+  std::size_t longest_message = 0;                 // between machines
+  // How far a holder's retirement is, as an operator is told by any daemon.
+  void retirement(const std::string& roster, const Address& holder, std::function<void(RetirementReply)> then);
   void return_runner(RunnerModel& runner, Span cold);
   bool ready() const { return ready_; }
   bool first_start = false;                        // of the whole fleet, while it lasts
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -210,3 +210,96 @@
   post.take(refusal);
   CHECK(heard == "protocol");
 }
+
+TEST_CASE("a hand-over carries only what the other side lacks, in messages of bounded size") {
+  World world(12);
+  Town town(world, shape_named("platform", 1.0));
+  REQUIRE(make_ready(town));
+  world.run_until(world.now() + seconds(4));
+  // Twelve lots of 300 KB in one slot.
+  std::vector<std::string> ids;
+  for (int number = 0; ids.size() < 12; ++number)
+    if (const std::string id = "lot-" + std::to_string(number); slot_of("lot/" + id) == 3) ids.push_back(id);
+  int taken = 0;
+  for (const auto& id : ids)
+    town.control(town.any_alive(), "PUT", "/lots/" + id, R"({"lane":"lines","items":[")" + std::string(300000, 'x') + R"("]})", [&](int status, const std::string&) { taken += status == 200; }, true);
+  world.run_until(world.now() + seconds(3));
+  REQUIRE(taken == 12);
+  auto owner = [&]() -> Machine* {
+    for (Machine* holder : town.holders())
+      if (holder->alive() && !holder->serves() && holder->board().owned.get()->slots.contains(3)) return holder;
+    return nullptr;
+  };
+  auto bytes = [&] {
+    std::uint64_t sum = 0;
+    for (auto& machine : town.machines) sum += machine->bytes;
+    return sum;
+  };
+  Machine* first = owner();
+  REQUIRE(first != nullptr);
+  const std::uint64_t before = bytes();
+  first->kill(false);
+  world.run_until(world.now() + seconds(2));
+  REQUIRE(owner() != nullptr);
+  first->start();
+  world.run_until(world.now() + seconds(3));
+  CHECK(bytes() - before < 1500000);
+  // An emptied machine gets all of it, once, and in pieces.
+  const std::uint64_t at_wipe = bytes();
+  town.longest_message = 0;
+  first->kill(true);
+  first->start();
+  world.run_until(world.now() + seconds(6));
+  CHECK(town.any_alive().board().policy.get()->lot_roster.seated(first->kept()->identity()));
+  CHECK(bytes() - at_wipe > 3600000);
+  CHECK(bytes() - at_wipe < 9000000);
+  CHECK(town.longest_message < 1400000);
+  CHECK(std::get<Bytes>(first->disk().read_all()).size() > 3600000);
+  // And what it wrote can be read again.
+  first->kill(false);
+  first->start();
+  CHECK(first->alive());
+  world.run_until(world.now() + seconds(3));
+  CHECK(town.broken.empty());
+}
+
+TEST_CASE("a retirement is complete only when the remaining seats have held all") {
+  World world(13);
+  Town town(world, shape_named("platform", 1.0));
+  REQUIRE(make_ready(town));
+  world.run_until(world.now() + seconds(4));
+  Machine& leaving = *town.machines[10];
+  int taken = 0;
+  for (int lot = 0; lot < 30; ++lot)
+    town.control(town.any_alive(), "PUT", "/lots/lot-" + std::to_string(lot), R"({"lane":"lines","items":["x"]})", [&](int status, const std::string&) { taken += status == 200; }, true);
+  world.run_until(world.now() + seconds(1));
+  REQUIRE(taken == 30);
+  auto show = [&] {
+    RetirementReply reply;
+    town.retirement(std::string(lot_roster_key), leaving.address, [&](RetirementReply given) { reply = given; });
+    world.run_until(world.now() + milliseconds(100));
+    return reply;
+  };
+  CHECK((show().known && !show().retired && show().seated));
+  town.operator_change("holder/" + leaving.address.text, R"({"retired":true})");
+  const Moment begun = world.now();
+  while (!show().complete && world.now() - begun < seconds(10)) {}
+  CHECK(world.now() - begun < seconds(3));
+  const Roster roster = town.any_alive().board().policy.get()->lot_roster;
+  CHECK(roster.seats.size() == 3);
+  // It goes with its disk that instant, and another disk is lost right then.
+  leaving.kill(true);
+  town.machines[11]->kill(true);
+  town.machines[11]->start();
+  world.run_until(world.now() + seconds(4));
+  int found = 0;
+  for (int lot = 0; lot < 30; ++lot)
+    town.control(town.any_alive(), "GET", "/lots/lot-" + std::to_string(lot), "", [&](int status, const std::string&) { found += status == 200; }, true);
+  world.run_until(world.now() + seconds(2));
+  CHECK(found == 30);
+  // Of three seats none may go.
+  int refused = 0;
+  town.control(town.any_alive(), "PUT", "/v1/resources/holder/" + town.machines[9]->address.text + "?version=0", R"({"retired":true})", [&](int status, const std::string&) { refused = status; });
+  world.run_until(world.now() + seconds(2));
+  CHECK((refused == 409 || town.any_alive().board().policy.get()->lot_roster.seats.size() > 3));
+}
