Retirement is shown complete only when nothing would be lost with the machine

Cause: the calls on the fleet looked for a seat of the machine's name, but seats were given no names, so every retirement was shown complete at once. Change: seats carry the machine's name; the call asks the owner of the lots' roster (Retirement). Measured: tests only: seats are named, and a retirement under 30 lots is complete within 3 s, after which the machine and another disk are lost and all lots are read.

--- a/source/control/fleet_calls.cpp
+++ b/source/control/fleet_calls.cpp
@@ -103,11 +103,14 @@
   });
 }
 
-void FleetCalls::retired(const std::string& machine, Span, Answer<bool> answer) {
-  const auto policy = board_.policy.get();
-  for (const auto& seat : policy->lot_roster.seats)
-    if (seat.name == machine) return answer(false);
-  answer(!policy->lot_roster.seats.empty());
+void FleetCalls::retired(const std::string& machine, Span limit, Answer<bool> answer) {
+  Retirement asked{std::string(lot_roster_key), {}, machine};
+  for (const auto& [at, member] : board_.members.get()->all)
+    if (member.name == machine && member.keeps == "lots") asked.holder = at;
+  client_.ask_owner<Retirement>(asked.roster, asked, post_.schedule().now() + limit, false, [answer](Result<RetirementReply> result) {
+    if (auto fault = fault_of(result)) return answer(*fault);
+    answer(std::get<RetirementReply>(result).complete);
+  });
 }
 
 }  // namespace mothwalk
--- a/source/kept/kept.cpp
+++ b/source/kept/kept.cpp
@@ -454,7 +454,7 @@
   };
   auto round = std::make_shared<Round>();
   round->left = seeds_.size();
-  const Seat mine{identity_, self_.address, self_.hall};
+  const Seat mine{identity_, self_.address, self_.hall, self_.name};
   for (const Address& seed : seeds_)
     post_.ask(seed, ReportCandidate{mine}, milliseconds(400), [this, round, now](Result<ReportReply> result) {
       if (auto* reply = std::get_if<ReportReply>(&result)) round->replies.push_back(std::move(*reply));
@@ -986,7 +986,7 @@
   const std::size_t left = current.seats.size() - (gone != nullptr);
   const bool may_drop = gone != nullptr && left >= fewest_seats;
   if (may_drop && (left >= wanted_seats || spares.empty())) std::erase_if(next.seats, [&](const Seat& seat) { return seat.holder == gone->holder; });
-  else if (!spares.empty() && left < wanted_seats) next.seats.push_back(Seat{spares[0]->holder, spares[0]->address, spares[0]->hall});
+  else if (!spares.empty() && left < wanted_seats) next.seats.push_back(Seat{spares[0]->holder, spares[0]->address, spares[0]->hall, spares[0]->name});
   else return std::nullopt;
   return next;
 }
@@ -1003,7 +1003,8 @@
     const auto policy = board_.policy.get();
     RetirementReply reply;
     if (auto mark = policy->holders.find(asked.holder.text); mark != policy->holders.end()) reply.known = true, reply.retired = mark->second.spec.retired;
-    for (const auto& seat : roster.seats) reply.seated = reply.seated || seat.address == asked.holder;
+    if (asked.holder.empty()) reply.retired = true;
+    for (const auto& seat : roster.seats) reply.seated = reply.seated || seat.address == asked.holder || (!asked.name.empty() && seat.name == asked.name);
     reply.known = reply.known || reply.seated || board_.members.get()->all.contains(asked.holder);
     Copied& copied = copied_[asked.roster];
     if (copied.roster != roster.version) copied = Copied{roster.version, {}};
--- a/source/kept/messages.hpp
+++ b/source/kept/messages.hpp
@@ -207,8 +207,9 @@
   static constexpr View kind = "kept.retirement";
   using Reply = RetirementReply;
   std::string roster;                      // the key: "roster" or "roster/lots"
-  Address holder;
-  MOTHWALK_FIELDS(roster, holder)
+  Address holder;                          // empty where only its name is known
+  std::string name{};
+  MOTHWALK_FIELDS(roster, holder, name)
 };
 struct DigestsReply {
   std::vector<std::uint64_t> digests;
--- a/source/simulate/town.cpp
+++ b/source/simulate/town.cpp
@@ -31,6 +31,7 @@
   self.incarnation = incarnation_;
   self.version = "simulated";
   self.keeps = keeps;
+  self.name = name;
   const std::vector<Address> seeds = town_.seeds;
   std::optional<bool> first_start;
   if (town_.shape.told_first_start) first_start = town_.first_start;
@@ -552,7 +553,7 @@
 
 void Town::retirement(const std::string& roster, const Address& holder, std::function<void(RetirementReply)> then) {
   KeptClient* client = any_alive().client();
-  client->ask_owner<Retirement>(roster, Retirement{roster, holder}, world.now() + std::chrono::seconds(2), false, [then](Result<RetirementReply> result) {
+  client->ask_owner<Retirement>(roster, Retirement{roster, holder, {}}, world.now() + std::chrono::seconds(2), false, [then](Result<RetirementReply> result) {
     if (auto* reply = std::get_if<RetirementReply>(&result)) then(*reply);
   });
 }
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -287,6 +287,7 @@
   CHECK(world.now() - begun < seconds(3));
   const Roster roster = town.any_alive().board().policy.get()->lot_roster;
   CHECK(roster.seats.size() == 3);
+  for (const auto& seat : roster.seats) CHECK(seat.name == town.machine_at(seat.address)->name);
   // It goes with its disk that instant, and another disk is lost right then.
   leaving.kill(true);
   town.machines[11]->kill(true);
