Scale run over loopback: hollow daemons share three loops

Cause: two threads for each hollow daemon overloaded the machine at 362 of them. Change: they share three event loops.

--- a/source/scale/loopback.cpp
+++ b/source/scale/loopback.cpp
@@ -39,9 +39,29 @@
 Address place(const LoopbackSize& size, std::size_t number, std::size_t side) { return Address("127.0.0.1:" + std::to_string(size.port + number * 3 + side)); }
 std::string zone(std::size_t number) { return "zone-" + std::to_string(number % 7); }
 
+// The hollow daemons share a few loops, each with a thread; a daemon on the platform has one loop too.
+class Loops {
+ public:
+  Loops() {
+    for (auto& context : contexts_) threads_.emplace_back([&context] { context.run(); });
+  }
+  ~Loops() { stop(); }
+  boost::asio::io_context& of(std::size_t number) { return contexts_[number % contexts_.size()]; }
+  void stop() {
+    for (auto& context : contexts_) context.stop();
+    for (auto& thread : threads_) if (thread.joinable()) thread.join();
+  }
+
+ private:
+  using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+  std::array<boost::asio::io_context, 3> contexts_;
+  std::array<Guard, 3> guards_{Guard(contexts_[0].get_executor()), Guard(contexts_[1].get_executor()), Guard(contexts_[2].get_executor())};
+  std::vector<std::thread> threads_;
+};
+
 class Hollow {
  public:
-  Hollow(const LoopbackSize& size, std::size_t number, std::vector<Address> seeds) : wire_(place(size, number, 0), [](View) {}) {
+  Hollow(const LoopbackSize& size, std::size_t number, std::vector<Address> seeds, boost::asio::io_context& loop) : thread_("hollow", &loop), wire_(place(size, number, 0), [](View) {}, &loop) {
     Member self;
     self.address = self.callers = self.control = place(size, number, 0);
     self.hall = ZoneId(zone(number));
@@ -56,14 +76,8 @@
     entries_ = std::make_unique<Entries>(*posts_["routes"], board, exchange_, thread_.chance(), self);
     client_ = std::make_unique<KeptClient>(*posts_["scale"], board);
   }
-  ~Hollow() {
-    wire_.stop();
-    thread_.stop();
-  }
   Result<Done> start() {
     if (auto listening = wire_.listen(); fault_of(listening)) return listening;
-    wire_.start();
-    thread_.start();
     thread_.offer([this] { sessions_->start(); news_->start(); entries_->start(); });
     return Done{};
   }
@@ -82,7 +96,7 @@
   Board board;
 
  private:
-  DutyThread thread_{"hollow"};
+  DutyThread thread_;
   TcpWire wire_;
   NoExchange exchange_;
   std::map<std::string, std::unique_ptr<Post>> posts_;
@@ -179,9 +193,10 @@
     }
     reals.push_back(Real{launch(words), place(size, index, 0), control});
   }
+  Loops loops;
   std::vector<std::unique_ptr<Hollow>> hollows;
   for (std::size_t index = 0; index < size.hollow; ++index) {
-    hollows.push_back(std::make_unique<Hollow>(size, size.real + index, seeds));
+    hollows.push_back(std::make_unique<Hollow>(size, size.real + index, seeds, loops.of(index)));
     if (auto started = hollows.back()->start(); fault_of(started)) broken.push_back(fault_of(started)->message);
   }
   Hollow& first = *hollows.front();
@@ -272,6 +287,7 @@
     if (!known_lost) broken.push_back("a lost daemon was still a member after 20 s");
     else std::cout << "  loss of a real " << (lost.control ? "control" : "edge") << " daemon known to all hollow ones after " << *known_lost << " ms\n";
   }
+  loops.stop();
   hollows.clear();
   for (const auto& real : reals) ::kill(real.pid, SIGKILL);
   for (const auto& real : reals) ::waitpid(real.pid, nullptr, 0);
