Simulator: the platform shape has runners in each of its four halls

Cause: a hall without runners that is cut off can only refuse, so cut scenarios failed by the shape alone.

--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -102,6 +102,9 @@
   shape.told_first_start = true;
   shape.machines.clear();
   const std::vector<std::string> halls{"north", "south", "west", "east"};
+  shape.runners.clear();
+  add_runners(shape, "model", 8, halls, 4);
+  add_runners(shape, "notice", 4, halls, 8);
   add_machines(shape, 4, halls, 4);
   for (auto& machine : shape.machines) machine.keeps = "control";
   add_machines(shape, 5, halls, 0);
