Live requests: very long prompts go to members of the circle that read such ones

Change: a kind with an engine keeps 45 % of its members, two at least, picked alike by all daemons and in zones with more of them, for prompts over six times the mean; the other requests go to the rest while these have room.

--- a/source/routes/sights.cpp
+++ b/source/routes/sights.cpp
@@ -12,6 +12,9 @@
 constexpr double near_load = 0.1;    // so much more load a runner of the own zone may have than the least loaded
 constexpr double cold_share = 0.6;   // of what a cold runner bears; the rest is for items of lots
 constexpr double memory_share = 0.95;
+constexpr double large_prompt = 6;   // times the mean: it holds up whatever else its runner does
+constexpr double apart_share = 0.45; // of the members, for large prompts
+constexpr double apart_load = 0.75;  // of the others, above which they take everything
 }  // namespace
 
 Sights::Sights(Post& post, Board& board, Chance& chance, Member self) : post_(post), board_(board), chance_(chance), self_(std::move(self)) {
@@ -97,6 +100,31 @@
   return sight.open < allowed / all + (rank < allowed % all ? 1 : 0);
 }
 
+// An engine that reads a very long prompt gives no tokens to its other requests meanwhile. Such prompts go to a few members
+// that all daemons pick alike, in zones with more of them, and the rest of the requests to the others.
+const std::set<std::string>& Sights::apart(const PolicyView& policy, const std::string& kind, const Named<Circle>& circle) {
+  auto& [stamp, names] = apart_[kind];
+  if (stamp == circle.stamp && stamp != Stamp{}) return names;
+  stamp = circle.stamp;
+  names.clear();
+  std::map<std::string, std::size_t> in_zone;
+  std::vector<std::pair<std::string, std::string>> members;  // zone, name
+  for (const auto& member : circle.spec.members)
+    if (auto runner = policy.runners.find(member.text); runner != policy.runners.end()) {
+      ++in_zone[runner->second.spec.hall.text];
+      members.emplace_back(runner->second.spec.hall.text, member.text);
+    }
+  // One alone would have them wait for each other.
+  const auto wanted = static_cast<std::size_t>(apart_share * static_cast<double>(members.size()));
+  for (std::size_t count = wanted < 2 ? 0 : wanted; count > 0; --count) {
+    auto most = std::min_element(members.begin(), members.end(), [&](const auto& left, const auto& right) { return std::make_pair(-static_cast<std::int64_t>(in_zone[left.first]), hash_of(left.second)) < std::make_pair(-static_cast<std::int64_t>(in_zone[right.first]), hash_of(right.second)); });
+    --in_zone[most->first];
+    names.insert(most->second);
+    members.erase(most);
+  }
+  return names;
+}
+
 std::optional<std::string> Sights::choose(const PolicyView& policy, const std::string& kind_name, const Demand& demand, const std::set<std::string>& tried, std::string* why) {
   follow(policy);
   auto kind = policy.kinds.find(kind_name);
@@ -105,6 +133,8 @@
   if (kind == policy.kinds.end() || (circle == policy.circles.end() && !even_over_all)) return std::nullopt;
   const Moment now = post_.schedule().now();
   std::vector<Choice> choices, colds;
+  static const std::set<std::string> none;
+  const auto& set_apart = kind->second.spec.engine.memory_tokens > 0 && !even_over_all ? apart(policy, kind_name, circle->second) : none;
   bool warm_able = false, cold_able = false;
   auto consider = [&](const std::string& name, const Circle* circle) {
     auto runner = policy.runners.find(name);
@@ -115,7 +145,7 @@
     const bool is_cold = cold(sight, kind->second.spec, now);
     if (now >= sight.not_before) (is_cold ? cold_able : warm_able) = true;
     if (!takes(name, spec, kind->second.spec, circle, demand, now) || (is_cold && now < sight.cold_next)) return;
-    (is_cold ? colds : choices).push_back(Choice{&runner->first, &spec, load(sight, spec, kind->second.spec), spec.hall == self_.hall});
+    (is_cold ? colds : choices).push_back(Choice{&runner->first, &spec, load(sight, spec, kind->second.spec), spec.hall == self_.hall, set_apart.contains(name)});
   };
   if (even_over_all) {
     for (const auto& [name, runner] : policy.runners)
@@ -128,6 +158,13 @@
   if (choices.empty() && !warm_able) choices = std::move(colds);
   if (choices.empty()) return std::nullopt;
   if (even_over_all) return *choices[turn_++ % choices.size()].name;
+  if (!set_apart.empty()) {
+    const bool large = demand.prompt_tokens > large_prompt * mean_prompt_;
+    const bool room = std::any_of(choices.begin(), choices.end(), [&](const Choice& each) { return each.apart == large && each.usage < apart_load; });
+    if (room) std::erase_if(choices, [&](const Choice& each) { return each.apart != large; });
+    // Where it is read soonest: behind the fewest others.
+    if (large && room) return *std::min_element(choices.begin(), choices.end(), [&](const Choice& left, const Choice& right) { return std::make_pair(sights_[*left.name].unread, left.usage) < std::make_pair(sights_[*right.name].unread, right.usage); })->name;
+  }
   double mean = 0;
   for (const auto& each : choices) mean += each.usage / static_cast<double>(choices.size());
   if (demand.affinity != 0) {
@@ -165,7 +202,11 @@
   sight.tokens += demand.tokens;
   sight.unread += demand.prompt_tokens;
   sight.last_sent = now;
-  mean_tokens_ += (demand.tokens - mean_tokens_) / 64;
+  if (demand.tokens > 0) {
+    const double part = mean_tokens_ == 0 ? 1 : 1.0 / 64;
+    mean_tokens_ += (demand.tokens - mean_tokens_) * part;
+    mean_prompt_ += (demand.prompt_tokens - mean_prompt_) * part;
+  }
   // Each daemon has its share of what a cold runner bears, evenly spaced: the sum holds whatever they know of each other.
   if (cold(sight, kind, now)) sight.cold_next = now + Span(static_cast<std::int64_t>(1e6 * static_cast<double>(daemons()) / (kind.cold_rate * cold_share)));
 }
--- a/source/routes/sights.hpp
+++ b/source/routes/sights.hpp
@@ -52,12 +52,13 @@
     const std::string* name;
     const Runner* runner;
     double usage;
-    bool here;
+    bool here, apart;
   };
   void follow(const PolicyView& policy);
   void failed(Sight& sight, Moment now);
   bool takes(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle, const Demand& demand, Moment now);
   bool cold(const Sight& sight, const Kind& kind, Moment now) const { return kind.cold_rate > 0 && now < sight.cold_until; }
+  const std::set<std::string>& apart(const PolicyView& policy, const std::string& kind, const Named<Circle>& circle);
   double load(const Sight& sight, const Runner& runner, const Kind& kind) const;
 
   Post& post_;
@@ -67,7 +68,8 @@
   std::map<std::string, Sight> sights_;
   Stamp listing_;
   std::size_t turn_ = 0, most_daemons_ = 1;
-  double mean_tokens_ = 0;
+  double mean_tokens_ = 0, mean_prompt_ = 0;   // of the requests that tell them
+  std::map<std::string, std::pair<Stamp, std::set<std::string>>> apart_;  // by kind
 };
 
 }  // namespace mothwalk
--- a/tests/dialect_entries_test.cpp
+++ b/tests/dialect_entries_test.cpp
@@ -14,6 +14,7 @@
     if (const auto* last = header_of(headers, "Last")) facts.last_event = std::stoull(*last);
     if (const auto* prefix = header_of(headers, "Prefix")) facts.parts = {{*prefix, 4000}, {"own", 1000}};
     if (!facts.parts.empty()) facts.prompt_tokens = 5000, facts.output_tokens = 100;
+    if (const auto* length = header_of(headers, "Long")) facts.prompt_tokens = static_cast<std::uint32_t>(std::stoul(*length));
     return facts;
   }
   void write_attempt(AttemptRequest& request, const RequestFacts&, const AttemptFacts& attempt) const override {
@@ -441,3 +442,31 @@
   stage.attempts[0].watcher->on_end(AttemptEnd::whole);
   CHECK(once->ended);
 }
+
+TEST_CASE("a very long prompt goes to members that read such ones, others to the rest, while these have room") {
+  SpeakingStage stage;
+  stage.put("kind/model", R"({"engine":{"memory_tokens":8000000}})");
+  std::string members;
+  for (int index = 0; index < 7; ++index) {
+    const std::string name = "m" + std::to_string(index);
+    stage.put("runner/" + name, R"({"kind":"model","address":"10.0.3.)" + std::to_string(index) + R"(:80","hall":")" + (index % 2 == 0 ? "north" : "south") + R"(","slots":40})");
+    members += (members.empty() ? "\"" : ",\"") + name + "\"";
+  }
+  stage.put("circle/model", "{\"members\":[" + members + "],\"warm\":[" + members + "]}");
+  ALLOW_CALL(stage.exchange, start(_, _)).LR_SIDE_EFFECT(stage.attempts.push_back({_1, _2})).LR_RETURN(stage.attempts.size());
+  std::set<std::string> large, small;
+  std::size_t count = 0;
+  for (int round = 0; round < 20; ++round) {
+    for (int each = 0; each < 8; ++each, ++count) {
+      stage.say("/pay", {{"Prefix", "p" + std::to_string(each)}});
+      if (round > 0) small.insert(stage.told(count, "Runner"));
+    }
+    stage.say("/pay", {{"Prefix", "p"}, {"Long", "300000"}});
+    large.insert(stage.told(count++, "Runner"));
+    if (round % 4 == 3)
+      for (std::size_t done = count - 36; done < count; ++done) stage.whole(done);
+  }
+  CHECK(large.size() == 3);
+  CHECK(small.size() == 4);
+  for (const auto& name : large) CHECK_FALSE(small.contains(name));
+}
