--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -304,3 +304,31 @@
   world.run_until(world.now() + seconds(2));
   CHECK((refused == 409 || town.any_alive().board().policy.get()->lot_roster.seats.size() > 3));
 }
+
+TEST_CASE("what an owner owned is taken over within a second and a half of its loss, in both groups") {
+  Span worst{};
+  for (const bool lots : {false, true})
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+      World world(300 + number);
+      Town town(world, shape_named("platform", 1.0));
+      REQUIRE(make_ready(town));
+      world.run_until(world.now() + seconds(4) + milliseconds(37) * static_cast<int>(number));
+      const std::size_t first = lots ? 9 : 0;
+      Machine& lost = *town.machines[first + number % 4];
+      const auto slots = lost.board().owned.get()->slots;
+      REQUIRE_FALSE(slots.empty());
+      lost.kill(false);
+      const Moment began = world.now();
+      auto taken = [&] {
+        std::set<std::uint32_t> seen;
+        for (std::size_t index = first; index < first + 4; ++index)
+          if (town.machines[index]->alive())
+            for (const auto& [slot, epoch] : town.machines[index]->board().owned.get()->slots) seen.insert(slot);
+        return seen.size() == slot_count;
+      };
+      while (!taken() && world.now() - began < seconds(5)) world.run_until(world.now() + milliseconds(10));
+      worst = std::max(worst, world.now() - began);
+    }
+  INFO(worst.count());
+  CHECK(worst <= milliseconds(1500));
+}
