Live requests: a daemon that knows of no lane at all denies none

Change: while no lane at all is known, a request waits as it does without a valid lease. Result: a test that fails without it.

--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -207,8 +207,8 @@
     const Lane* lane = policy->lane_for(record.request.target, &name, record.facts.host);
     if (lane != nullptr && lane->batch) lane = nullptr;
     if (lane == nullptr) {
-      // A daemon that may not have heard of the newest configuration can't say that there is none.
-      if (!board_.permitted(post_.schedule().now())) {
+      // A daemon that may not have heard of the newest configuration, or of any, can't say that there is none.
+      if (!board_.permitted(post_.schedule().now()) || policy->lanes.empty()) {
         record.lane_name.clear();
         return true;
       }
--- a/tests/dialect_entries_test.cpp
+++ b/tests/dialect_entries_test.cpp
@@ -470,3 +470,16 @@
   CHECK(small.size() == 4);
   for (const auto& name : large) CHECK_FALSE(small.contains(name));
 }
+
+TEST_CASE("a daemon that knows of no lane at all denies none") {
+  SpeakingStage stage;
+  const PolicyView whole = stage.view;
+  stage.board.policy.set(PolicyView{});
+  auto seen = stage.say("/pay", {});
+  stage.wait(std::chrono::milliseconds(200));
+  CHECK(seen->status == 0);
+  EXPECT_ATTEMPTS(stage, 1);
+  stage.board.policy.set(whole);
+  stage.wait(std::chrono::milliseconds(40));
+  CHECK(stage.attempts.size() == 1);
+}
