Lots: what can be in time goes first; under lots the circle yields down to medium load

Cause: while thousands of items waited the circle held 11 of 12 runners at a usage of 0.35, and the oldest items, already late, went before those that could still be in time. Change: needs of lots are told with the running items and the time left, the circle yields to a usage of 0.6, late lots take what is left over, and a runner that left the circle takes items into half of its slots at once. Reports are sent again after one second.

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -15,6 +15,7 @@
 constexpr Span settle = milliseconds(2500);
 constexpr Span dark_span = std::chrono::seconds(5);
 constexpr Span appoint_after = milliseconds(1000);
+constexpr double squeezed = 0.6;       // usage that live work bears while lots need what runners there are
 constexpr Span law_kept = std::chrono::seconds(15);  // a cycle that changes nothing is written no oftener
 }  // namespace
 
@@ -170,7 +171,7 @@
     lots.pending += each.lots.pending;
     lots.at_once += each.lots.at_once;
   }
-  const bool lots_wait = lots.pending > 0;
+  const bool lots_wait = lots.pending > 0 || lots.at_once > 0;
   double slots = 0;
   for (const auto& name : able) slots += policy->runners.at(name).spec.slots / static_cast<double>(able.size());
   const std::size_t lowest = std::min<std::size_t>(circle.floor, able.size());
@@ -178,7 +179,8 @@
   if (lots_wait && highest > lowest) {
     // The lots get what they need to be in time, but for what live work takes at medium load.
     const auto wanted = std::max<std::size_t>(circle.reserve, slots == 0 ? 0 : static_cast<std::size_t>(std::ceil(lots.at_once / slots)));
-    const auto needed = lots.at_once > 0 && slots > 0 ? static_cast<std::size_t>(std::ceil((live + queued) / (circle.target * slots))) : 0;
+    const double full = circle.concurrency == 0 ? slots : std::min<double>(circle.concurrency, slots);
+    const auto needed = lots.at_once > 0 && full > 0 ? static_cast<std::size_t>(std::ceil((live + queued) / (std::max(circle.target, squeezed) * full))) : 0;
     highest = std::max({lowest, std::min(needed, highest), highest - std::min(wanted, highest)});
   }
   Circle next = before;
--- a/source/lots/lots.cpp
+++ b/source/lots/lots.cpp
@@ -62,7 +62,7 @@
   if (++ticks_ % sweep_ticks == 0)
     for (auto& slot : slots_)
       for (auto& [id, lot] : slot.lots) sweep(lot, now);
-  if (ticks_ % announce_ticks == 0 || announce_soon_) announce();
+  if (ticks_ % announce_ticks == 0 || (announce_soon_ && ticks_ % 2 == 0)) announce();
   if (ticks_ % ask_ticks == 0) ask_placers(now);
   post_.schedule().after(tick_span, [this] { tick(); });
 }
@@ -435,27 +435,45 @@
   else queue_.erase({lot.due, lot.id});
 }
 
+double Lots::took(const Lot& lot) const {
+  auto known = took_.find(lot.head.lane);
+  return known == took_.end() ? 1.0 : known->second;
+}
+
+bool Lots::late(const Lot& lot, Moment now) const {
+  return lot.head.batch && lot.head.completion > Span{} && lot.due - now < Span(static_cast<std::int64_t>(took(lot) * 1e6));
+}
+
 void Lots::fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer, bool again) {
   if (!newest_placer(placer, incarnation, fetch))
     return answer(Fault{FaultKind::stale, "term", "runner '" + fetch.runner + "' has another placer", "wait for the news that names it"});
   const Moment now = post_.schedule().now();
   const auto policy = board_.policy.get();
-  std::vector<Lot*> choices;
+  std::vector<Lot*> choices, late_ones;
   std::set<std::uint32_t> unconfirmed;
-  std::uint32_t remaining = 0, wanted = std::min<std::uint32_t>(fetch.count, 64), found_items = 0;
+  auto reply = std::make_shared<ItemsReply>();
+  std::uint32_t wanted = std::min<std::uint32_t>(fetch.count, 64), found_items = 0;
   for (const auto& [due, id] : queue_) {
-    const std::uint32_t number = slot_of(key_of(id));
-    Slot& slot = slots_[number];
-    auto found = slot.lots.find(id);
+    const Slot& slot = slots_[slot_of(key_of(id))];
+    auto found = slots_[slot_of(key_of(id))].lots.find(id);
     if (found == slot.lots.end() || slot.adopting || !leads(*policy, found->second, fetch.runner_kind)) continue;
     Lot& lot = found->second;
     if (!lot.head.batch && lot.head.deadline > Span{} && now - lot.begun >= lot.head.deadline) continue;
-    remaining += static_cast<std::uint32_t>(lot.pending.size());
-    if (found_items >= wanted) continue;
-    found_items += static_cast<std::uint32_t>(lot.pending.size());
-    if (leased(slot)) choices.push_back(&lot);
-    else unconfirmed.insert(number);
+    const bool too_late = late(lot, now);
+    (too_late ? reply->late : reply->remaining) += static_cast<std::uint32_t>(lot.pending.size());
+    (too_late ? late_ones : choices).push_back(&lot);
   }
+  // What can still be in time goes first, due earlier before due later; what can't takes the room that is left.
+  choices.insert(choices.end(), late_ones.begin(), late_ones.end());
+  std::size_t enough = 0;
+  while (enough < choices.size() && found_items < wanted) found_items += static_cast<std::uint32_t>(choices[enough++]->pending.size());
+  choices.resize(enough);
+  std::erase_if(choices, [&](const Lot* lot) {
+    const std::uint32_t number = slot_of(key_of(lot->id));
+    const bool confirmed = leased(slots_[number]);
+    if (!confirmed) unconfirmed.insert(number);
+    return !confirmed;
+  });
   // An owner that was cut off must not hand out what its successor may have ended.
   if (!unconfirmed.empty() && !again) {
     auto left = std::make_shared<std::size_t>(unconfirmed.size());
@@ -465,7 +483,6 @@
       });
     return;
   }
-  auto reply = std::make_shared<ItemsReply>();
   auto left = std::make_shared<std::size_t>(1);
   auto finish = [reply, left, answer] {
     if (--*left == 0) answer(std::move(*reply));
@@ -479,6 +496,7 @@
     Lot& lot = *choice;
     std::vector<LotEntry> starts;
     const bool again_allowed = repeatable(lot);
+    std::uint32_t& remaining = late(lot, now) ? reply->late : reply->remaining;
     for (auto next = lot.pending.begin(); next != lot.pending.end() && wanted > 0;) {
       const std::uint32_t index = *next;
       if (fetch.tokens > 0 && tokens + lot.head.items[index].tokens > fetch.tokens) { wanted = 0; break; }
@@ -525,7 +543,6 @@
       finish();
     });
   }
-  reply->remaining = remaining;
   finish();
 }
 
@@ -812,27 +829,29 @@
   const auto members = board_.members.get();
   const Moment now = post_.schedule().now();
   std::map<std::string, LotDemand> kinds;
-  std::map<std::string, std::uint32_t> pending;
-  for (const auto& [due, id] : queue_) {
-    const Slot& slot = slots_[slot_of(key_of(id))];
-    auto lot = slot.lots.find(id);
-    if (lot == slot.lots.end()) continue;
-    auto lane = policy->lanes.find(lot->second.head.lane);
-    if (lane == policy->lanes.end()) continue;
-    const auto count = static_cast<std::uint32_t>(lot->second.pending.size());
+  PendingItems pending;
+  auto count_in = [&](const Slot& slot, const Lot& lot) {
+    auto lane = policy->lanes.find(lot.head.lane);
+    if (lane == policy->lanes.end()) return;
+    const auto count = queue_.contains({lot.due, lot.id}) ? static_cast<std::uint32_t>(lot.pending.size()) : 0;
+    const bool too_late = late(lot, now);
     double at_once = 0;
-    if (lot->second.head.batch && lot->second.head.completion > Span{}) {
-      auto known = took_.find(lot->second.head.lane);
-      const double took = known == took_.end() ? 1.0 : known->second, left = static_cast<double>((due - now).count()) / 1e6;
-      at_once = (count + static_cast<double>(lot->second.busy.size())) * took / std::max(took, left / 2);
+    if (lot.head.batch && lot.head.completion > Span{}) {
+      const Moment until = too_late ? lot.begun + lot.head.retention : lot.due;
+      const double run = took(lot), left = static_cast<double>((until - now).count()) / 1e6;
+      at_once = (count + static_cast<double>(lot.busy.size())) * run / std::max(run, left / 2);
     }
+    if (count == 0 && at_once == 0) return;
     for (const auto& share : lane->second.spec.kinds()) {
       if (share.weight <= 0) continue;
       kinds[share.kind.text].pending += count;
       kinds[share.kind.text].at_once += at_once;
-      if (!slot.adopting) pending[share.kind.text] += count;
+      if (!slot.adopting && count > 0) (too_late ? pending.late : pending.kinds)[share.kind.text] += count;
     }
-  }
+  };
+  for (const auto& slot : slots_)
+    for (const auto& [id, lot] : slot.lots)
+      if (!lot.busy.empty() || !lot.pending.empty()) count_in(slot, lot);
   std::set<std::string> told;
   for (const auto& [kind, demand] : kinds) told.insert(kind);
   for (const auto& kind : announced_) kinds.try_emplace(kind);
@@ -840,9 +859,9 @@
   if (kinds.empty()) return;
   std::set<Address> placers;
   for (const auto& [kind, circle] : policy->circles)
-    if (pending.contains(kind))
+    if (pending.kinds.contains(kind) || pending.late.contains(kind))
       for (const auto& [runner, placer] : circle.spec.placers) placers.insert(placer.address);
-  for (const Address& placer : placers) post_.tell(placer, PendingItems{pending});
+  for (const Address& placer : placers) post_.tell(placer, pending);
   for (const auto& [kind, demand] : kinds)
     if (const Seat* seat = slot_owner(policy->roster, *members, slot_of("circle/" + kind))) post_.tell(seat->address, KindPending{{{kind, demand}}});
 }
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -90,6 +90,8 @@
   // Whether the fetch comes from the newest placer of the runner that this owner has heard of.
   bool newest_placer(const Address& placer, std::uint64_t incarnation, const FetchItems& fetch);
   void requeue(Lot& lot, std::uint32_t index);
+  double took(const Lot& lot) const;   // seconds that an item of its lane runs, about
+  bool late(const Lot& lot, Moment now) const;  // an item begun now would miss the time that the lot was promised
   void queue(const Lot& lot);          // puts the lot among those that have items to run, or takes it out
   bool leads(const PolicyView& policy, const Lot& lot, const std::string& kind) const;
   bool repeatable(const Lot& lot) const;
--- a/source/lots/messages.hpp
+++ b/source/lots/messages.hpp
@@ -105,8 +105,9 @@
 // Between owners and placing daemons.
 struct PendingItems {
   static constexpr View kind = "placing.pending";
-  std::map<std::string, std::uint32_t> kinds;
-  MOTHWALK_FIELDS(kinds)
+  std::map<std::string, std::uint32_t> kinds;   // items that can be in time
+  std::map<std::string, std::uint32_t> late;    // and those that can't any more
+  MOTHWALK_FIELDS(kinds, late)
 };
 // What an owner's lots ask of a kind's runners: items that wait, and how many have to run at once to be in time.
 struct LotDemand {
@@ -139,8 +140,8 @@
 };
 struct ItemsReply {
   std::vector<PlacedItem> items;
-  std::uint32_t remaining = 0;
-  MOTHWALK_FIELDS(items, remaining)
+  std::uint32_t remaining = 0, late = 0;   // of the kind with this owner, as in PendingItems
+  MOTHWALK_FIELDS(items, remaining, late)
 };
 struct FetchItems {
   static constexpr View kind = "lots.fetch";
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -14,7 +14,7 @@
 constexpr Span fetch_limit = milliseconds(1500);
 constexpr Span work_gap = milliseconds(20);         // so that items that end together are replaced by one fetch
 constexpr Span report_gap = milliseconds(15);       // and reported by one message
-constexpr Span report_limit = milliseconds(2000);
+constexpr Span report_limit = milliseconds(1000);
 constexpr std::size_t most_reports = 64;
 constexpr std::size_t report_bytes = 1u << 20;
 constexpr Span source_span = milliseconds(1500);
@@ -123,7 +123,7 @@
 Placing::Placing(Post& post, Board& board, Exchange& exchange, Chance& chance, const Dialect& dialect)
     : post_(post), board_(board), exchange_(exchange), chance_(chance), dialect_(dialect) {
   post_.on_tell<PendingItems>([this](const Address& from, PendingItems pending) {
-    sources_[from] = Source{std::move(pending.kinds), post_.schedule().now()};
+    sources_[from] = Source{std::move(pending.kinds), std::move(pending.late), post_.schedule().now()};
     work_soon();
   });
   post_.on_tell<PlacerTotals>([this](const Address&, PlacerTotals told) {
@@ -172,16 +172,17 @@
   return placer->second.term;
 }
 
-// Slots free of items and of streams that began while the runner was in the circle; none until the totals are newer
-// than the change that made this daemon its placer. A runner that may turn cold at any moment is never given more in a
+// Slots free of items and of streams that began while the runner was in the circle; half of them stay free until the
+// totals are newer than the change that made this daemon its placer. A runner that may turn cold at any moment is never given more in a
 // second than a cold one bears.
 std::uint32_t Placing::room(const std::string& name, const Runner& runner, const Kind& kind, Work& state) {
   const auto usage = board_.usage.get();
   auto totals = usage->find(runner.kind.text);
-  if (totals == usage->end() || !state.outside_since || totals->second.heard < *state.outside_since + account_span) return 0;
+  if (totals == usage->end() || !state.outside_since) return 0;
   auto found = totals->second.runners.find(name);
   const std::uint32_t taken = state.open + (found == totals->second.runners.end() ? 0 : found->second.open + found->second.foreign);
   std::uint32_t free = taken < runner.slots ? runner.slots - taken : 0;
+  if (totals->second.heard < *state.outside_since + account_span) free = free > runner.slots / 2 ? free - runner.slots / 2 : 0;
   if (kind.cold_rate > 0) {
     const Moment now = post_.schedule().now();
     while (!state.sent.empty() && now - state.sent.front() > milliseconds(1100)) state.sent.pop_front();
@@ -292,8 +293,12 @@
     ask.tokens = kind.engine.memory_tokens - state.tokens;
   }
   std::vector<Address> owners;
-  for (const auto& [address, source] : sources_)
-    if (auto found = source.kinds.find(runner.kind.text); found != source.kinds.end() && found->second > 0) owners.push_back(address);
+  for (const bool late : {false, true})
+    for (const auto& [address, source] : sources_) {
+      const auto& counts = late ? source.late : source.kinds;
+      if (late && !owners.empty()) break;
+      if (auto found = counts.find(runner.kind.text); found != counts.end() && found->second > 0) owners.push_back(address);
+    }
   if (owners.empty()) return;
   const Address owner = owners[chance_.below(owners.size())];
   state.fetching = true;
@@ -304,7 +309,7 @@
       sources_.erase(owner);
       return;
     }
-    if (auto source = sources_.find(owner); source != sources_.end()) source->second.kinds[kind] = reply->remaining;
+    if (auto source = sources_.find(owner); source != sources_.end()) source->second.kinds[kind] = reply->remaining, source->second.late[kind] = reply->late;
     const Moment now = post_.schedule().now();
     const auto policy = board_.policy.get();
     auto found = policy->runners.find(name);
--- a/source/lots/placing.hpp
+++ b/source/lots/placing.hpp
@@ -38,7 +38,7 @@
     std::shared_ptr<BatchWatcher> batch;
   };
   struct Source {
-    std::map<std::string, std::uint32_t> kinds;
+    std::map<std::string, std::uint32_t> kinds, late;
     Moment heard;
   };
   struct Ending {
--- a/tests/lot_batches_test.cpp
+++ b/tests/lot_batches_test.cpp
@@ -269,6 +269,21 @@
   CHECK(items[2].lot == "slow");
 }
 
+TEST_CASE("items that can't be in time any more wait for those that can") {
+  KeptStore store;
+  OwnerStage owner(store, 4);
+  owner.good(SubmitLot{"old", OwnerStage::batch(3)});
+  owner.wait(milliseconds(7500));           // of eight seconds; an item takes about one
+  owner.good(SubmitLot{"young", OwnerStage::batch(2)});
+  const ItemsReply reply = owner.good(FetchItems{"model", "model-1", 3, 1, 0});
+  REQUIRE(reply.items.size() == 3);
+  CHECK(reply.items[0].lot == "young");
+  CHECK(reply.items[1].lot == "young");
+  CHECK(reply.items[2].lot == "old");
+  CHECK(reply.remaining == 0);
+  CHECK(reply.late == 2);
+}
+
 TEST_CASE("a fetch gets no more tokens than the runner has room for") {
   KeptStore store;
   OwnerStage owner(store, 4);
--- a/tests/lots_stage.hpp
+++ b/tests/lots_stage.hpp
@@ -252,7 +252,7 @@
   // Has the placer fetch and send what is offered; gives the attempt.
   PlayedExchange::Attempt& offer(PlacedItem placed) {
     offered.push_back(std::move(placed));
-    tell(PendingItems{{{"model", 1}}});
+    tell(PendingItems{{{"model", 1}}, {}});
     wait(std::chrono::milliseconds(200));
     REQUIRE_FALSE(exchange.attempts.empty());
     return exchange.attempts.back();
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -79,7 +79,7 @@
   PlacerStage stage;
   stage.delay = milliseconds(1200);
   stage.offered.push_back(PlacerStage::item());
-  stage.tell(PendingItems{{{"model", 1}}});
+  stage.tell(PendingItems{{{"model", 1}}, {}});
   stage.wait(std::chrono::seconds(3));
   CHECK(stage.exchange.attempts.empty());
   REQUIRE(stage.finished.size() == 1);
@@ -131,7 +131,7 @@
       const std::size_t before = stage.exchange.attempts.size();
       for (int second = 0; second < 5; ++second) {
         stage.offered.push_back(PlacerStage::item(static_cast<std::uint32_t>(round * 5 + second)));
-        stage.tell(PendingItems{{{"model", 1}}});
+        stage.tell(PendingItems{{{"model", 1}}, {}});
         stage.wait(milliseconds(200));
         for (auto& attempt : stage.exchange.attempts)
           if (!attempt.cancelled) {
