--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -167,23 +167,13 @@
     const std::string state = board_.permitted(now) ? "The policy is fresh; this daemon serves." : board_.permit_until < 0 ? "" : "No control daemon in touch with a majority answers; the newest policy known stays in force.";
     if (!state.empty() && state != last_state) logs::note("news", state);
     if (!state.empty()) last_state = state;
-    if (drain_until.microseconds > 0) {
-      std::size_t left = 0;
-      {
-        std::lock_guard lock(counts_mutex_);
-        left = open_ + placed_;
-      }
-      const bool long_enough = now - drain_began >= drain_least;
-      if (long_enough && front_) front_->close();
-      if ((left == 0 && long_enough) || now > drain_until) {
-        logs::note("daemon", left == 0 ? "Drained; ending." : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
-        main_.stop();
-        return;
-      }
-    }
+    if (drain_until.microseconds > 0) return drain(now - drain_began >= drain_least, now > drain_until);
     timer.expires_after(std::chrono::milliseconds(200));
     timer.async_wait([&](const boost::system::error_code&) { watch(); });
   };
+  // Ends when nothing is open any more. What is open is counted on the thread that serves, at the moment of the end, so that
+  // no request comes between.
+  drain_again_ = [&] { watch(); };
   std::function<void()> wait = [&] {
     signals.async_wait([&](const boost::system::error_code& error, int signal) {
       if (error) return;
@@ -202,4 +192,21 @@
   return exit_code_;
 }
 
+void Daemon::drain(bool long_enough, bool over) {
+  auto count = [this, long_enough, over] {
+    if (long_enough && front_) front_->close();
+    const std::size_t left = (front_ ? front_->busy() : 0) + placed_;
+    if ((left == 0 && long_enough) || over) {
+      logs::note("daemon", left == 0 ? "Drained; ending." : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
+      return main_.stop();
+    }
+    boost::asio::post(main_, [this] {
+      drain_timer_.expires_after(std::chrono::milliseconds(100));
+      drain_timer_.async_wait([this](const boost::system::error_code&) { drain_again_(); });
+    });
+  };
+  if (entries_ && !settings_.single_thread) boost::asio::post(routes_duty_.thread.context(), count);
+  else count();
+}
+
 }  // namespace mothwalk
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -36,6 +36,7 @@
   Result<Done> listen();
   void handle(ControlRequest request, ControlAnswer answer);
   json::value usage();
+  void drain(bool long_enough, bool over);
 
   Settings settings_;
   std::unique_ptr<Place> place_;
@@ -63,8 +64,11 @@
   std::unique_ptr<Front> front_;
   std::mutex counts_mutex_;
   EntryCounts counts_;
-  std::size_t open_ = 0, placed_ = 0;
+  std::size_t open_ = 0;
+  std::atomic<std::size_t> placed_{0};
   std::atomic<std::uint64_t> syncs_{0}, commits_{0};
+  boost::asio::steady_timer drain_timer_{main_};
+  std::function<void()> drain_again_;
   int exit_code_ = 0;
 };
 
--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -37,6 +37,11 @@
   }
   void run() { expect(); }
   void due() { close(); }
+  // A request is read or answered, or bytes of an answer are on their way.
+  bool busy() const { return !closed_ && (headed_ || answering_ || done_ || writing_); }
+  void close_idle() {
+    if (!busy()) close();
+  }
 
  private:
   // What the entries write to; it outlives neither its request nor the session's connection.
@@ -369,6 +374,20 @@
     boost::system::error_code ignored;
     listener->acceptor.close(ignored);
   }
+  for (const auto& session : sessions())
+    session->close_idle();
+}
+
+std::size_t Front::busy() const {
+  const auto all = sessions();
+  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& session) { return session->busy(); }));
+}
+
+std::vector<std::shared_ptr<Front::Session>> Front::sessions() const {
+  std::vector<std::shared_ptr<Session>> all;
+  for (const auto& [number, session] : sessions_)
+    if (auto living = session.lock()) all.push_back(std::move(living));
+  return all;
 }
 
 }  // namespace mothwalk
--- a/source/host/front.hpp
+++ b/source/host/front.hpp
@@ -17,8 +17,10 @@
   ~Front();
   // A side that is not the callers' is closed to everything but control.
   Result<Done> listen(const Address& address, bool callers);
+  // Takes no new connection any more, and lets idle ones go.
   void close();
-  std::size_t sessions() const { return sessions_.size(); }
+  // Connections with a request that is read or answered.
+  std::size_t busy() const;
 
  private:
   class Session;
@@ -27,6 +29,7 @@
     bool callers;
   };
   void accept(std::shared_ptr<Listener> listener);
+  std::vector<std::shared_ptr<Session>> sessions() const;
 
   boost::asio::io_context& context_;
   Entries& entries_;
