Platform: a success without id or seal is nobody's answer

Cause: a runner in trouble may send a success that lacks both; passed on, it would reach a caller as an answer. Test in tests/platform_test.cpp.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -172,7 +172,10 @@
   CHECK_FALSE(dialect.read_answer(503, {}, facts).not_run);
   CHECK(dialect.read_answer(421, {}, facts).other_instance);
   CHECK(dialect.read_answer(200, {{"Attempt-Id", "two"}}, facts).foreign);
-  CHECK_FALSE(dialect.read_answer(200, {{"Attempt-Id", "one"}}, facts).foreign);
+  CHECK_FALSE(dialect.read_answer(200, {{"Attempt-Id", "one"}, {"Server-Seal", "3e1b"}}, facts).foreign);
+  CHECK(dialect.read_answer(200, {{"Attempt-Id", "one"}}, facts).foreign);
+  CHECK(dialect.read_answer(200, {{"Server-Seal", "3e1b"}}, facts).foreign);
+  CHECK_FALSE(dialect.read_answer(500, {}, facts).foreign);
   const AnswerFacts answer = dialect.read_answer(200, {{"Keep-Alive", "timeout=5, max=10"}, {"Connection", "close"}, {"Instance-Load", "3,1,8"}}, facts);
   CHECK(answer.idle == std::chrono::seconds(5));
   CHECK(answer.closing);
