--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -225,6 +225,23 @@
   CHECK(stage.to_the_end(late).ends_with("ok"));
 }
 
+TEST_CASE("a front that closes lets idle connections go, and counts those with a request until they are answered") {
+  Stage stage;
+  auto caller = stage.call(get);
+  auto runner = stage.accepted();
+  stage.until(runner, "\r\n\r\n");
+  auto idle = stage.call("");
+  stage.settle();
+  CHECK(stage.front.busy() == 1);
+  stage.front.close();
+  CHECK(stage.to_the_end(idle).empty());
+  CHECK(stage.front.busy() == 1);
+  say(runner, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  CHECK(stage.until(caller, "body").starts_with("HTTP/1.1 200 OK"));
+  stage.settle();
+  CHECK(stage.front.busy() == 0);
+}
+
 TEST_CASE("the host's rule says which of the callers' requests control answers, with its own headers and body") {
   Stage stage([](View method, View target, const std::vector<Header>& headers) { return method == "POST" && target.starts_with("/bulk/") && header_of(headers, "Host") != nullptr; });
   stage.reply.headers = {{"Content-Type", "text/plain"}, {"Retry-After", "0.25"}};
