--- a/source/control/fleet_calls.cpp
+++ b/source/control/fleet_calls.cpp
@@ -3,14 +3,19 @@
 
 #include <algorithm>
 
-#include "coding/json.hpp"
-
 namespace mothwalk {
 
 namespace {
 constexpr std::size_t remembered_changes = 32;
 constexpr std::size_t least_holders = 3;   // of which one may be lost
-using std::chrono::milliseconds;
+
+// What is kept under the configuration's key; revision 0 where nothing is.
+Result<FleetConfiguration> configuration_of(const ReadReply& reply) {
+  if (!reply.found || reply.record.removed) return FleetConfiguration{};
+  auto read = from_cbor<FleetConfiguration>(reply.record.head);
+  if (!read) return Fault{FaultKind::damaged, "configuration", "the kept configuration can't be read", "run the version of mothwalk that wrote it"};
+  return std::move(*read);
+}
 }  // namespace
 
 void FleetCalls::change(ConfigurationChange change, Span limit, Answer<Version> answer) {
@@ -22,12 +27,9 @@
   client_.read(key, until - post_.schedule().now(), [this, change, until, sent, answer, key](Result<ReadReply> result) {
     if (auto fault = fault_of(result)) return answer(sent ? Fault{FaultKind::unknown, key, fault->message, fault->remedy} : *fault);
     const ReadReply& reply = std::get<ReadReply>(result);
-    FleetConfiguration current;
-    if (reply.found && !reply.record.removed) {
-      auto read = from_cbor<FleetConfiguration>(reply.record.head);
-      if (!read) return answer(Fault{FaultKind::damaged, key, "the kept configuration can't be read", "run the version of mothwalk that wrote it"});
-      current = std::move(*read);
-    }
+    auto kept = configuration_of(reply);
+    if (auto fault = fault_of(kept)) return answer(*fault);
+    const FleetConfiguration& current = std::get<FleetConfiguration>(kept);
     if (std::find(current.taken.begin(), current.taken.end(), change->hash) != current.taken.end()) return answer(Version{current.revision});
     if (current.revision != change->base)
       return answer(Fault{FaultKind::conflict, "base", "revision " + std::to_string(current.revision) + " is current, not " + std::to_string(change->base), "read the configuration again and build on that"});
@@ -57,30 +59,37 @@
 void FleetCalls::show(Span limit, Answer<FleetConfiguration> answer) {
   client_.read(std::string(configuration_key), limit, [answer](Result<ReadReply> result) {
     if (auto fault = fault_of(result)) return answer(*fault);
-    const ReadReply& reply = std::get<ReadReply>(result);
-    if (!reply.found || reply.record.removed) return answer(Fault{FaultKind::unknown_name, "configuration", "no configuration was taken yet", "give the first one"});
-    auto read = from_cbor<FleetConfiguration>(reply.record.head);
-    if (!read) return answer(Fault{FaultKind::damaged, "configuration", "the kept configuration can't be read", "run the version of mothwalk that wrote it"});
-    answer(std::move(*read));
+    auto kept = configuration_of(std::get<ReadReply>(result));
+    auto* configuration = std::get_if<FleetConfiguration>(&kept);
+    if (configuration != nullptr && configuration->revision == 0) return answer(Fault{FaultKind::unknown_name, "configuration", "no configuration was taken yet", "give the first one"});
+    answer(std::move(kept));
   });
 }
 
-void FleetCalls::evacuate(const ZoneId& zone, bool evacuated, Span limit, Answer<Done> answer) {
+void FleetCalls::put(std::string key, const json::value& document, Span limit, Answer<Done> answer) {
   Write write;
-  write.key = "hall/" + zone.text;
-  write.head = json::serialize(to_json(Hall{evacuated}));
+  write.key = std::move(key);
+  write.head = json::serialize(document);
   client_.write(std::move(write), limit, [answer](Result<WriteReply> result) {
     if (auto fault = fault_of(result)) return answer(*fault);
     answer(Done{});
   });
 }
 
+void FleetCalls::evacuate(const ZoneId& zone, bool evacuated, Span limit, Answer<Done> answer) {
+  put("hall/" + zone.text, to_json(Hall{evacuated}), limit, std::move(answer));
+}
+
+Address FleetCalls::holder_named(const std::string& machine) const {
+  for (const auto& [at, member] : board_.members.get()->all)
+    if (member.name == machine && member.keeps == "lots") return at;
+  return {};
+}
+
 void FleetCalls::retire(const std::string& machine, Span limit, Answer<Done> answer) {
   const auto policy = board_.policy.get();
   const auto members = board_.members.get();
-  Address address;
-  for (const auto& [at, member] : members->all)
-    if (member.name == machine && member.keeps == "lots") address = at;
+  Address address = holder_named(machine);
   for (const auto& seat : policy->lot_roster.seats)
     if (seat.name == machine) address = seat.address;
   if (address.empty()) return answer(Fault{FaultKind::unknown_name, "machine", "no machine '" + machine + "' holds lots", "check the name"});
@@ -94,19 +103,11 @@
     return mark != policy->holders.end() && mark->second.spec.retired;
   });
   if (remaining.size() < least_holders) return answer(Fault{FaultKind::conflict, "machine", "only " + std::to_string(remaining.size()) + " machines that hold lots would remain", "add a machine first"});
-  Write write;
-  write.key = "holder/" + address.text;
-  write.head = json::serialize(to_json(HolderMark{true}));
-  client_.write(std::move(write), limit, [answer](Result<WriteReply> result) {
-    if (auto fault = fault_of(result)) return answer(*fault);
-    answer(Done{});
-  });
+  put("holder/" + address.text, to_json(HolderMark{true}), limit, std::move(answer));
 }
 
 void FleetCalls::retired(const std::string& machine, Span limit, Answer<bool> answer) {
-  Retirement asked{std::string(lot_roster_key), {}, machine};
-  for (const auto& [at, member] : board_.members.get()->all)
-    if (member.name == machine && member.keeps == "lots") asked.holder = at;
+  const Retirement asked{std::string(lot_roster_key), holder_named(machine), machine};
   client_.ask_owner<Retirement>(asked.roster, asked, post_.schedule().now() + limit, false, [answer](Result<RetirementReply> result) {
     if (auto fault = fault_of(result)) return answer(*fault);
     answer(std::get<RetirementReply>(result).complete);
--- a/source/control/fleet_calls.hpp
+++ b/source/control/fleet_calls.hpp
@@ -1,6 +1,7 @@
 // Operators' calls on the fleet as a whole: the configuration that is changed as one document under the operators' own
 // revisions, evacuation of zones, and the retirement of machines that hold lots.
 #pragma once
+#include "coding/json.hpp"
 #include "kept/kept.hpp"
 
 namespace mothwalk {
@@ -25,6 +26,9 @@
   void retired(const std::string& machine, Span limit, Answer<bool> answer);
 
  private:
+  void put(std::string key, const json::value& document, Span limit, Answer<Done> answer);
+  // Where the machine that holds lots stands, of those that are members; empty for none.
+  Address holder_named(const std::string& machine) const;
   void attempt(std::shared_ptr<ConfigurationChange> change, Moment until, bool sent, Answer<Version> answer);
 
   Post& post_;
--- a/source/host/settings.hpp
+++ b/source/host/settings.hpp
@@ -17,8 +17,7 @@
   std::optional<bool> first_start;     // whether the whole fleet starts with empty folders; absent: the seeds hold state and know
   bool single_thread = false;          // all duties on one thread: fewer wake-ups where processor time is dear
   Address health;                      // where watchers ask whether callers may come; empty: at control alone
-  std::uint64_t memory_bytes = 0;      // that the process may use; 0: not known
-  MOTHWALK_FIELDS(address, callers, control, hall, seeds, data_folder, log_level, log_file, drain, name, keeps, first_start, single_thread, health, memory_bytes)
+  MOTHWALK_FIELDS(address, callers, control, hall, seeds, data_folder, log_level, log_file, drain, name, keeps, first_start, single_thread, health)
 };
 
 struct CommandLine {
--- a/source/listing/listing.hpp
+++ b/source/listing/listing.hpp
@@ -38,7 +38,6 @@
  public:
   RunnerList(Post& post, Board& board, Exchange& exchange, Chance& chance, ListSource& source);
   void start();
-  std::uint64_t reads() const { return reads_; }
 
  private:
   class Watcher;
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -127,9 +127,7 @@
     work_soon();
   });
   post_.on_tell<PlacerTotals>([this](const Address&, PlacerTotals told) {
-    auto usage = *board_.usage.get();
-    usage[told.totals.runner_kind] = KindTotals{post_.schedule().now(), std::move(told.totals.runners)};
-    board_.usage.set(std::move(usage));
+    board_.take_totals(told.totals.runner_kind, KindTotals{post_.schedule().now(), std::move(told.totals.runners)});
   });
   post_.on_ask<AskHeld>([this](const Address&, AskHeld ask, Answer<HeldReply> answer) {
     if (ask.incarnation != post_.incarnation()) return answer(Fault{FaultKind::stale, "incarnation", "the placer was started anew", "take its items as lost"});
--- a/source/routes/entries.cpp
+++ b/source/routes/entries.cpp
@@ -12,7 +12,6 @@
 constexpr Span tick_span = milliseconds(20);
 constexpr Span report_span = std::chrono::seconds(1), soon_span = milliseconds(80);
 constexpr Span starting_span = milliseconds(2500);
-constexpr Span static_after = milliseconds(1000);
 constexpr Span silence = milliseconds(1000);       // after which a runner that gave nothing at all counts as failing
 constexpr Span watch_span = milliseconds(100);
 constexpr Span stale_listing = milliseconds(1500);
@@ -285,10 +284,9 @@
 void Entries::match_pass() {
   const Moment now = post_.schedule().now();
   const auto policy = board_.policy.get();
-  const std::int64_t sought = board_.permit_sought.load();
   // A lapsed permit is sought for a moment; when no control daemon can be had, the newest policy known stays in force.
   const bool awake = now - Moment{board_.news_tick.load()} < milliseconds(600);
-  const bool may_send = board_.permitted(now) || (awake && sought >= 0 && now - Moment{sought} > static_after);
+  const bool may_send = board_.permitted(now) || (awake && board_.stands_alone(now));
   std::set<std::string> full;
   for (const auto& place : std::vector<Place>(waiting_.begin(), waiting_.end())) {
     auto found = table_.find(std::get<Id>(place));
--- a/source/routes/sights.cpp
+++ b/source/routes/sights.cpp
@@ -28,9 +28,7 @@
       sight.others = total.open > sight.open ? total.open - sight.open : 0;
       sight.items = total.items;
     }
-    auto usage = *board_.usage.get();
-    usage[totals.runner_kind] = KindTotals{post_.schedule().now(), std::move(totals.runners)};
-    board_.usage.set(std::move(usage));
+    board_.take_totals(totals.runner_kind, KindTotals{post_.schedule().now(), std::move(totals.runners)});
   });
 }
 
--- a/source/sessions/board.hpp
+++ b/source/sessions/board.hpp
@@ -78,6 +78,16 @@
   std::atomic<bool> stalled{false};
   std::atomic<bool> draining{false};
   bool permitted(Moment now) const { return permit_until.load() >= now.microseconds; }
+  // A lapsed lease was sought in vain for so long that the newest policy known stays in force.
+  bool stands_alone(Moment now) const {
+    const std::int64_t sought = permit_sought.load();
+    return sought >= 0 && now - Moment{sought} > std::chrono::milliseconds(1000);
+  }
+  void take_totals(const std::string& kind, KindTotals totals) {
+    auto all = *usage.get();
+    all[kind] = std::move(totals);
+    usage.set(std::move(all));
+  }
 };
 
 // The number of a process's life: of the wall clock, so that later lives mostly have higher ones, and of chance, so that a
