--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -1,4 +1,4 @@
-// Collection of usage, the cycle, replacement inside a cycle, and the choice of who enters and who leaves.
+// Collection of load, the cycle, replacement inside a cycle, and the choice of who enters and who leaves.
 #include "circle/circle.hpp"
 
 #include <algorithm>
@@ -15,7 +15,7 @@
 constexpr Span settle = milliseconds(2500);
 constexpr Span dark_span = std::chrono::seconds(5);
 constexpr Span appoint_after = milliseconds(1000);
-constexpr double squeezed = 0.6;       // usage that live work bears while lots need what runners there are
+constexpr double squeezed = 0.6;                     // load that live work bears while lots need what runners there are
 constexpr Span law_kept = std::chrono::seconds(15);  // a cycle that changes nothing is written no oftener
 }  // namespace
 
@@ -27,7 +27,8 @@
 }
 }  // namespace
 
-double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners, std::uint32_t concurrency) {
+double load_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued,
+               const std::vector<RunnerId>& members, const Table<Runner>& runners, std::uint32_t concurrency) {
   double busy = queued, slots = 0;
   for (const auto& member : members) {
     auto runner = runners.find(member.text);
@@ -38,40 +39,44 @@
   return slots == 0 ? 0 : busy / slots;
 }
 
-CircleDuty::CircleDuty(Post& post, Board& board) : post_(post), board_(board) {
-  post_.on_tell<UsageReport>([this](const Address& from, UsageReport usage) {
-    auto found = states_.find(usage.runner_kind);
+CircleDuty::CircleDuty(Messenger& messenger, SharedState& shared_state)
+    : messenger_(messenger), shared_state_(shared_state) {
+  messenger_.on_tell<LoadReport>([this](const Address& from, LoadReport load) {
+    auto found = states_.find(load.runner_kind);
     if (found == states_.end()) return;
     State& state = found->second;
-    const Moment now = post_.schedule().now();
+    const Moment now = messenger_.timers().now();
     // A attempt that failed may mean a new start of the runner: that it is cold is told to all, not found out by each.
     bool fresh = false;
-    for (const auto& [runner, seen] : usage.runners) {
+    for (const auto& [runner, seen] : load.runners) {
       if (!seen.failed) continue;
       Moment& failed = state.failed[runner];
       fresh = fresh || now + -*seen.failed > failed + milliseconds(100);
       failed = std::max(failed, now + -*seen.failed);
     }
-    state.reports[{from, usage.items}] = Report{std::move(usage), now};
+    state.reports[{from, load.items}] = Report{std::move(load), now};
     if (fresh) pass();
   });
-  post_.on_tell<KindPending>([this](const Address& from, KindPending pending) {
+  messenger_.on_tell<KindPending>([this](const Address& from, KindPending pending) {
     for (const auto& [kind, demand] : pending.kinds)
-      if (auto found = states_.find(kind); found != states_.end()) found->second.demands[from] = Demand{demand, post_.schedule().now()};
+      if (auto found = states_.find(kind); found != states_.end())
+        found->second.demands[from] = Demand{demand, messenger_.timers().now()};
   });
 }
 
-void CircleDuty::start() { tick(); }
+void CircleDuty::start() {
+  tick();
+}
 
 void CircleDuty::tick() {
   pass();
-  post_.schedule().after(tick_span, [this] { tick(); });
+  messenger_.timers().after(tick_span, [this] { tick(); });
 }
 
 void CircleDuty::pass() {
-  const auto owned = board_.owned.get();
-  const auto policy = board_.policy.get();
-  for (const auto& [kind, entry] : policy->kinds) {
+  const auto owned = shared_state_.owned.get();
+  const auto configuration = shared_state_.configuration.get();
+  for (const auto& [kind, entry] : configuration->kinds) {
     auto slot = owned->slots.find(slot_of("circle/" + kind));
     if (slot == owned->slots.end()) {
       states_.erase(kind);
@@ -81,39 +86,39 @@
     if (state.epoch != slot->second) {
       state = State{};
       state.epoch = slot->second;
-      state.since = state.last_cycle = post_.schedule().now();
+      state.since = state.last_cycle = messenger_.timers().now();
     }
     run(kind, entry.spec, state);
   }
-  std::erase_if(states_, [&](const auto& entry) { return !policy->kinds.contains(entry.first); });
+  std::erase_if(states_, [&](const auto& entry) { return !configuration->kinds.contains(entry.first); });
 }
 
 bool CircleDuty::dark(const State& state, const std::string& runner, Moment now) const {
-  std::size_t tried = 0, unsound = 0;
+  std::size_t tried = 0, unhealthy = 0;
   for (const auto& [address, report] : state.reports) {
     if (now - report.heard > aged) continue;
-    auto found = report.usage.runners.find(runner);
-    if (found == report.usage.runners.end() || !found->second.tried) continue;
+    auto found = report.load.runners.find(runner);
+    if (found == report.load.runners.end() || !found->second.tried) continue;
     ++tried;
-    unsound += found->second.unsound;
+    unhealthy += found->second.unhealthy;
   }
-  return unsound > 0 && unsound * 2 >= tried;
+  return unhealthy > 0 && unhealthy * 2 >= tried;
 }
 
 void CircleDuty::run(const std::string& kind, const Kind& settings, State& state) {
-  const Moment now = post_.schedule().now();
-  const auto policy = board_.policy.get();
-  const auto members = board_.members.get();
-  auto record = policy->circles.find(kind);
-  const Circle before = record == policy->circles.end() ? Circle{} : record->second.spec;
-  if (!state.law_loaded && record != policy->circles.end()) {
+  const Moment now = messenger_.timers().now();
+  const auto configuration = shared_state_.configuration.get();
+  const auto members = shared_state_.members.get();
+  auto record = configuration->circles.find(kind);
+  const Circle before = record == configuration->circles.end() ? Circle{} : record->second.spec;
+  if (!state.law_loaded && record != configuration->circles.end()) {
     state.law.size = before.law;
     state.law.last_error = before.error;
     state.law_loaded = true;
   }
   std::set<std::string> able;
-  for (const auto& [name, runner] : policy->runners) {
-    if (runner.spec.kind.text != kind || runner.spec.leaving || policy->evacuated(runner.spec.hall)) continue;
+  for (const auto& [name, runner] : configuration->runners) {
+    if (runner.spec.kind.text != kind || runner.spec.leaving || configuration->evacuated(runner.spec.zone)) continue;
     // A dark runner is left out for a while, then may show again that it answers (through lots or a new entry).
     if (dark(state, name, now)) state.dark_until[name] = now + dark_span;
     if (auto found = state.dark_until.find(name); found != state.dark_until.end() && found->second > now) continue;
@@ -121,46 +126,51 @@
   }
   std::map<std::string, std::uint32_t> open;
   std::map<std::string, RunnerTotal> totals;
-  std::map<std::string, double> demand;      // live work by the zone that it came to
+  std::map<std::string, double> demand;  // live work by the zone that it came to
   std::uint32_t queued = 0, live = 0;
   std::size_t fresh = 0;
   for (auto entry = state.reports.begin(); entry != state.reports.end();) {
     auto member = members->all.find(entry->first.first);
-    const bool there = member != members->all.end() && member->second.incarnation == entry->second.usage.incarnation;
-    if (!there && now - entry->second.heard > aged) { entry = state.reports.erase(entry); continue; }
-    const bool items = entry->second.usage.items;
+    const bool there = member != members->all.end() && member->second.incarnation == entry->second.load.incarnation;
+    if (!there && now - entry->second.heard > aged) {
+      entry = state.reports.erase(entry);
+      continue;
+    }
+    const bool items = entry->second.load.items;
     fresh += !items && now - entry->second.heard <= aged;
-    queued += entry->second.usage.queued;
-    for (const auto& [name, usage] : entry->second.usage.runners) {
+    queued += entry->second.load.queued;
+    for (const auto& [name, load] : entry->second.load.runners) {
       if (!items) {
-        open[name] += usage.open;
-        live += usage.open;
-        if (there) demand[member->second.hall.text] += usage.open;
+        open[name] += load.open;
+        live += load.open;
+        if (there) demand[member->second.zone.text] += load.open;
       }
       RunnerTotal& total = totals[name];
-      (items ? total.items : total.open) += usage.open;
+      (items ? total.items : total.open) += load.open;
       auto placer = before.placers.find(name);
-      if (items && (placer == before.placers.end() || placer->second.address != entry->first.first)) total.foreign += usage.open;
+      if (items && (placer == before.placers.end() || placer->second.address != entry->first.first))
+        total.foreign += load.open;
     }
     ++entry;
   }
   // No oftener than the reports that the totals are made of.
   if (now - state.totals_told >= totals_span) {
     state.totals_told = now;
-    const UsageTotals told{kind, totals};
-    for (const auto& [address, member] : members->all) member.keeps == "lots" ? post_.tell(address, PlacerTotals{told}) : post_.tell(address, told);
+    const LoadTotals told{kind, totals};
+    for (const auto& [address, member] : members->all)
+      member.keeps == "lots" ? messenger_.tell(address, PlacerTotals{told}) : messenger_.tell(address, told);
   }
 
   std::vector<std::string> current;
   for (const auto& member : before.members)
     if (able.contains(member.text)) current.push_back(member.text);
-  const double usage = usage_of(open, queued, before.members, policy->runners, settings.circle.concurrency);
-  state.samples.push_back(usage);
+  const double load = load_of(open, queued, before.members, configuration->runners, settings.circle.concurrency);
+  state.samples.push_back(load);
   const std::size_t recent = std::min<std::size_t>(state.samples.size(), 8);
-  double recent_usage = 0, mean_usage = 0;
+  double recent_load = 0, mean_load = 0;
   for (std::size_t index = 0; index < state.samples.size(); ++index) {
-    mean_usage += state.samples[index] / static_cast<double>(state.samples.size());
-    if (index + recent >= state.samples.size()) recent_usage += state.samples[index] / static_cast<double>(recent);
+    mean_load += state.samples[index] / static_cast<double>(state.samples.size());
+    if (index + recent >= state.samples.size()) recent_load += state.samples[index] / static_cast<double>(recent);
   }
   if (state.samples.size() > 4096) state.samples.erase(state.samples.begin(), state.samples.begin() + 2048);
 
@@ -173,20 +183,24 @@
   }
   const bool lots_wait = lots.pending > 0 || lots.at_once > 0;
   double slots = 0;
-  for (const auto& name : able) slots += policy->runners.at(name).spec.slots / static_cast<double>(able.size());
+  for (const auto& name : able) slots += configuration->runners.at(name).spec.slots / static_cast<double>(able.size());
   const std::size_t lowest = std::min<std::size_t>(circle.floor, able.size());
   std::size_t highest = able.size();
   if (lots_wait && highest > lowest) {
     // The lots get what they need to be in time, but for what live work takes at medium load.
-    const auto wanted = std::max<std::size_t>(circle.reserve, slots == 0 ? 0 : static_cast<std::size_t>(std::ceil(lots.at_once / slots)));
+    const auto wanted = std::max<std::size_t>(
+        circle.reserve, slots == 0 ? 0 : static_cast<std::size_t>(std::ceil(lots.at_once / slots)));
     const double full = circle.concurrency == 0 ? slots : std::min<double>(circle.concurrency, slots);
-    const auto needed = lots.at_once > 0 && full > 0 ? static_cast<std::size_t>(std::ceil((live + queued) / (std::max(circle.target, squeezed) * full))) : 0;
+    const auto needed =
+        lots.at_once > 0 && full > 0
+            ? static_cast<std::size_t>(std::ceil((live + queued) / (std::max(circle.target, squeezed) * full)))
+            : 0;
     highest = std::max({lowest, std::min(needed, highest), highest - std::min(wanted, highest)});
   }
   Circle next = before;
   std::size_t size = before.members.size();
   std::string reason;
-  if (record == policy->circles.end()) {
+  if (record == configuration->circles.end()) {
     // Nothing is known yet: all but the reserve, and the law shrinks it on what it sees.
     size = std::max<std::size_t>(lowest, able.size() - std::min<std::size_t>(circle.reserve, able.size()));
     reason = "first";
@@ -196,11 +210,11 @@
   } else {
     const std::size_t missing = members->all.size() > fresh ? members->all.size() - fresh : 0;
     const bool blind = now - state.since < settle || missing * 3 > members->all.size();
-    const bool early = recent_usage > circle.high_water && now - state.last_cycle >= early_gap;
+    const bool early = recent_load > circle.high_water && now - state.last_cycle >= early_gap;
     if (!blind && !state.writing && (early || now - state.last_cycle >= circle.cycle)) {
-      const double seen = early ? recent_usage : mean_usage;
+      const double seen = early ? recent_load : mean_load;
       size = state.law.step(seen, circle.target, before.members.size(), lowest, highest, missing == 0 && !early);
-      next.usage = seen;
+      next.load = seen;
       next.law = state.law.size;
       next.error = state.law.last_error;
       next.cycle = before.cycle + 1;
@@ -211,21 +225,22 @@
     if (size > highest && lots_wait) size = highest;
   }
   size = std::clamp(size, lowest, std::max(lowest, able.size()));
-  std::vector<std::string> chosen = match_members(*policy, able, current, size, before, demand);
+  std::vector<std::string> chosen = match_members(*configuration, able, current, size, before, demand);
   next.members.clear();
   for (const auto& name : chosen) next.members.push_back(RunnerId(name));
   next.warm.clear();
   next.generations.clear();
   next.ramps.clear();
   for (const auto& name : chosen) {
-    const std::uint64_t generation = policy->runners.at(name).spec.generation;
+    const std::uint64_t generation = configuration->runners.at(name).spec.generation;
     auto known = before.generations.find(name);
     const bool anew = before.has(name) && (known == before.generations.end() ? 0 : known->second) != generation;
     const auto failed = state.failed.find(name);
     if (anew) state.entered[name] = now;
     const Moment since = state.entered.try_emplace(name, now).first->second;
     const bool shaken = failed != state.failed.end() && now - failed->second < circle.ramp;
-    if (!shaken && !anew && (before.bears(name, generation) || now - since >= circle.ramp)) next.warm.push_back(RunnerId(name));
+    if (!shaken && !anew && (before.bears(name, generation) || now - since >= circle.ramp))
+      next.warm.push_back(RunnerId(name));
     if (generation > 0) next.generations[name] = generation;
     Moment& ramped = state.ramped[name];
     const Moment begins = shaken ? std::max(since, failed->second) : since;
@@ -238,38 +253,48 @@
   }
   next.dark.clear();
   for (const auto& [name, until] : state.dark_until)
-    if (until > now && policy->runners.contains(name)) next.dark.push_back(RunnerId(name));
-  appoint(*policy, *members, able, state, next);
-  std::erase_if(state.entered, [&](const auto& entry) { return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end(); });
+    if (until > now && configuration->runners.contains(name)) next.dark.push_back(RunnerId(name));
+  appoint(*configuration, *members, able, state, next);
+  std::erase_if(state.entered, [&](const auto& entry) {
+    return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end();
+  });
   if (next.members != before.members && reason.empty()) reason = "replaced";
   if (reason == "all" && next.members == before.members) reason.clear();
   if (reason.empty() && next.dark != before.dark) reason = "dark";
-  if (reason.empty() && (next.warm != before.warm || next.generations != before.generations || next.ramps != before.ramps)) reason = "warmed";
+  if (reason.empty() &&
+      (next.warm != before.warm || next.generations != before.generations || next.ramps != before.ramps))
+    reason = "warmed";
   if (reason.empty() && next.placers != before.placers) reason = "placers";
   if (reason.empty() || state.writing) return;
-  const bool same = next.members == before.members && next.warm == before.warm && next.dark == before.dark && next.generations == before.generations && next.ramps == before.ramps && next.placers == before.placers;
+  const bool same = next.members == before.members && next.warm == before.warm && next.dark == before.dark &&
+                    next.generations == before.generations && next.ramps == before.ramps &&
+                    next.placers == before.placers;
   if (same && reason == "cycle" && now - state.written < law_kept) return;
   state.written = now;
   next.reason = reason;
   write(kind, state, std::move(next));
 }
 
-// Each runner outside has one placer: the one it had while that one lives, else another, under a higher term. Where some
-// daemons keep nothing but lots, these place: in the runner's zone first, and evenly.
-void CircleDuty::appoint(const PolicyView& policy, const Members& members, const std::set<std::string>& able, const State& state, Circle& next) const {
-  const bool settled = post_.schedule().now() - state.since > appoint_after;
+// Each runner outside has one placer: the one it had while that one lives, else another, under a higher term. Where
+// some daemons keep nothing but lots, these place: in the runner's zone first, and evenly.
+void CircleDuty::appoint(const ConfigurationView& configuration, const Members& members,
+                         const std::set<std::string>& able, const State& state, Circle& next) const {
+  const bool settled = messenger_.timers().now() - state.since > appoint_after;
   std::map<Address, std::size_t> busy;
   for (const auto& [address, member] : members.all)
     if (member.keeps == "lots") busy[address] = 0;
   const std::set<std::string> inside = names_of(next.members);
-  const bool warm_outside = std::any_of(able.begin(), able.end(), [&](const std::string& name) { return !inside.contains(name) && policy.runners.at(name).spec.cold <= Span{}; });
+  const bool warm_outside = std::any_of(able.begin(), able.end(), [&](const std::string& name) {
+    return !inside.contains(name) && configuration.runners.at(name).spec.cold <= Span{};
+  });
   std::map<std::string, Placer> placers;
   std::vector<std::string> open;
   for (const auto& name : able) {
-    if (inside.contains(name) || (warm_outside && policy.runners.at(name).spec.cold > Span{})) continue;
+    if (inside.contains(name) || (warm_outside && configuration.runners.at(name).spec.cold > Span{})) continue;
     auto had = next.placers.find(name);
     auto member = had == next.placers.end() ? members.all.end() : members.all.find(had->second.address);
-    const bool lives = member != members.all.end() && member->second.incarnation == had->second.incarnation && (busy.empty() || busy.contains(member->first));
+    const bool lives = member != members.all.end() && member->second.incarnation == had->second.incarnation &&
+                       (busy.empty() || busy.contains(member->first));
     if (had != next.placers.end() && (lives || !settled)) {
       placers[name] = had->second;
       if (auto found = busy.find(had->second.address); found != busy.end()) ++found->second;
@@ -279,12 +304,12 @@
   }
   const std::size_t share = busy.empty() ? 0 : (placers.size() + open.size() + busy.size() - 1) / busy.size();
   for (const auto& name : open) {
-    const ZoneId& zone = policy.runners.at(name).spec.hall;
+    const ZoneId& zone = configuration.runners.at(name).spec.zone;
     const Member* first = nullptr;
     const auto order = duty_order(members, "place/" + name, zone);
     auto rank = [&](const Member* member) {
       const std::size_t taken = busy.at(member->address);
-      return std::make_tuple(taken >= share, member->hall != zone, taken);
+      return std::make_tuple(taken >= share, member->zone != zone, taken);
     };
     for (const Member* member : order) {
       if (busy.empty()) {
@@ -300,21 +325,31 @@
   next.placers = std::move(placers);
 }
 
-std::vector<std::string> CircleDuty::match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before, const std::map<std::string, double>& demand) const {
+std::vector<std::string> CircleDuty::match_members(const ConfigurationView& configuration,
+                                                   const std::set<std::string>& able, std::vector<std::string> members,
+                                                   std::size_t size, const Circle& before,
+                                                   const std::map<std::string, double>& demand) const {
   std::map<std::string, std::size_t> in_zone;
   std::map<std::string, double> share;
   double all = 0;
   for (const auto& [zone, work] : demand) all += work;
-  auto zone = [&](const std::string& name) -> const std::string& { return policy.runners.at(name).spec.hall.text; };
+  auto zone = [&](const std::string& name) -> const std::string& {
+    return configuration.runners.at(name).spec.zone.text;
+  };
   for (const auto& name : able) share[zone(name)] = 0;
   for (auto& [name, part] : share) {
     auto work = demand.find(name);
     // Evenly as far as nothing is known; work moves, so that the known part never is all.
-    part = all < 1 ? 1 : 0.3 / static_cast<double>(share.size()) + 0.7 * (work == demand.end() ? 0 : work->second / all);
+    part =
+        all < 1 ? 1 : 0.3 / static_cast<double>(share.size()) + 0.7 * (work == demand.end() ? 0 : work->second / all);
   }
   const std::set<std::string> warm_ones = names_of(before.warm);
-  auto warm = [&](const std::string& name) { return warm_ones.contains(name); };
-  auto cold = [&](const std::string& name) { return policy.runners.at(name).spec.cold > Span{}; };
+  auto warm = [&](const std::string& name) {
+    return warm_ones.contains(name);
+  };
+  auto cold = [&](const std::string& name) {
+    return configuration.runners.at(name).spec.cold > Span{};
+  };
   for (const auto& name : members) ++in_zone[zone(name)];
   auto leave = [&](auto better) {
     auto leaver = std::max_element(members.begin(), members.end(), better);
@@ -324,19 +359,29 @@
   // A cold runner has no place in the circle while there are warm ones outside it.
   std::set<std::string> outside = able;
   for (const auto& name : members) outside.erase(name);
-  std::size_t warm_outside = static_cast<std::size_t>(std::count_if(outside.begin(), outside.end(), [&](const std::string& name) { return !cold(name); }));
+  std::size_t warm_outside = static_cast<std::size_t>(
+      std::count_if(outside.begin(), outside.end(), [&](const std::string& name) { return !cold(name); }));
   for (; warm_outside > 0 && std::any_of(members.begin(), members.end(), cold); --warm_outside)
-    leave([&](const std::string& left, const std::string& right) { return std::make_pair(cold(left), hash_of(left)) < std::make_pair(cold(right), hash_of(right)); });
+    leave([&](const std::string& left, const std::string& right) {
+      return std::make_pair(cold(left), hash_of(left)) < std::make_pair(cold(right), hash_of(right));
+    });
   while (members.size() > size)
     leave([&](const std::string& left, const std::string& right) {
-      auto crowd = [&](const std::string& name) { return static_cast<double>(in_zone[zone(name)]) / share[zone(name)]; };
-      return std::make_tuple(cold(left), crowd(left), !warm(left), hash_of(left)) < std::make_tuple(cold(right), crowd(right), !warm(right), hash_of(right));
+      auto crowd = [&](const std::string& name) {
+        return static_cast<double>(in_zone[zone(name)]) / share[zone(name)];
+      };
+      return std::make_tuple(cold(left), crowd(left), !warm(left), hash_of(left)) <
+             std::make_tuple(cold(right), crowd(right), !warm(right), hash_of(right));
     });
   while (members.size() < size && !outside.empty()) {
-    auto entrant = std::min_element(outside.begin(), outside.end(), [&](const std::string& left, const std::string& right) {
-      auto crowd = [&](const std::string& name) { return static_cast<double>(in_zone[zone(name)] + (in_zone[zone(name)] > 0)) / share[zone(name)]; };
-      return std::make_tuple(cold(left), crowd(left), hash_of(left)) < std::make_tuple(cold(right), crowd(right), hash_of(right));
-    });
+    auto entrant =
+        std::min_element(outside.begin(), outside.end(), [&](const std::string& left, const std::string& right) {
+          auto crowd = [&](const std::string& name) {
+            return static_cast<double>(in_zone[zone(name)] + (in_zone[zone(name)] > 0)) / share[zone(name)];
+          };
+          return std::make_tuple(cold(left), crowd(left), hash_of(left)) <
+                 std::make_tuple(cold(right), crowd(right), hash_of(right));
+        });
     ++in_zone[zone(*entrant)];
     members.push_back(*entrant);
     outside.erase(entrant);
@@ -351,9 +396,9 @@
   write.key = "circle/" + kind;
   write.head = json::serialize(to_json(circle));
   write.fence = state.epoch.value;
-  post_.ask(post_.self(), write, milliseconds(2500), [this, kind, epoch = state.epoch](Result<WriteReply>) {
+  messenger_.ask(messenger_.self(), write, milliseconds(2500), [this, kind, epoch = state.epoch](Result<WriteReply>) {
     // The news brings the decision back within a round; writing again before that would only repeat it.
-    post_.schedule().after(milliseconds(100), [this, kind, epoch] {
+    messenger_.timers().after(milliseconds(100), [this, kind, epoch] {
       auto found = states_.find(kind);
       if (found != states_.end() && found->second.epoch == epoch) found->second.writing = false;
     });
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -1,32 +1,32 @@
 // The circle duty: for each kind of runner one control daemon, the owner of the circle's key, decides each cycle which
-// runners take live prompts. Usage comes from the daemons that route; runners report nothing.
+// runners take live prompts. Load comes from the daemons that route; runners report nothing.
 #pragma once
 #include "circle/law.hpp"
-#include "kept/kept.hpp"
 #include "lots/messages.hpp"
+#include "replication/replicated_store.hpp"
 
 namespace mothwalk {
 
-struct RunnerUsage {
-  std::uint32_t open = 0;          // prompts, or items, dispatched and not ended, streams included
-  bool unsound = false;            // this daemon's attempts to it fail
-  bool tried = false;              // this daemon has sent to it of late
-  std::optional<Span> failed;      // how long ago a attempt to it failed last, or was the first to succeed after that
-  MOTHWALK_FIELDS(open, unsound, tried, failed)
+struct ObservedLoad {
+  std::uint32_t open = 0;      // prompts, or items, dispatched and not ended, streams included
+  bool unhealthy = false;      // this daemon's attempts to it fail
+  bool tried = false;          // this daemon has sent to it of late
+  std::optional<Span> failed;  // how long ago a attempt to it failed last, or was the first to succeed after that
+  MOTHWALK_FIELDS(open, unhealthy, tried, failed)
 };
-// From each daemon to the owner of the circle's key, about once a second and soon after a attempt failed: of its live prompts
-// or, from its placing side, of its items.
-struct UsageReport {
-  static constexpr View kind = "circle.usage";
+// From each daemon to the owner of the circle's key, about once a second and soon after a attempt failed: of its live
+// prompts or, from its placing side, of its items.
+struct LoadReport {
+  static constexpr View kind = "circle.load";
   std::string runner_kind;
   std::uint64_t incarnation = 0;
-  std::map<std::string, RunnerUsage> runners;
+  std::map<std::string, ObservedLoad> runners;
   std::uint32_t queued = 0;
   bool items = false;
   MOTHWALK_FIELDS(runner_kind, incarnation, runners, queued, items)
 };
 // From the circle duty to all daemons: what all of them together have open on each runner.
-struct UsageTotals {
+struct LoadTotals {
   static constexpr View kind = "routes.totals";
   std::string runner_kind;
   std::map<std::string, RunnerTotal> runners;
@@ -35,18 +35,18 @@
 // The same to daemons that keep lots alone: they route no live prompts, but place items.
 struct PlacerTotals {
   static constexpr View kind = "placing.totals";
-  UsageTotals totals;
+  LoadTotals totals;
   MOTHWALK_FIELDS(totals)
 };
 
 class CircleDuty {
  public:
-  CircleDuty(Post& post, Board& board);
+  CircleDuty(Messenger& messenger, SharedState& shared_state);
   void start();
 
  private:
   struct Report {
-    UsageReport usage;
+    LoadReport load;
     Moment heard;
   };
   struct Demand {
@@ -61,26 +61,30 @@
     std::vector<double> samples;
     Moment since, last_cycle;
     std::map<std::string, Moment> entered, failed, ramped;
-    std::map<Address, Demand> demands;                   // of the lots of each owner
+    std::map<Address, Demand> demands;  // of the lots of each owner
     Moment written;
     std::map<std::string, Moment> dark_until;
     Moment totals_told;
   };
   void tick();
   void pass();
-  void appoint(const PolicyView& policy, const Members& members, const std::set<std::string>& able, const State& state, Circle& next) const;
+  void appoint(const ConfigurationView& configuration, const Members& members, const std::set<std::string>& able,
+               const State& state, Circle& next) const;
   void run(const std::string& kind, const Kind& settings, State& state);
   bool dark(const State& state, const std::string& runner, Moment now) const;
   // Members spread over the zones as the live work does; every zone with work has one before any has two.
-  std::vector<std::string> match_members(const PolicyView& policy, const std::set<std::string>& able, std::vector<std::string> members, std::size_t size, const Circle& before, const std::map<std::string, double>& demand) const;
+  std::vector<std::string> match_members(const ConfigurationView& configuration, const std::set<std::string>& able,
+                                         std::vector<std::string> members, std::size_t size, const Circle& before,
+                                         const std::map<std::string, double>& demand) const;
   void write(const std::string& kind, State& state, Circle circle);
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   std::map<std::string, State> states_;
 };
 
-// The usage of the members: open prompts and their share of the queued ones, over their slots.
-double usage_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued, const std::vector<RunnerId>& members, const Table<Runner>& runners, std::uint32_t concurrency = 0);
+// The load of the members: open prompts and their share of the queued ones, over their slots.
+double load_of(const std::map<std::string, std::uint32_t>& open, std::uint32_t queued,
+               const std::vector<RunnerId>& members, const Table<Runner>& runners, std::uint32_t concurrency = 0);
 
 }  // namespace mothwalk
--- a/source/circle/law.hpp
+++ b/source/circle/law.hpp
@@ -1,4 +1,4 @@
-// The PI law that moves the circle's size toward the medium usage, in velocity form. With usage u over n runners the
+// The PI law that moves the circle's size toward the medium load, in velocity form. With load u over n runners the
 // wanted size is n*u/target; the error is the number of runners missing. The gains and their stability argument are in
 // docs/autoscale.md.
 #pragma once
@@ -9,12 +9,13 @@
 struct Law {
   double integral_gain = 0.6;
   double proportional_gain = 0.2;
-  double dead_band = 0.5;        // runners; smaller errors change nothing
-  double size = 0;               // unrounded
+  double dead_band = 0.5;  // runners; smaller errors change nothing
+  double size = 0;         // unrounded
   double last_error = 0;
 
   // One cycle: the next whole size within [lowest, highest].
-  std::size_t step(double usage, double target, std::size_t size_now, std::size_t lowest, std::size_t highest, bool may_shrink);
+  std::size_t step(double load, double target, std::size_t size_now, std::size_t lowest, std::size_t highest,
+                   bool may_shrink);
 };
 
 }  // namespace mothwalk
--- a/source/coding/cbor.cpp
+++ b/source/coding/cbor.cpp
@@ -16,8 +16,10 @@
     }
     if (major < 2 || major > 5) continue;
     if (value > bytes.size() - at) return false;
-    if (major < 4) at += value;
-    else if ((claimed += major == 4 ? value : 2 * value) > bytes.size()) return false;
+    if (major < 4)
+      at += value;
+    else if ((claimed += major == 4 ? value : 2 * value) > bytes.size())
+      return false;
   }
   return true;
 }
--- a/source/coding/cbor.hpp
+++ b/source/coding/cbor.hpp
@@ -10,27 +10,41 @@
 class CborWriter {
  public:
   explicit CborWriter(Bytes& out) : out_(out) {}
-  template <class T> void put(const T& value) {
-    if constexpr (std::is_same_v<T, bool>) head(cbor_encode_bool, value);
-    else if constexpr (std::is_same_v<T, double>) head(cbor_encode_double, value);
-    else if constexpr (std::is_same_v<T, Span>) put(static_cast<std::int64_t>(value.count()));
-    else if constexpr (std::is_same_v<T, std::string>) { head(cbor_encode_bytestring_start, value.size()); out_ += value; }
-    else if constexpr (std::is_integral_v<T>) {
-      if (value < 0) head(cbor_encode_negint, static_cast<std::uint64_t>(-(static_cast<std::int64_t>(value) + 1)));
-      else head(cbor_encode_uint, static_cast<std::uint64_t>(value));
-    }
-    else if constexpr (is_name<T>::value) put(value.text);
-    else if constexpr (is_number<T>::value) put(value.value);
-    else if constexpr (is_optional<T>::value) { if (value) put(*value); else head(cbor_encode_null); }
-    else if constexpr (is_vector<T>::value) {
+  template <class T>
+  void put(const T& value) {
+    if constexpr (std::is_same_v<T, bool>)
+      head(cbor_encode_bool, value);
+    else if constexpr (std::is_same_v<T, double>)
+      head(cbor_encode_double, value);
+    else if constexpr (std::is_same_v<T, Span>)
+      put(static_cast<std::int64_t>(value.count()));
+    else if constexpr (std::is_same_v<T, std::string>) {
+      head(cbor_encode_bytestring_start, value.size());
+      out_ += value;
+    } else if constexpr (std::is_integral_v<T>) {
+      if (value < 0)
+        head(cbor_encode_negint, static_cast<std::uint64_t>(-(static_cast<std::int64_t>(value) + 1)));
+      else
+        head(cbor_encode_uint, static_cast<std::uint64_t>(value));
+    } else if constexpr (is_name<T>::value)
+      put(value.text);
+    else if constexpr (is_number<T>::value)
+      put(value.value);
+    else if constexpr (is_optional<T>::value) {
+      if (value)
+        put(*value);
+      else
+        head(cbor_encode_null);
+    } else if constexpr (is_vector<T>::value) {
       head(cbor_encode_array_start, value.size());
       for (const auto& each : value) put(each);
-    }
-    else if constexpr (is_map<T>::value) {
+    } else if constexpr (is_map<T>::value) {
       head(cbor_encode_map_start, value.size());
-      for (const auto& [key, each] : value) { put(key); put(each); }
-    }
-    else {
+      for (const auto& [key, each] : value) {
+        put(key);
+        put(each);
+      }
+    } else {
       std::size_t count = 0;
       value.fields([&](View, const auto&) { ++count; });
       head(cbor_encode_map_start, count);
@@ -43,7 +57,8 @@
   }
 
  private:
-  template <class Encode, class... Given> void head(Encode encode, Given... given) {
+  template <class Encode, class... Given>
+  void head(Encode encode, Given... given) {
     unsigned char space[16];
     out_.append(reinterpret_cast<char*>(space), encode(given..., space, sizeof space));
   }
@@ -52,7 +67,8 @@
 
 class CborReader {
  public:
-  template <class T> static bool read(View bytes, T& value) {
+  template <class T>
+  static bool read(View bytes, T& value) {
     if (!plausible(bytes)) return false;
     cbor_load_result outcome;
     cbor_item_t* item = cbor_load(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), &outcome);
@@ -63,11 +79,13 @@
   }
 
  private:
-  // libcbor makes room for as many members as a head claims: all heads together may not claim more than there are bytes.
+  // libcbor makes room for as many members as a head claims: all heads together may not claim more than there are
+  // bytes.
   static bool plausible(View bytes);
   static bool text(const cbor_item_t* item, View& out);
   static bool whole(const cbor_item_t* item, std::int64_t& out, std::uint64_t& plain);
-  template <class T> static bool take(cbor_item_t* item, T& value) {
+  template <class T>
+  static bool take(cbor_item_t* item, T& value) {
     if constexpr (std::is_same_v<T, bool>) {
       if (!cbor_is_bool(item)) return false;
       value = cbor_get_bool(item);
@@ -97,7 +115,10 @@
     } else if constexpr (is_number<T>::value) {
       return take(item, value.value);
     } else if constexpr (is_optional<T>::value) {
-      if (cbor_is_null(item)) { value.reset(); return true; }
+      if (cbor_is_null(item)) {
+        value.reset();
+        return true;
+      }
       return take(item, value.emplace());
     } else if constexpr (is_vector<T>::value) {
       if (!cbor_isa_array(item)) return false;
@@ -110,7 +131,8 @@
       value.clear();
       for (std::size_t index = 0; index < cbor_map_size(item); ++index) {
         std::string key;
-        if (!take(cbor_map_handle(item)[index].key, key) || !take(cbor_map_handle(item)[index].value, value[key])) return false;
+        if (!take(cbor_map_handle(item)[index].key, key) || !take(cbor_map_handle(item)[index].value, value[key]))
+          return false;
       }
       return true;
     } else {
@@ -119,7 +141,7 @@
       value.fields([&](View name, auto& field) {
         for (std::size_t index = 0; good && index < cbor_map_size(item); ++index) {
           View key;
-          if (text(cbor_map_handle(item)[index].key, key) && key == name) {
+          if (text(cbor_map_handle(item)[index].key, key) && (key == name || key == former_name(name))) {
             good = take(cbor_map_handle(item)[index].value, field);
             return;
           }
@@ -130,13 +152,15 @@
   }
 };
 
-template <class T> Bytes to_cbor(const T& value) {
+template <class T>
+Bytes to_cbor(const T& value) {
   Bytes out;
   CborWriter(out).put(value);
   return out;
 }
 
-template <class T> std::optional<T> from_cbor(View bytes) {
+template <class T>
+std::optional<T> from_cbor(View bytes) {
   T value;
   if (!CborReader::read(bytes, value)) return std::nullopt;
   return value;
--- a/source/coding/dialect.cpp
+++ b/source/coding/dialect.cpp
@@ -11,8 +11,11 @@
 }
 
 bool same_name(View left, View right) {
-  auto lower = [](char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32) : letter; };
-  return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [&](char one, char other) { return lower(one) == lower(other); });
+  auto lower = [](char letter) {
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32) : letter;
+  };
+  return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(),
+                                                   [&](char one, char other) { return lower(one) == lower(other); });
 }
 
 const std::string* header_of(const std::vector<Header>& headers, View name) {
@@ -25,7 +28,8 @@
   RequestFacts facts;
   if (const auto* host = header_of(headers, "Host")) {
     facts.host = host->substr(0, host->find(':'));
-    std::transform(facts.host.begin(), facts.host.end(), facts.host.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    std::transform(facts.host.begin(), facts.host.end(), facts.host.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
   }
   return facts;
 }
--- a/source/coding/fields.hpp
+++ b/source/coding/fields.hpp
@@ -8,21 +8,53 @@
 #define MOTHWALK_EXPAND2(...) MOTHWALK_EXPAND1(MOTHWALK_EXPAND1(MOTHWALK_EXPAND1(__VA_ARGS__)))
 #define MOTHWALK_EXPAND1(...) __VA_ARGS__
 #define MOTHWALK_PARENS ()
-#define MOTHWALK_VISIT(field, ...) visit(#field, field); __VA_OPT__(MOTHWALK_VISIT_AGAIN MOTHWALK_PARENS(__VA_ARGS__))
+#define MOTHWALK_VISIT(field, ...) \
+  visit(#field, field);            \
+  __VA_OPT__(MOTHWALK_VISIT_AGAIN MOTHWALK_PARENS(__VA_ARGS__))
 #define MOTHWALK_VISIT_AGAIN() MOTHWALK_VISIT
-#define MOTHWALK_FIELDS(...)                                                          \
-  template <class Visitor> void fields(Visitor&& visit) { MOTHWALK_EXPAND(MOTHWALK_VISIT(__VA_ARGS__)) } \
-  template <class Visitor> void fields(Visitor&& visit) const { MOTHWALK_EXPAND(MOTHWALK_VISIT(__VA_ARGS__)) }
+#define MOTHWALK_FIELDS(...)                     \
+  template <class Visitor>                       \
+  void fields(Visitor&& visit) {                 \
+    MOTHWALK_EXPAND(MOTHWALK_VISIT(__VA_ARGS__)) \
+  }                                              \
+  template <class Visitor>                       \
+  void fields(Visitor&& visit) const {           \
+    MOTHWALK_EXPAND(MOTHWALK_VISIT(__VA_ARGS__)) \
+  }
 
 namespace mothwalk {
-template <class T> struct is_name : std::false_type {};
-template <class Tag> struct is_name<Name<Tag>> : std::true_type {};
-template <class T> struct is_number : std::false_type {};
-template <class Tag> struct is_number<Number<Tag>> : std::true_type {};
-template <class T> struct is_vector : std::false_type {};
-template <class T> struct is_vector<std::vector<T>> : std::true_type {};
-template <class T> struct is_map : std::false_type {};
-template <class T> struct is_map<std::map<std::string, T>> : std::true_type {};
-template <class T> struct is_optional : std::false_type {};
-template <class T> struct is_optional<std::optional<T>> : std::true_type {};
+template <class T>
+struct is_name : std::false_type {};
+template <class Tag>
+struct is_name<Name<Tag>> : std::true_type {};
+template <class T>
+struct is_number : std::false_type {};
+template <class Tag>
+struct is_number<Number<Tag>> : std::true_type {};
+template <class T>
+struct is_vector : std::false_type {};
+template <class T>
+struct is_vector<std::vector<T>> : std::true_type {};
+template <class T>
+struct is_map : std::false_type {};
+template <class T>
+struct is_map<std::map<std::string, T>> : std::true_type {};
+template <class T>
+struct is_optional : std::false_type {};
+template <class T>
+struct is_optional<std::optional<T>> : std::true_type {};
+
+// A field that was renamed and the name that the release before 0.2 gave it. Readers take either for one release.
+struct RenamedField {
+  View name, former;
+};
+inline constexpr RenamedField renamed_fields[] = {
+    {"zone", "hall"}, {"deadline", "horizon"}, {"lease", "permit"}, {"load", "usage"}, {"unhealthy", "unsound"}};
+
+// The former name of a field, or an empty view where it was never renamed.
+constexpr View former_name(View name) {
+  for (const auto& renamed : renamed_fields)
+    if (renamed.name == name) return renamed.former;
+  return {};
+}
 }  // namespace mothwalk
--- a/source/coding/json.cpp
+++ b/source/coding/json.cpp
@@ -11,42 +11,65 @@
   json::parse_options options;
   options.max_depth = 32;
   json::value value = json::parse(text, error, {}, options);
-  if (error) return Fault{FaultKind::invalid, "body", "the text is not JSON: " + error.message(), "send one well-formed JSON document"};
+  if (error)
+    return Fault{FaultKind::invalid, "body", "the text is not JSON: " + error.message(),
+                 "send one well-formed JSON document"};
   return value;
 }
 
 json::value fault_to_json(const Fault& fault) {
-  return json::object{{"kind", fault_name(fault.kind)}, {"field", fault.field}, {"message", fault.message}, {"remedy", fault.remedy}};
+  return json::object{
+      {"kind", fault_name(fault.kind)}, {"field", fault.field}, {"message", fault.message}, {"remedy", fault.remedy}};
 }
 
 std::string_view fault_name(FaultKind kind) {
   switch (kind) {
-    case FaultKind::invalid: return "invalid";
-    case FaultKind::unknown_name: return "unknown-name";
-    case FaultKind::conflict: return "conflict";
-    case FaultKind::stale: return "stale";
-    case FaultKind::refused: return "refused";
-    case FaultKind::unknown: return "unknown";
-    case FaultKind::too_large: return "too-large";
-    case FaultKind::damaged: return "damaged";
-    case FaultKind::busy: return "busy";
-    case FaultKind::lost: return "lost";
+    case FaultKind::invalid:
+      return "invalid";
+    case FaultKind::unknown_name:
+      return "unknown-name";
+    case FaultKind::conflict:
+      return "conflict";
+    case FaultKind::stale:
+      return "stale";
+    case FaultKind::refused:
+      return "refused";
+    case FaultKind::unknown:
+      return "unknown";
+    case FaultKind::too_large:
+      return "too-large";
+    case FaultKind::damaged:
+      return "damaged";
+    case FaultKind::busy:
+      return "busy";
+    case FaultKind::lost:
+      return "lost";
   }
   return "unknown";
 }
 
 int fault_status(FaultKind kind) {
   switch (kind) {
-    case FaultKind::invalid: return 400;
-    case FaultKind::unknown_name: return 404;
-    case FaultKind::conflict: return 409;
-    case FaultKind::stale: return 412;
-    case FaultKind::refused: return 503;
-    case FaultKind::unknown: return 504;
-    case FaultKind::too_large: return 413;
-    case FaultKind::damaged: return 500;
-    case FaultKind::busy: return 503;
-    case FaultKind::lost: return 504;
+    case FaultKind::invalid:
+      return 400;
+    case FaultKind::unknown_name:
+      return 404;
+    case FaultKind::conflict:
+      return 409;
+    case FaultKind::stale:
+      return 412;
+    case FaultKind::refused:
+      return 503;
+    case FaultKind::unknown:
+      return 504;
+    case FaultKind::too_large:
+      return 413;
+    case FaultKind::damaged:
+      return 500;
+    case FaultKind::busy:
+      return 503;
+    case FaultKind::lost:
+      return 504;
   }
   return 500;
 }
@@ -60,7 +83,9 @@
   return hash;
 }
 
-bool is_text(View bytes) { return fault_of(parse_json(json::serialize(json::value(json::string(bytes))))) == nullptr; }
+bool is_text(View bytes) {
+  return fault_of(parse_json(json::serialize(json::value(json::string(bytes))))) == nullptr;
+}
 
 std::string base64(View bytes) {
   using namespace boost::archive::iterators;
@@ -78,12 +103,18 @@
   if (text.size() % 4 != 0) return std::nullopt;
   for (const char letter : text) {
     int value = -1;
-    if (letter >= 'A' && letter <= 'Z') value = letter - 'A';
-    else if (letter >= 'a' && letter <= 'z') value = letter - 'a' + 26;
-    else if (letter >= '0' && letter <= '9') value = letter - '0' + 52;
-    else if (letter == '+') value = 62;
-    else if (letter == '/') value = 63;
-    else if (letter == '=' && ++padding <= 2) continue;
+    if (letter >= 'A' && letter <= 'Z')
+      value = letter - 'A';
+    else if (letter >= 'a' && letter <= 'z')
+      value = letter - 'a' + 26;
+    else if (letter >= '0' && letter <= '9')
+      value = letter - '0' + 52;
+    else if (letter == '+')
+      value = 62;
+    else if (letter == '/')
+      value = 63;
+    else if (letter == '=' && ++padding <= 2)
+      continue;
     if (value < 0 || padding > 0) return std::nullopt;
     bits = bits << 6 | static_cast<std::uint32_t>(value);
     if ((count += 6) >= 8) {
--- a/source/policy/resources.cpp
+++ b/source/configuration/resources.cpp
@@ -1,5 +1,5 @@
 // Checking of the operators' documents and the building of the view that all duties read.
-#include "policy/resources.hpp"
+#include "configuration/resources.hpp"
 
 #include "coding/cbor.hpp"
 
@@ -16,41 +16,65 @@
 using Checked = std::optional<Fault>;
 
 Checked positive(View field, Span span) {
-  if (span < std::chrono::milliseconds(1)) return wrong(std::string(field), "the time is zero", "give 1 millisecond or more");
+  if (span < std::chrono::milliseconds(1))
+    return wrong(std::string(field), "the time is zero", "give 1 millisecond or more");
   return std::nullopt;
 }
 
-Checked check(const Lane& lane, View name, const PolicyView& view) {
-  if (lane.path.size() < 2 || lane.path[0] != '/' || lane.path.size() > 200) return wrong("path", "a lane's path begins with / and has 2 to 200 characters", "give a path such as /audits");
+Checked check(const Lane& lane, View name, const ConfigurationView& view) {
+  if (lane.path.size() < 2 || lane.path[0] != '/' || lane.path.size() > 200)
+    return wrong("path", "a lane's path begins with / and has 2 to 200 characters", "give a path such as /audits");
   if (lane.path.starts_with("/lots")) return wrong("path", "/lots is taken by the kept lots", "give another path");
-  if (!view.kinds.contains(lane.kind.text)) return wrong("kind", "no kind of runner has the name '" + lane.kind.text + "'", "apply that kind first, or name an existing one");
+  if (!view.kinds.contains(lane.kind.text))
+    return wrong("kind", "no kind of runner has the name '" + lane.kind.text + "'",
+                 "apply that kind first, or name an existing one");
   for (std::size_t index = 0; index < lane.shares.size(); ++index) {
     const std::string field = "shares[" + std::to_string(index) + "]";
-    if (!view.kinds.contains(lane.shares[index].kind.text)) return wrong(field + ".kind", "no kind of runner has the name '" + lane.shares[index].kind.text + "'", "apply that kind first, or name an existing one");
-    if (!(lane.shares[index].weight >= 0 && lane.shares[index].weight <= 1e9)) return wrong(field + ".weight", "the weight is out of range", "give 0 to 1000000000");
+    if (!view.kinds.contains(lane.shares[index].kind.text))
+      return wrong(field + ".kind", "no kind of runner has the name '" + lane.shares[index].kind.text + "'",
+                   "apply that kind first, or name an existing one");
+    if (!(lane.shares[index].weight >= 0 && lane.shares[index].weight <= 1e9))
+      return wrong(field + ".weight", "the weight is out of range", "give 0 to 1000000000");
   }
-  if (!lane.shares.empty() && std::none_of(lane.shares.begin(), lane.shares.end(), [](const KindShare& share) { return share.weight > 0; })) return wrong("shares", "the weights add up to 0", "give one kind a weight above 0");
+  if (!lane.shares.empty() &&
+      std::none_of(lane.shares.begin(), lane.shares.end(), [](const KindShare& share) { return share.weight > 0; }))
+    return wrong("shares", "the weights add up to 0", "give one kind a weight above 0");
   if (lane.attempts > 100) return wrong("attempts", "more than 100 attempts", "give 0 to 100");
   for (const auto& [other, entry] : view.lanes)
-    if (other != name && entry.spec.path == lane.path && entry.spec.host == lane.host) return wrong("path", "lane '" + other + "' has this path already", "give each lane a path of its own");
+    if (other != name && entry.spec.path == lane.path && entry.spec.host == lane.host)
+      return wrong("path", "lane '" + other + "' has this path already", "give each lane a path of its own");
   if (lane.retries > 10) return wrong("retries", "more than 10 retries", "give 0 to 10");
   if (lane.waiting_room > 100000) return wrong("waiting_room", "more than 100000 requests", "give 0 to 100000");
-  for (auto [field, span] : {std::pair<View, Span>{"waiting", lane.waiting}, {"connecting", lane.connecting}, {"first_piece", lane.first_piece}, {"between_pieces", lane.between_pieces}, {"taking", lane.taking}, {"whole", lane.whole}})
+  for (auto [field, span] : {std::pair<View, Span>{"waiting", lane.waiting},
+                             {"connecting", lane.connecting},
+                             {"first_piece", lane.first_piece},
+                             {"between_pieces", lane.between_pieces},
+                             {"taking", lane.taking},
+                             {"whole", lane.whole}})
     if (auto fault = positive(field, span)) return fault;
-  if (lane.whole < lane.first_piece) return wrong("whole", "the whole budget is shorter than that of the first piece", "give whole at least first_piece");
+  if (lane.whole < lane.first_piece)
+    return wrong("whole", "the whole budget is shorter than that of the first piece",
+                 "give whole at least first_piece");
   return std::nullopt;
 }
 
-Checked check(const Kind& kind, View, const PolicyView&) {
+Checked check(const Kind& kind, View, const ConfigurationView&) {
   const CircleSettings& circle = kind.circle;
-  if (!(circle.target > 0 && circle.target <= 1)) return wrong("circle.target", "the target is outside (0, 1]", "give a medium usage such as 0.6");
-  if (!(circle.high_water > circle.target && circle.high_water <= 10)) return wrong("circle.high_water", "the high water is not above the target", "give a number above target, at most 10");
-  if (circle.cycle < std::chrono::seconds(1)) return wrong("circle.cycle", "the cycle is under one second", "give 1000 milliseconds or more");
-  if (circle.floor < 1 || circle.floor > 10000) return wrong("circle.floor", "the floor is out of range", "give 1 to 10000");
+  if (!(circle.target > 0 && circle.target <= 1))
+    return wrong("circle.target", "the target is outside (0, 1]", "give a medium load such as 0.6");
+  if (!(circle.high_water > circle.target && circle.high_water <= 10))
+    return wrong("circle.high_water", "the high water is not above the target",
+                 "give a number above target, at most 10");
+  if (circle.cycle < std::chrono::seconds(1))
+    return wrong("circle.cycle", "the cycle is under one second", "give 1000 milliseconds or more");
+  if (circle.floor < 1 || circle.floor > 10000)
+    return wrong("circle.floor", "the floor is out of range", "give 1 to 10000");
   if (circle.reserve > 10000) return wrong("circle.reserve", "the reserve is out of range", "give 0 to 10000");
-  if (!(kind.overcommit >= 1 && kind.overcommit <= 100)) return wrong("overcommit", "the overcommit is out of range", "give 1 to 100");
+  if (!(kind.overcommit >= 1 && kind.overcommit <= 100))
+    return wrong("overcommit", "the overcommit is out of range", "give 1 to 100");
   for (std::size_t index = 0; index < kind.refusals.size(); ++index)
-    if (kind.refusals[index] < 400 || kind.refusals[index] > 599) return wrong("refusals[" + std::to_string(index) + "]", "not an HTTP error status", "give 400 to 599");
+    if (kind.refusals[index] < 400 || kind.refusals[index] > 599)
+      return wrong("refusals[" + std::to_string(index) + "]", "not an HTTP error status", "give 400 to 599");
   return std::nullopt;
 }
 
@@ -59,40 +83,48 @@
   boost::system::error_code error;
   if (colon != std::string::npos) boost::asio::ip::make_address(address.text.substr(0, colon), error);
   const std::string port = colon == std::string::npos ? "" : address.text.substr(colon + 1);
-  if (colon == std::string::npos || error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoi(port) < 1 || std::stoi(port) > 65535)
+  if (colon == std::string::npos || error || port.empty() || port.size() > 5 ||
+      port.find_first_not_of("0123456789") != std::string::npos || std::stoi(port) < 1 || std::stoi(port) > 65535)
     return wrong(field, "'" + address.text + "' is not an address", "give ip:port, such as 10.0.0.4:8000");
   return std::nullopt;
 }
 
-Checked check(const Runner& runner, View name, const PolicyView& view) {
-  if (!view.kinds.contains(runner.kind.text)) return wrong("kind", "no kind of runner has the name '" + runner.kind.text + "'", "apply that kind first, or name an existing one");
+Checked check(const Runner& runner, View name, const ConfigurationView& view) {
+  if (!view.kinds.contains(runner.kind.text))
+    return wrong("kind", "no kind of runner has the name '" + runner.kind.text + "'",
+                 "apply that kind first, or name an existing one");
   if (auto fault = check_address(runner.address, "address")) return fault;
-  if (runner.hall.empty()) return wrong("hall", "the hall is empty", "name the hall that the runner stands in");
+  if (runner.zone.empty()) return wrong("zone", "the zone is empty", "name the zone that the runner stands in");
   if (runner.slots < 1 || runner.slots > 4096) return wrong("slots", "the slots are out of range", "give 1 to 4096");
-  if (auto before = view.runners.find(std::string(name)); before != view.runners.end() && runner.generation < before->second.spec.generation)
-    return wrong("generation", "the generation goes back from " + std::to_string(before->second.spec.generation), "give that one, or a higher one after a new start");
+  if (auto before = view.runners.find(std::string(name));
+      before != view.runners.end() && runner.generation < before->second.spec.generation)
+    return wrong("generation", "the generation goes back from " + std::to_string(before->second.spec.generation),
+                 "give that one, or a higher one after a new start");
   return std::nullopt;
 }
 
-Checked check(const Hall& hall, View name, const PolicyView& view) {
-  if (!hall.evacuated) return std::nullopt;
+Checked check(const Zone& zone, View name, const ConfigurationView& view) {
+  if (!zone.evacuated) return std::nullopt;
   std::set<std::string> others;
   for (const auto& [id, runner] : view.runners)
-    if (runner.spec.hall.text != name && !view.evacuated(runner.spec.hall) && !runner.spec.leaving) others.insert(runner.spec.hall.text);
+    if (runner.spec.zone.text != name && !view.evacuated(runner.spec.zone) && !runner.spec.leaving)
+      others.insert(runner.spec.zone.text);
   bool any_here = false;
-  for (const auto& [id, runner] : view.runners) any_here = any_here || runner.spec.hall.text == name;
-  if (any_here && others.empty()) return Fault{FaultKind::conflict, "evacuated", "no runner would be left outside evacuated halls", "bring another hall back first"};
+  for (const auto& [id, runner] : view.runners) any_here = any_here || runner.spec.zone.text == name;
+  if (any_here && others.empty())
+    return Fault{FaultKind::conflict, "evacuated", "no runner would be left outside evacuated zones",
+                 "bring another zone back first"};
   return std::nullopt;
 }
 
-Checked check(const LotSettings& lots, View name, const PolicyView&) {
+Checked check(const LotSettings& lots, View name, const ConfigurationView&) {
   if (name != "default") return wrong("name", "the lot settings have one document, 'default'", "apply lots/default");
   if (lots.items < 1 || lots.items > 100000) return wrong("items", "the items are out of range", "give 1 to 100000");
   if (lots.lots < 1 || lots.lots > 1000000) return wrong("lots", "the lots are out of range", "give 1 to 1000000");
   return std::nullopt;
 }
 
-Checked check(const HolderMark& mark, View name, const PolicyView& view) {
+Checked check(const HolderMark& mark, View name, const ConfigurationView& view) {
   if (!mark.retired) return std::nullopt;
   bool seated = false;
   std::size_t others = 0;
@@ -101,29 +133,38 @@
     others = 0;
     for (const auto& seat : roster->seats) {
       auto other = view.holders.find(seat.address.text);
-      if (seat.address.text == name) seated = true;
-      else others += other == view.holders.end() || !other->second.spec.retired;
+      if (seat.address.text == name)
+        seated = true;
+      else
+        others += other == view.holders.end() || !other->second.spec.retired;
     }
   }
-  if (seated && others < 3) return Fault{FaultKind::conflict, "retired", "only " + std::to_string(others) + " seats would remain, too few to lose one more", "start another holder and wait until it is seated"};
+  if (seated && others < 3)
+    return Fault{FaultKind::conflict, "retired",
+                 "only " + std::to_string(others) + " seats would remain, too few to lose one more",
+                 "start another holder and wait until it is seated"};
   return std::nullopt;
 }
 
-Checked check(const Aim& aim, View, const PolicyView& view) {
-  if (!view.lanes.contains(aim.lane)) return wrong("lane", "there is no lane '" + aim.lane + "'", "apply that lane first, or name an existing one");
+Checked check(const Aim& aim, View, const ConfigurationView& view) {
+  if (!view.lanes.contains(aim.lane))
+    return wrong("lane", "there is no lane '" + aim.lane + "'", "apply that lane first, or name an existing one");
   for (auto [field, share] : {std::pair<View, double>{"answered", aim.answered}, {"in_time", aim.in_time}})
-    if (!(share > 0 && share <= 1)) return wrong(std::string(field), "the share is outside (0, 1]", "give a share such as 0.99");
+    if (!(share > 0 && share <= 1))
+      return wrong(std::string(field), "the share is outside (0, 1]", "give a share such as 0.99");
   return positive("first_piece", aim.first_piece);
 }
 
-template <class T> Result<Bytes> check_as(View name, View text, const PolicyView& view) {
+template <class T>
+Result<Bytes> check_as(View name, View text, const ConfigurationView& view) {
   auto read = from_json<T>(text);
   if (auto fault = fault_of(read)) return *fault;
   if (auto fault = check(std::get<T>(read), name, view)) return *fault;
   return json::serialize(to_json(std::get<T>(read)));
 }
 
-template <class T> bool put_as(Table<T>& table, const std::string& name, const Bytes* value, Stamp stamp) {
+template <class T>
+bool put_as(Table<T>& table, const std::string& name, const Bytes* value, Stamp stamp) {
   if (value == nullptr) return table.erase(name), true;
   auto read = from_json<T>(*value);
   if (fault_of(read)) return false;
@@ -139,24 +180,28 @@
   return false;
 }
 
-bool Circle::has(const std::string& runner) const { return std::find(members.begin(), members.end(), RunnerId(runner)) != members.end(); }
+bool Circle::has(const std::string& runner) const {
+  return std::find(members.begin(), members.end(), RunnerId(runner)) != members.end();
+}
 
 bool Circle::bears(const std::string& runner, std::uint64_t generation) const {
   auto known = generations.find(runner);
-  return std::find(warm.begin(), warm.end(), RunnerId(runner)) != warm.end() && (known == generations.end() ? 0 : known->second) == generation;
+  return std::find(warm.begin(), warm.end(), RunnerId(runner)) != warm.end() &&
+         (known == generations.end() ? 0 : known->second) == generation;
 }
 
-bool PolicyView::evacuated(const ZoneId& hall) const {
-  auto found = halls.find(hall.text);
-  return found != halls.end() && found->second.spec.evacuated;
+bool ConfigurationView::evacuated(const ZoneId& zone) const {
+  auto found = zones.find(zone.text);
+  return found != zones.end() && found->second.spec.evacuated;
 }
 
-const Lane* PolicyView::lane_for(View path, std::string* name, View host) const {
+const Lane* ConfigurationView::lane_for(View path, std::string* name, View host) const {
   const Lane* best = nullptr;
   for (const auto& [lane_name, entry] : lanes) {
     const std::string& prefix = entry.spec.path;
     if (!path.starts_with(prefix) || (!entry.spec.host.empty() && entry.spec.host != host)) continue;
-    if (path.size() > prefix.size() && path[prefix.size()] != '/' && path[prefix.size()] != '?' && prefix.back() != '/') continue;
+    if (path.size() > prefix.size() && path[prefix.size()] != '/' && path[prefix.size()] != '?' && prefix.back() != '/')
+      continue;
     const auto rank = std::make_pair(!entry.spec.host.empty(), prefix.size());
     if (best != nullptr && std::make_pair(!best->host.empty(), best->path.size()) >= rank) continue;
     best = &entry.spec;
@@ -165,27 +210,35 @@
   return best;
 }
 
-LotSettings PolicyView::lot_settings() const {
+LotSettings ConfigurationView::lot_settings() const {
   auto found = lots.find("default");
   return found == lots.end() ? LotSettings{} : found->second.spec;
 }
 
+std::string current_type(View type) {
+  return std::string(type == "hall" ? View("zone") : type);
+}
+
 bool is_resource_type(View type) {
-  return type == "lane" || type == "kind" || type == "runner" || type == "hall" || type == "lots" || type == "holder" || type == "aim";
+  return type == "lane" || type == "kind" || type == "runner" || type == "zone" || type == "lots" || type == "holder" ||
+         type == "aim";
 }
 
-std::string resource_types() { return "lane, kind, runner, hall, lots, holder, aim"; }
+std::string resource_types() {
+  return "lane, kind, runner, zone, lots, holder, aim";
+}
 
 namespace {
 // Takes what an earlier document put there out of a table, then puts the new entries beside the declared ones.
-template <class T> void replace_part(Table<T>& table, std::set<std::string>& part, std::map<std::string, T> entries, Stamp stamp) {
+template <class T>
+void replace_part(Table<T>& table, std::set<std::string>& part, std::map<std::string, T> entries, Stamp stamp) {
   for (const auto& name : part) table.erase(name);
   part.clear();
   for (auto& [name, spec] : entries)
     if (table.try_emplace(name, Named<T>{stamp, std::move(spec)}).second) part.insert(name);
 }
 
-bool put_configuration(PolicyView& view, const Bytes* value, Stamp stamp, const ConfigurationFormat* format) {
+bool put_configuration(ConfigurationView& view, const Bytes* value, Stamp stamp, const ConfigurationFormat* format) {
   auto read = value == nullptr ? std::optional(FleetConfiguration{}) : from_cbor<FleetConfiguration>(*value);
   if (!read || format == nullptr) return false;
   ConfigurationContent content;
@@ -197,12 +250,13 @@
   replace_part(view.lanes, view.configured_lanes, std::move(content.lanes), stamp);
   replace_part(view.kinds, view.configured_kinds, std::move(content.kinds), stamp);
   view.limits = content.limits;
-  view.configuration = Named<FleetConfiguration>{stamp, std::move(*read)};
+  view.fleet = Named<FleetConfiguration>{stamp, std::move(*read)};
   return true;
 }
 }  // namespace
 
-bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp, const ConfigurationFormat* format) {
+bool put_in_view(ConfigurationView& view, View key, const Bytes* value, Stamp stamp,
+                 const ConfigurationFormat* format) {
   if (key == "roster" || key == lot_roster_key) {
     if (value == nullptr) return false;
     auto read = from_json<Roster>(*value);
@@ -220,12 +274,12 @@
   }
   const auto slash = key.find('/');
   if (slash == View::npos) return false;
-  const View type = key.substr(0, slash);
+  const std::string type = current_type(key.substr(0, slash));
   const std::string name(key.substr(slash + 1));
   if (type == "lane") return put_as(view.lanes, name, value, stamp);
   if (type == "kind") return put_as(view.kinds, name, value, stamp);
   if (type == "runner") return put_as(view.runners, name, value, stamp);
-  if (type == "hall") return put_as(view.halls, name, value, stamp);
+  if (type == "zone") return put_as(view.zones, name, value, stamp);
   if (type == "lots") return put_as(view.lots, name, value, stamp);
   if (type == "holder") return put_as(view.holders, name, value, stamp);
   if (type == "aim") return put_as(view.aims, name, value, stamp);
@@ -233,30 +287,42 @@
   return false;
 }
 
-Result<Bytes> check_document(View type, View name, View text, const PolicyView& view) {
-  if (!is_resource_type(type)) return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'", "use one of: " + resource_types()};
-  if (name.empty() || name.size() > 100 || name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != View::npos)
-    return wrong("name", "the name has characters that are not allowed, or a length outside 1 to 100", "use letters, digits, - _ . :");
+Result<Bytes> check_document(View type, View name, View text, const ConfigurationView& view) {
+  if (!is_resource_type(type))
+    return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'",
+                 "use one of: " + resource_types()};
+  if (name.empty() || name.size() > 100 ||
+      name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != View::npos)
+    return wrong("name", "the name has characters that are not allowed, or a length outside 1 to 100",
+                 "use letters, digits, - _ . :");
   if (type == "lane") return check_as<Lane>(name, text, view);
   if (type == "kind") return check_as<Kind>(name, text, view);
   if (type == "runner") return check_as<Runner>(name, text, view);
-  if (type == "hall") return check_as<Hall>(name, text, view);
+  if (type == "zone") return check_as<Zone>(name, text, view);
   if (type == "lots") return check_as<LotSettings>(name, text, view);
   if (type == "aim") return check_as<Aim>(name, text, view);
   return check_as<HolderMark>(name, text, view);
 }
 
-Result<Done> check_removal(View type, View name, const PolicyView& view) {
-  if (!is_resource_type(type)) return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'", "use one of: " + resource_types()};
+Result<Done> check_removal(View type, View name, const ConfigurationView& view) {
+  if (!is_resource_type(type))
+    return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'",
+                 "use one of: " + resource_types()};
   if (type == "kind") {
     for (const auto& [lane, entry] : view.lanes)
-      if (entry.spec.kind.text == name) return Fault{FaultKind::conflict, "name", "lane '" + lane + "' leads to this kind", "delete or change that lane first"};
+      if (entry.spec.kind.text == name)
+        return Fault{FaultKind::conflict, "name", "lane '" + lane + "' leads to this kind",
+                     "delete or change that lane first"};
     for (const auto& [runner, entry] : view.runners)
-      if (entry.spec.kind.text == name) return Fault{FaultKind::conflict, "name", "runner '" + runner + "' is of this kind", "delete that runner first"};
+      if (entry.spec.kind.text == name)
+        return Fault{FaultKind::conflict, "name", "runner '" + runner + "' is of this kind",
+                     "delete that runner first"};
   }
   if (type == "lane")
     for (const auto& [aim, entry] : view.aims)
-      if (entry.spec.lane == name) return Fault{FaultKind::conflict, "name", "aim '" + aim + "' is about this lane", "delete or change that aim first"};
+      if (entry.spec.lane == name)
+        return Fault{FaultKind::conflict, "name", "aim '" + aim + "' is about this lane",
+                     "delete or change that aim first"};
   return Done{};
 }
 
--- a/source/policy/resources.hpp
+++ b/source/configuration/resources.hpp
@@ -1,4 +1,4 @@
-// The operators' resources: what a lane, a kind, a runner, a hall, the lot settings and a holder's mark hold, and what
+// The operators' resources: what a lane, a kind, a runner, a zone, the lot settings and a holder's mark hold, and what
 // the system itself writes (circle, roster). Each document is checked whole before it is taken.
 #pragma once
 #include "coding/json.hpp"
@@ -7,31 +7,33 @@
 namespace mothwalk {
 
 struct CircleSettings {
-  bool all = false;                 // plain kinds may put every runner in the circle
-  double target = 0.6;              // medium usage (ours)
-  std::uint32_t concurrency = 0;    // live prompts that count as full usage of a runner, where fewer than its slots; 0: its slots
-  double high_water = 0.9;          // an early cycle above this usage (ours)
+  bool all = false;     // plain kinds may put every runner in the circle
+  double target = 0.6;  // medium load (ours)
+  std::uint32_t concurrency =
+      0;  // live prompts that count as full load of a runner, where fewer than its slots; 0: its slots
+  double high_water = 0.9;  // an early cycle above this load (ours)
   Span cycle = std::chrono::seconds(60);
   std::uint32_t floor = 2;
-  std::uint32_t reserve = 1;        // runners kept outside while lots are pending (ours)
+  std::uint32_t reserve = 1;  // runners kept outside while lots are pending (ours)
   Span ramp = std::chrono::seconds(10);
   MOTHWALK_FIELDS(all, target, concurrency, high_water, cycle, floor, reserve, ramp)
 };
 
 // What a kind's model engine bears; zero tokens of memory: these runners are no model engines.
 struct Engine {
-  std::uint64_t memory_tokens = 0;      // of all running requests and kept prompt parts of one runner
+  std::uint64_t memory_tokens = 0;  // of all running requests and kept prompt parts of one runner
   MOTHWALK_FIELDS(memory_tokens)
 };
 
 struct Kind {
   CircleSettings circle;
-  std::vector<std::uint32_t> refusals;  // statuses that these runners give only for work that was not and never will be run
-  double overcommit = 1.5;              // prompts per slot that a runner may be given before callers wait
-  std::uint32_t connections = 0;        // that one runner takes from all callers together; 0: no bound
-  std::string health_path;              // of the runners' own health answers; empty: none is asked
-  Span warming{};                       // how long a runner is cold after a start
-  double cold_rate = 0;                 // requests a second that a cold runner bears from all senders together; 0: no bound
+  std::vector<std::uint32_t>
+      refusals;                   // statuses that these runners give only for work that was not and never will be run
+  double overcommit = 1.5;        // prompts per slot that a runner may be given before callers wait
+  std::uint32_t connections = 0;  // that one runner takes from all callers together; 0: no bound
+  std::string health_path;        // of the runners' own health answers; empty: none is asked
+  Span warming{};                 // how long a runner is cold after a start
+  double cold_rate = 0;           // requests a second that a cold runner bears from all senders together; 0: no bound
   Engine engine;
   MOTHWALK_FIELDS(circle, refusals, overcommit, connections, health_path, warming, cold_rate, engine)
 };
@@ -39,12 +41,12 @@
 struct Runner {
   KindId kind;
   Address address;
-  ZoneId hall;
+  ZoneId zone;
   std::uint32_t slots = 4;
   bool leaving = false;
-  std::uint64_t generation = 0;       // raised by the platform with each new start of the runner's process
-  Span cold{};                        // how much longer it is cold, as its source said last
-  MOTHWALK_FIELDS(kind, address, hall, slots, leaving, generation, cold)
+  std::uint64_t generation = 0;  // raised by the platform with each new start of the runner's process
+  Span cold{};                   // how much longer it is cold, as its source said last
+  MOTHWALK_FIELDS(kind, address, zone, slots, leaving, generation, cold)
 };
 
 // A kind's share of a lane's requests, by weight.
@@ -57,40 +59,42 @@
 struct Lane {
   std::string path;
   KindId kind;
-  std::vector<KindShare> shares;      // several kinds instead of the one
-  std::string host;                   // lower case; empty: requests for any host
-  bool streaming = false;             // answers are series of events with rising ids
-  bool resumable = false;             // a stream may be taken up at another runner after the last event that came
-  bool batch = false;                 // takes kept lots, not live requests
-  std::uint32_t attempts = 0;         // the most runners that one request may be sent to; 0: retries + 1
-  std::uint32_t rank = 0;             // 0 is served first
-  bool affinity = false;              // the parts of the prompt choose the runner that keeps them
-  Span aim{};                         // time to the first piece (or whole answer) that earns full worth; 0: none
-  Span gap{};                         // the longest pause between events that is in time; 0: none
-  Span completion{};                  // of a lot, from its submission, by which all results are due
-  Span retention{};                   // of a lot, from its submission, after which items may be given up
+  std::vector<KindShare> shares;  // several kinds instead of the one
+  std::string host;               // lower case; empty: requests for any host
+  bool streaming = false;         // answers are series of events with rising ids
+  bool resumable = false;         // a stream may be taken up at another runner after the last event that came
+  bool batch = false;             // takes kept lots, not live requests
+  std::uint32_t attempts = 0;     // the most runners that one request may be sent to; 0: retries + 1
+  std::uint32_t rank = 0;         // 0 is served first
+  bool affinity = false;          // the parts of the prompt choose the runner that keeps them
+  Span aim{};                     // time to the first piece (or whole answer) that earns full worth; 0: none
+  Span gap{};                     // the longest pause between events that is in time; 0: none
+  Span completion{};              // of a lot, from its submission, by which all results are due
+  Span retention{};               // of a lot, from its submission, after which items may be given up
   bool repeatable = false;
   std::uint32_t retries = 2;
-  std::uint32_t affinity_bytes = 0;   // so many bytes of the body's beginning choose the runner that has them cached
-  std::uint32_t waiting_room = 256;   // requests of this lane that may wait in one daemon
+  std::uint32_t affinity_bytes = 0;  // so many bytes of the body's beginning choose the runner that has them cached
+  std::uint32_t waiting_room = 256;  // requests of this lane that may wait in one daemon
   Span waiting = std::chrono::milliseconds(2000);
   Span connecting = std::chrono::milliseconds(500);
   Span first_piece = std::chrono::milliseconds(10000);
   Span between_pieces = std::chrono::milliseconds(5000);
   Span taking = std::chrono::milliseconds(10000);  // in which a caller with a full backlog takes something
   Span whole = std::chrono::milliseconds(60000);
-  MOTHWALK_FIELDS(path, kind, shares, host, streaming, resumable, batch, attempts, rank, affinity, aim, gap, completion, retention, repeatable, retries, affinity_bytes, waiting_room, waiting, connecting, first_piece, between_pieces, taking, whole)
+  MOTHWALK_FIELDS(path, kind, shares, host, streaming, resumable, batch, attempts, rank, affinity, aim, gap, completion,
+                  retention, repeatable, retries, affinity_bytes, waiting_room, waiting, connecting, first_piece,
+                  between_pieces, taking, whole)
   std::vector<KindShare> kinds() const { return shares.empty() ? std::vector<KindShare>{{kind, 1}} : shares; }
 };
 
-struct Hall {
+struct Zone {
   bool evacuated = false;
   MOTHWALK_FIELDS(evacuated)
 };
 
 struct LotSettings {
-  std::uint32_t items = 1000;            // items in one lot
-  std::uint32_t lots = 4096;             // lots kept at once by one holder's slots
+  std::uint32_t items = 1000;                 // items in one lot
+  std::uint32_t lots = 4096;                  // lots kept at once by one holder's slots
   Span retention = std::chrono::minutes(10);  // a finished lot stays readable so long
   MOTHWALK_FIELDS(items, lots, retention)
 };
@@ -119,18 +123,18 @@
 
 struct Circle {
   std::vector<RunnerId> members;
-  std::vector<RunnerId> warm;       // members whose ramp is over
-  std::vector<RunnerId> dark;       // runners that do not answer: neither members nor workers of lots
+  std::vector<RunnerId> warm;                        // members whose ramp is over
+  std::vector<RunnerId> dark;                        // runners that do not answer: neither members nor workers of lots
   std::map<std::string, std::uint64_t> generations;  // of the members: another one in force means a cold runner
   std::map<std::string, std::uint64_t> ramps;        // of the members: counts up when the ramp begins anew
   std::map<std::string, Placer> placers;             // of the runners outside
   std::uint64_t term = 0;
-  double usage = 0;
-  double law = 0;                   // the PI law's unrounded size
+  double load = 0;
+  double law = 0;  // the PI law's unrounded size
   double error = 0;
   std::uint64_t cycle = 0;
   std::string reason;
-  MOTHWALK_FIELDS(members, warm, dark, generations, ramps, placers, term, usage, law, error, cycle, reason)
+  MOTHWALK_FIELDS(members, warm, dark, generations, ramps, placers, term, load, law, error, cycle, reason)
   bool has(const std::string& runner) const;
   // Whether the runner may bear its whole share: its ramp is over, and it was not started anew since.
   bool bears(const std::string& runner, std::uint64_t generation) const;
@@ -139,10 +143,10 @@
 struct Seat {
   HolderId holder;
   Address address;
-  ZoneId hall;
-  std::string name = {};            // of the machine, where operators name one
+  ZoneId zone;
+  std::string name = {};  // of the machine, where operators name one
   auto operator<=>(const Seat&) const = default;
-  MOTHWALK_FIELDS(holder, address, hall, name)
+  MOTHWALK_FIELDS(holder, address, zone, name)
 };
 
 struct Roster {
@@ -165,7 +169,7 @@
 struct FleetConfiguration {
   std::uint64_t revision = 0;
   Bytes document;
-  std::vector<std::uint64_t> taken;   // hashes of the last changes taken, newest last: one sent again is answered alike
+  std::vector<std::uint64_t> taken;  // hashes of the last changes taken, newest last: one sent again is answered alike
   MOTHWALK_FIELDS(revision, document, taken)
 };
 struct ConfigurationContent {
@@ -185,40 +189,45 @@
   MOTHWALK_FIELDS(runners)
 };
 
-template <class T> struct Named {
+template <class T>
+struct Named {
   Stamp stamp;
   T spec;
 };
 
-template <class T> using Table = std::map<std::string, Named<T>>;
+template <class T>
+using Table = std::map<std::string, Named<T>>;
 
-struct PolicyView {
+struct ConfigurationView {
   Table<Lane> lanes;
   Table<Kind> kinds;
   Table<Runner> runners;
-  Table<Hall> halls;
+  Table<Zone> zones;
   Table<LotSettings> lots;
   Table<HolderMark> holders;
   Table<Aim> aims;
   Table<Circle> circles;
-  Roster roster;                      // of the holders of control state, and of lots where no others hold these
-  Roster lot_roster;                  // of the holders of lots, where they are others
-  Named<FleetConfiguration> configuration;
+  Roster roster;      // of the holders of control state, and of lots where no others hold these
+  Roster lot_roster;  // of the holders of lots, where they are others
+  Named<FleetConfiguration> fleet;
   CallerLimits limits;
-  Stamp listing;                      // of the list of runners in force
+  Stamp listing;  // of the list of runners in force
   std::uint64_t digest = 0;
   // The roster whose holders keep a key.
-  const Roster& roster_of(View key) const { return key.starts_with("lot/") && !lot_roster.seats.empty() ? lot_roster : roster; }
-  bool evacuated(const ZoneId& hall) const;
+  const Roster& roster_of(View key) const {
+    return key.starts_with("lot/") && !lot_roster.seats.empty() ? lot_roster : roster;
+  }
+  bool evacuated(const ZoneId& zone) const;
   // The lane of the longest path that the given one begins with, of those for the host before those for any.
   const Lane* lane_for(View path, std::string* name, View host = {}) const;
-  std::set<std::string> listed;       // the runners of the listing
+  std::set<std::string> listed;                              // the runners of the listing
   std::set<std::string> configured_lanes, configured_kinds;  // of the configuration
   LotSettings lot_settings() const;
 };
 
 // Puts a value under its key ("lane/audits") into the view, or takes it out; false where the value cannot be read.
-bool put_in_view(PolicyView& view, View key, const Bytes* value, Stamp stamp, const ConfigurationFormat* format = nullptr);
+bool put_in_view(ConfigurationView& view, View key, const Bytes* value, Stamp stamp,
+                 const ConfigurationFormat* format = nullptr);
 
 // Keys of what is kept or told once for the fleet.
 inline constexpr View configuration_key = "configuration/fleet";
@@ -226,9 +235,11 @@
 inline constexpr View lot_roster_key = "roster/lots";
 
 // Checks an operator's document for a key against the view; gives the canonical text to keep.
-Result<Bytes> check_document(View type, View name, View text, const PolicyView& view);
+Result<Bytes> check_document(View type, View name, View text, const ConfigurationView& view);
 // Checks that a resource may be deleted.
-Result<Done> check_removal(View type, View name, const PolicyView& view);
+Result<Done> check_removal(View type, View name, const ConfigurationView& view);
+// The name of a type of resources today; a name of the release before 0.2 is understood for one release.
+std::string current_type(View type);
 bool is_resource_type(View type);
 std::string resource_types();
 
--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -9,35 +9,41 @@
 
 namespace {
 using std::chrono::milliseconds;
-constexpr Span write_horizon = milliseconds(5000);
+constexpr Span write_timeout = milliseconds(5000);
 
 ControlReply faulty(const Fault& fault) {
-  const bool again = fault.kind == FaultKind::refused || fault.kind == FaultKind::unknown || fault.kind == FaultKind::busy || fault.kind == FaultKind::lost;
+  const bool again = fault.kind == FaultKind::refused || fault.kind == FaultKind::unknown ||
+                     fault.kind == FaultKind::busy || fault.kind == FaultKind::lost;
   json::value body = fault_to_json(fault);
-  body.as_object()["outcome"] = fault.kind == FaultKind::unknown || fault.kind == FaultKind::lost ? "unknown" : "refused";
+  body.as_object()["outcome"] =
+      fault.kind == FaultKind::unknown || fault.kind == FaultKind::lost ? "unknown" : "refused";
   return ControlReply{fault_status(fault.kind), std::move(body), again};
 }
 
 Fault no_such_call(const ControlRequest& request) {
-  return Fault{FaultKind::unknown_name, "path", "there is no call " + request.method + " " + request.target, "see the operators' page for the calls"};
+  return Fault{FaultKind::unknown_name, "path", "there is no call " + request.method + " " + request.target,
+               "see the operators' page for the calls"};
 }
 
 std::optional<std::uint64_t> whole_number(const std::string& text) {
-  if (text.empty() || text.size() > 18 || text.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
+  if (text.empty() || text.size() > 18 || text.find_first_not_of("0123456789") != std::string::npos)
+    return std::nullopt;
   return std::stoull(text);
 }
 
-template <class T> const Named<T>* find_in(const Table<T>& table, const std::string& name) {
+template <class T>
+const Named<T>* find_in(const Table<T>& table, const std::string& name) {
   auto found = table.find(name);
   return found == table.end() ? nullptr : &found->second;
 }
 
 // Calls with the table of a type.
-template <class Use> bool with_table(const PolicyView& view, View type, Use use) {
+template <class Use>
+bool with_table(const ConfigurationView& view, View type, Use use) {
   if (type == "lane") return use(view.lanes), true;
   if (type == "kind") return use(view.kinds), true;
   if (type == "runner") return use(view.runners), true;
-  if (type == "hall") return use(view.halls), true;
+  if (type == "zone") return use(view.zones), true;
   if (type == "lots") return use(view.lots), true;
   if (type == "holder") return use(view.holders), true;
   if (type == "aim") return use(view.aims), true;
@@ -45,12 +51,18 @@
   return false;
 }
 
-template <class T> json::object resource_json(View type, const std::string& name, const Named<T>& entry) {
-  return json::object{{"type", type}, {"name", name}, {"version", entry.stamp.version.value}, {"epoch", entry.stamp.epoch.value}, {"spec", to_json(entry.spec)}};
+template <class T>
+json::object resource_json(View type, const std::string& name, const Named<T>& entry) {
+  return json::object{{"type", type},
+                      {"name", name},
+                      {"version", entry.stamp.version.value},
+                      {"epoch", entry.stamp.epoch.value},
+                      {"spec", to_json(entry.spec)}};
 }
 
 Fault no_type(const std::string& type) {
-  return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + type + "'", "use one of: " + resource_types() + ", circle"};
+  return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + type + "'",
+               "use one of: " + resource_types() + ", circle"};
 }
 }  // namespace
 
@@ -58,25 +70,42 @@
   auto parsed = parse_json(body);
   if (auto fault = fault_of(parsed)) return *fault;
   const json::value& value = std::get<json::value>(parsed);
-  if (!value.is_object()) return Fault{FaultKind::invalid, "body", "the lot is not an object", "give {\"lane\", \"horizon\", \"items\"}"};
+  if (!value.is_object())
+    return Fault{FaultKind::invalid, "body", "the lot is not an object", "give {\"lane\", \"deadline\", \"items\"}"};
   LotHead head;
   const json::value* items = nullptr;
   for (const auto& each : value.as_object()) {
     std::optional<Fault> fault;
-    if (each.key() == "lane") fault = JsonReader::read(each.value(), head.lane, "lane");
-    else if (each.key() == "horizon") fault = JsonReader::read(each.value(), head.deadline, "horizon");
-    else if (each.key() == "items") items = &each.value();
-    else fault = Fault{FaultKind::invalid, std::string(each.key()), "this field is not known", "use only: lane, horizon, items"};
+    if (each.key() == "lane")
+      fault = JsonReader::read(each.value(), head.lane, "lane");
+    else if (each.key() == "deadline" || each.key() == former_name("deadline"))
+      fault = JsonReader::read(each.value(), head.deadline, "deadline");
+    else if (each.key() == "items")
+      items = &each.value();
+    else
+      fault = Fault{FaultKind::invalid, std::string(each.key()), "this field is not known",
+                    "use only: lane, deadline, items"};
     if (fault) return *fault;
   }
-  if (head.lane.empty()) return Fault{FaultKind::invalid, "lane", "the lot names no lane", "give the lane that its items go by"};
-  if (items == nullptr || !items->is_array()) return Fault{FaultKind::invalid, "items", "the items are not a list", "give a list of JSON values"};
-  for (const auto& item : items->as_array()) head.items.push_back(LotItem{"", "", {}, item.is_string() ? std::string(item.as_string()) : json::serialize(item), 0});
+  if (head.lane.empty())
+    return Fault{FaultKind::invalid, "lane", "the lot names no lane", "give the lane that its items go by"};
+  if (items == nullptr || !items->is_array())
+    return Fault{FaultKind::invalid, "items", "the items are not a list", "give a list of JSON values"};
+  for (const auto& item : items->as_array())
+    head.items.push_back(
+        LotItem{"", "", {}, item.is_string() ? std::string(item.as_string()) : json::serialize(item), 0});
   return head;
 }
 
-Control::Control(Post& post, Board& board, Chance& chance, Member self, std::function<json::value()> own_usage)
-    : post_(post), board_(board), chance_(chance), self_(std::move(self)), own_usage_(std::move(own_usage)), client_(post, board), lots_(post, board) {}
+Control::Control(Messenger& messenger, SharedState& shared_state, RandomSource& random, Member self,
+                 std::function<json::value()> own_load)
+    : messenger_(messenger),
+      shared_state_(shared_state),
+      random_(random),
+      self_(std::move(self)),
+      own_load_(std::move(own_load)),
+      client_(messenger, shared_state),
+      lots_(messenger, shared_state) {}
 
 std::optional<Control::Target> Control::split(View target) {
   Target split;
@@ -90,6 +119,10 @@
     if (slash == View::npos) break;
     path.remove_prefix(slash + 1);
   }
+  // Names of the release before 0.2 are understood for one release.
+  if (split.parts.size() > 1 && split.parts[1] == "soundness") split.parts[1] = "health";
+  if (split.parts.size() > 1 && split.parts[1] == "usage") split.parts[1] = "load";
+  if (split.parts.size() > 2) split.parts[2] = current_type(split.parts[2]);
   View query = mark == View::npos ? View{} : target.substr(mark + 1);
   while (!query.empty()) {
     const auto end = query.find('&');
@@ -108,17 +141,18 @@
   const auto& parts = target->parts;
   if (parts[0] == "lots") return lots(request, *target, std::move(answer));
   if (request.callers || parts[0] != "v1" || parts.size() < 2) return answer(faulty(no_such_call(request)));
-  if (parts[1] == "resources" && (parts.size() == 3 || parts.size() == 4)) return resources(request, *target, std::move(answer));
+  if (parts[1] == "resources" && (parts.size() == 3 || parts.size() == 4))
+    return resources(request, *target, std::move(answer));
   if (request.method != "GET" || parts.size() != 2) return answer(faulty(no_such_call(request)));
-  if (parts[1] == "soundness") return answer(ControlReply{200, soundness(), false});
-  if (parts[1] == "usage") return answer(ControlReply{200, own_usage_(), false});
+  if (parts[1] == "health") return answer(ControlReply{200, health(), false});
+  if (parts[1] == "load") return answer(ControlReply{200, own_load_(), false});
   if (parts[1] == "members") {
     json::array list;
-    for (const auto& [address, member] : board_.members.get()->all) list.push_back(to_json(member));
+    for (const auto& [address, member] : shared_state_.members.get()->all) list.push_back(to_json(member));
     return answer(ControlReply{200, json::object{{"members", list}}, false});
   }
-  if (parts[1] == "roster") return answer(ControlReply{200, to_json(board_.policy.get()->roster), false});
-  if (parts[1] == "watch") return watch(*target, post_.schedule().now() + milliseconds(20000), std::move(answer));
+  if (parts[1] == "roster") return answer(ControlReply{200, to_json(shared_state_.configuration.get()->roster), false});
+  if (parts[1] == "watch") return watch(*target, messenger_.timers().now() + milliseconds(20000), std::move(answer));
   answer(faulty(no_such_call(request)));
 }
 
@@ -131,34 +165,41 @@
   }
   const std::string& name = target.parts[3];
   if (request.method == "GET") return show(type, name, std::move(answer));
-  if (type == "circle") return answer(faulty(Fault{FaultKind::conflict, "type", "circles are decided by the system", "change the kind's circle settings instead"}));
+  if (type == "circle")
+    return answer(faulty(Fault{FaultKind::conflict, "type", "circles are decided by the system",
+                               "change the kind's circle settings instead"}));
   if (request.method == "PUT") return put(type, name, request, target, std::move(answer), true);
   if (request.method == "DELETE") return remove(type, name, target, std::move(answer));
   answer(faulty(no_such_call(request)));
 }
 
 json::value Control::listing(const std::string& type) const {
-  const auto policy = board_.policy.get();
+  const auto configuration = shared_state_.configuration.get();
   json::array list;
-  with_table(*policy, type, [&](const auto& table) {
+  with_table(*configuration, type, [&](const auto& table) {
     for (const auto& [name, entry] : table) list.push_back(resource_json(type, name, entry));
   });
-  return json::object{{"digest", std::to_string(policy->digest)}, {"resources", list}};
+  return json::object{{"digest", std::to_string(configuration->digest)}, {"resources", list}};
 }
 
-void Control::put(const std::string& type, const std::string& name, const ControlRequest& request, const Target& target, ControlAnswer answer, bool second_look) {
-  const auto policy = board_.policy.get();
-  auto checked = check_document(type, name, request.body, *policy);
+void Control::put(const std::string& type, const std::string& name, const ControlRequest& request, const Target& target,
+                  ControlAnswer answer, bool second_look) {
+  const auto configuration = shared_state_.configuration.get();
+  auto checked = check_document(type, name, request.body, *configuration);
   if (auto fault = fault_of(checked)) {
     if (!second_look) return answer(faulty(*fault));
     // What the document leans on may be on its way to this daemon: one more look after a round of news.
-    post_.schedule().after(milliseconds(400), [this, type, name, request, target, answer] { put(type, name, request, target, answer, false); });
+    messenger_.timers().after(milliseconds(400), [this, type, name, request, target, answer] {
+      put(type, name, request, target, answer, false);
+    });
     return;
   }
   std::uint64_t expected = 0;
   if (auto given = target.query.find("version"); given != target.query.end()) {
     auto number = whole_number(given->second);
-    if (!number) return answer(faulty(Fault{FaultKind::invalid, "version", "the version is not a whole number", "give the version that you read, or 0 to create"}));
+    if (!number)
+      return answer(faulty(Fault{FaultKind::invalid, "version", "the version is not a whole number",
+                                 "give the version that you read, or 0 to create"}));
     expected = *number;
   }
   Write change;
@@ -169,43 +210,49 @@
 }
 
 void Control::remove(const std::string& type, const std::string& name, const Target& target, ControlAnswer answer) {
-  const auto policy = board_.policy.get();
-  auto checked = check_removal(type, name, *policy);
+  const auto configuration = shared_state_.configuration.get();
+  auto checked = check_removal(type, name, *configuration);
   if (auto fault = fault_of(checked)) return answer(faulty(*fault));
   Write change;
   change.key = type + "/" + name;
   change.removed = true;
   auto given = target.query.find("version");
-  if (given == target.query.end() || !whole_number(given->second)) return answer(faulty(Fault{FaultKind::invalid, "version", "a removal names the version that it removes", "add ?version=N with the version that you read"}));
+  if (given == target.query.end() || !whole_number(given->second))
+    return answer(faulty(Fault{FaultKind::invalid, "version", "a removal names the version that it removes",
+                               "add ?version=N with the version that you read"}));
   change.expected = *whole_number(given->second);
-  if (*change.expected == 0) return answer(faulty(Fault{FaultKind::unknown_name, "name", "there is nothing of this name", "check the name"}));
+  if (*change.expected == 0)
+    return answer(faulty(Fault{FaultKind::unknown_name, "name", "there is nothing of this name", "check the name"}));
   write(std::move(change), std::move(answer));
 }
 
 void Control::write(Write change, ControlAnswer answer) {
-  change.token = self_.address.text + "/" + std::to_string(self_.incarnation) + "/" + std::to_string(chance_.next());
+  change.token = self_.address.text + "/" + std::to_string(self_.incarnation) + "/" + std::to_string(random_.next());
   const std::string key = change.key;
-  client_.write(std::move(change), write_horizon, [this, key, answer](Result<WriteReply> result) {
+  client_.write(std::move(change), write_timeout, [this, key, answer](Result<WriteReply> result) {
     if (auto fault = fault_of(result)) return answer(faulty(*fault));
-    answer_when_seen(key, std::get<WriteReply>(result).stamp, post_.schedule().now() + milliseconds(1000), answer);
+    answer_when_seen(key, std::get<WriteReply>(result).stamp, messenger_.timers().now() + milliseconds(1000), answer);
   });
 }
 
 // The answer waits (briefly) for this daemon's own news, so that the next call made here sees the change.
 void Control::answer_when_seen(const std::string& key, Stamp stamp, Moment until, ControlAnswer answer) {
-  const auto policy = board_.policy.get();
+  const auto configuration = shared_state_.configuration.get();
   const auto slash = key.find('/');
   const std::string type = key.substr(0, slash), name = key.substr(slash + 1);
   bool seen = true;
-  with_table(*policy, type, [&](const auto& table) {
+  with_table(*configuration, type, [&](const auto& table) {
     auto* entry = find_in(table, name);
     seen = entry != nullptr && entry->stamp >= stamp;
   });
-  if (!seen && post_.schedule().now() < until) {
-    post_.schedule().after(milliseconds(10), [this, key, stamp, until, answer] { answer_when_seen(key, stamp, until, answer); });
+  if (!seen && messenger_.timers().now() < until) {
+    messenger_.timers().after(milliseconds(10),
+                              [this, key, stamp, until, answer] { answer_when_seen(key, stamp, until, answer); });
     return;
   }
-  answer(ControlReply{200, json::object{{"type", type}, {"name", name}, {"version", stamp.version.value}, {"epoch", stamp.epoch.value}}, false});
+  answer(ControlReply{
+      200, json::object{{"type", type}, {"name", name}, {"version", stamp.version.value}, {"epoch", stamp.epoch.value}},
+      false});
 }
 
 void Control::show(const std::string& type, const std::string& name, ControlAnswer answer) {
@@ -213,8 +260,10 @@
   client_.read(type + "/" + name, milliseconds(3000), [this, type, name, answer](Result<ReadReply> result) {
     if (auto fault = fault_of(result)) return answer(faulty(*fault));
     const ReadReply reply = std::get<ReadReply>(result);
-    if (!reply.found || reply.record.removed) return answer(faulty(Fault{FaultKind::unknown_name, "name", "there is no " + type + " of the name '" + name + "'", "check the name"}));
-    const auto members = board_.members.get();
+    if (!reply.found || reply.record.removed)
+      return answer(faulty(Fault{FaultKind::unknown_name, "name", "there is no " + type + " of the name '" + name + "'",
+                                 "check the name"}));
+    const auto members = shared_state_.members.get();
     struct Count {
       std::size_t left = 0, taken = 0;
       json::array waiting;
@@ -224,51 +273,71 @@
     const std::size_t all = members->all.size();
     auto finish = [count, all, type, name, reply, answer] {
       auto spec = parse_json(reply.record.head);
-      json::object body{{"type", type}, {"name", name}, {"version", reply.record.stamp.version.value}, {"epoch", reply.record.stamp.epoch.value}, {"spec", fault_of(spec) ? json::value(nullptr) : std::get<json::value>(spec)}};
+      json::object body{{"type", type},
+                        {"name", name},
+                        {"version", reply.record.stamp.version.value},
+                        {"epoch", reply.record.stamp.epoch.value},
+                        {"spec", fault_of(spec) ? json::value(nullptr) : std::get<json::value>(spec)}};
       body["status"] = json::object{{"taken", count->taken}, {"members", all}, {"waiting", count->waiting}};
       answer(ControlReply{200, body, false});
     };
     for (const auto& [address, member] : members->all)
-      post_.ask(address, Taken{type + "/" + name}, milliseconds(500), [count, address = address, stamp = reply.record.stamp, finish](Result<TakenReply> taken) {
-        auto* given = std::get_if<TakenReply>(&taken);
-        if (given != nullptr && given->found && given->stamp >= stamp) ++count->taken;
-        else count->waiting.push_back(json::value(json::string(address.text)));
-        if (--count->left == 0) finish();
-      });
+      messenger_.ask(address, Taken{type + "/" + name}, milliseconds(500),
+                     [count, address = address, stamp = reply.record.stamp, finish](Result<TakenReply> taken) {
+                       auto* given = std::get_if<TakenReply>(&taken);
+                       if (given != nullptr && given->found && given->stamp >= stamp)
+                         ++count->taken;
+                       else
+                         count->waiting.push_back(json::value(json::string(address.text)));
+                       if (--count->left == 0) finish();
+                     });
   });
 }
 
 void Control::watch(const Target& target, Moment until, ControlAnswer answer) {
-  const auto policy = board_.policy.get();
+  const auto configuration = shared_state_.configuration.get();
   auto given = target.query.find("digest");
-  if (given != target.query.end() && given->second == std::to_string(policy->digest) && post_.schedule().now() < until) {
-    post_.schedule().after(milliseconds(100), [this, target, until, answer] { watch(target, until, answer); });
+  if (given != target.query.end() && given->second == std::to_string(configuration->digest) &&
+      messenger_.timers().now() < until) {
+    messenger_.timers().after(milliseconds(100), [this, target, until, answer] { watch(target, until, answer); });
     return;
   }
-  json::object body{{"digest", std::to_string(policy->digest)}};
+  json::object body{{"digest", std::to_string(configuration->digest)}};
   json::array list;
-  for (const View type : {"lane", "kind", "runner", "hall", "lots", "holder", "aim", "circle"})
-    with_table(*policy, type, [&](const auto& table) {
+  for (const View type : {"lane", "kind", "runner", "zone", "lots", "holder", "aim", "circle"})
+    with_table(*configuration, type, [&](const auto& table) {
       for (const auto& [name, entry] : table) list.push_back(resource_json(type, name, entry));
     });
   body["resources"] = std::move(list);
   answer(ControlReply{200, body, false});
 }
 
-json::value Control::soundness() const {
-  const Moment now = post_.schedule().now();
-  const auto members = board_.members.get();
-  const auto policy = board_.policy.get();
-  const auto owned = board_.owned.get();
-  const bool permitted = board_.permitted(now);
-  json::array halls;
-  for (const auto& [name, hall] : policy->halls)
-    if (hall.spec.evacuated) halls.push_back(json::value(json::string(name)));
-  return json::object{{"address", self_.address.text}, {"hall", self_.hall.text}, {"version", self_.version},
-                      {"state", board_.draining ? "draining" : permitted ? "serving" : board_.permit_until.load() < 0 ? "starting" : "static"},
-                      {"holder", self_.holder.text}, {"stalled", board_.stalled.load()}, {"seated", policy->roster.seated(self_.holder)},
-                      {"slots", owned->slots.size()}, {"members", members->all.size()}, {"control", members->control_daemons},
-                      {"roster", policy->roster.version.value}, {"seats", policy->roster.seats.size()}, {"digest", std::to_string(policy->digest)}, {"evacuated", halls}};
+json::value Control::health() const {
+  const Moment now = messenger_.timers().now();
+  const auto members = shared_state_.members.get();
+  const auto configuration = shared_state_.configuration.get();
+  const auto owned = shared_state_.owned.get();
+  const bool permitted = shared_state_.has_lease(now);
+  json::array zones;
+  for (const auto& [name, zone] : configuration->zones)
+    if (zone.spec.evacuated) zones.push_back(json::value(json::string(name)));
+  return json::object{{"address", self_.address.text},
+                      {"zone", self_.zone.text},
+                      {"version", self_.version},
+                      {"state", shared_state_.draining                 ? "draining"
+                                : permitted                            ? "serving"
+                                : shared_state_.lease_until.load() < 0 ? "starting"
+                                                                       : "static"},
+                      {"holder", self_.holder.text},
+                      {"stalled", shared_state_.stalled.load()},
+                      {"seated", configuration->roster.seated(self_.holder)},
+                      {"slots", owned->slots.size()},
+                      {"members", members->all.size()},
+                      {"control", members->control_daemons},
+                      {"roster", configuration->roster.version.value},
+                      {"seats", configuration->roster.seats.size()},
+                      {"digest", std::to_string(configuration->digest)},
+                      {"evacuated", zones}};
 }
 
 json::value page_json(const LotPage& page) {
@@ -292,17 +361,22 @@
   if (parts.size() == 1 && request.method == "GET") return list_lots(std::move(answer));
   if (parts.size() < 2) return answer(faulty(no_such_call(request)));
   const std::string& id = parts[1];
-  if (id.empty() || id.size() > 100 || id.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != std::string::npos)
-    return answer(faulty(Fault{FaultKind::invalid, "id", "the id has characters that are not allowed, or a length outside 1 to 100", "use letters, digits, - _ . :"}));
+  if (id.empty() || id.size() > 100 ||
+      id.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != std::string::npos)
+    return answer(faulty(Fault{FaultKind::invalid, "id",
+                               "the id has characters that are not allowed, or a length outside 1 to 100",
+                               "use letters, digits, - _ . :"}));
   if (parts.size() == 2 && request.method == "PUT") {
-    if (board_.draining) return answer(faulty(Fault{FaultKind::refused, "lots", "this daemon is shutting down; the lot was not taken", "hand it in again at another daemon"}));
+    if (shared_state_.draining)
+      return answer(faulty(Fault{FaultKind::refused, "lots", "this daemon is shutting down; the lot was not taken",
+                                 "hand it in again at another daemon"}));
     auto head = read_lot(request.body);
     if (auto fault = fault_of(head)) return answer(faulty(*fault));
-    return lots_.submit(SubmitLot{id, std::move(std::get<LotHead>(head))}, write_horizon, give);
+    return lots_.submit(SubmitLot{id, std::move(std::get<LotHead>(head))}, write_timeout, give);
   }
-  if (parts.size() == 2 && request.method == "DELETE") return lots_.end(id, write_horizon, give);
+  if (parts.size() == 2 && request.method == "DELETE") return lots_.end(id, write_timeout, give);
   if (parts.size() == 2 && request.method == "GET")
-    return lots_.read(ReadLot{id, 0, 0, {}}, write_horizon, [answer](Result<LotPage> result) {
+    return lots_.read(ReadLot{id, 0, 0, {}}, write_timeout, [answer](Result<LotPage> result) {
       if (auto fault = fault_of(result)) return answer(faulty(*fault));
       answer(ControlReply{200, to_json(std::get<LotPage>(result).lot), false});
     });
@@ -311,10 +385,12 @@
     for (auto [name, place] : {std::pair<const char*, std::uint32_t*>{"after", &after}, {"limit", &limit}})
       if (auto given = target.query.find(name); given != target.query.end()) {
         auto number = whole_number(given->second);
-        if (!number || *number > 1000000) return answer(faulty(Fault{FaultKind::invalid, name, "this is not a whole number in range", "give 0 to 1000000"}));
+        if (!number || *number > 1000000)
+          return answer(
+              faulty(Fault{FaultKind::invalid, name, "this is not a whole number in range", "give 0 to 1000000"}));
         *place = static_cast<std::uint32_t>(*number);
       }
-    return lots_.read(ReadLot{id, after, limit, {}}, write_horizon, [answer](Result<LotPage> result) {
+    return lots_.read(ReadLot{id, after, limit, {}}, write_timeout, [answer](Result<LotPage> result) {
       if (auto fault = fault_of(result)) return answer(faulty(*fault));
       answer(ControlReply{200, page_json(std::get<LotPage>(result)), false});
     });
@@ -323,21 +399,24 @@
 }
 
 void Control::list_lots(ControlAnswer answer) {
-  const auto policy = board_.policy.get();
+  const auto configuration = shared_state_.configuration.get();
   struct Gather {
     std::size_t left = 0;
     std::map<std::string, LotStatus> lots;
     bool whole = true;
   };
   auto gather = std::make_shared<Gather>();
-  const auto& seats = policy->roster_of("lot/").seats;
+  const auto& seats = configuration->roster_of("lot/").seats;
   gather->left = seats.size();
-  if (gather->left == 0) return answer(faulty(Fault{FaultKind::refused, "lots", "this daemon knows of no holders yet", "try again in a second"}));
+  if (gather->left == 0)
+    return answer(
+        faulty(Fault{FaultKind::refused, "lots", "this daemon knows of no holders yet", "try again in a second"}));
   for (const auto& seat : seats)
-    post_.ask(seat.address, ListLots{}, milliseconds(1000), [gather, answer](Result<LotList> result) {
+    messenger_.ask(seat.address, ListLots{}, milliseconds(1000), [gather, answer](Result<LotList> result) {
       if (auto* list = std::get_if<LotList>(&result))
         for (auto& lot : list->lots) gather->lots[lot.id] = lot;
-      else gather->whole = false;
+      else
+        gather->whole = false;
       if (--gather->left > 0) return;
       json::array lots;
       for (const auto& [id, lot] : gather->lots) lots.push_back(to_json(lot));
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -2,23 +2,23 @@
 // call and passes on what another one owns.
 #pragma once
 #include "coding/json.hpp"
-#include "kept/kept.hpp"
 #include "lots/lot_calls.hpp"
+#include "replication/replicated_store.hpp"
 
 namespace mothwalk {
 
 struct ControlRequest {
   std::string method, target;
   Bytes body;
-  bool callers = false;      // came in on the callers' side: lots alone
+  bool callers = false;  // came in on the callers' side: lots alone
   std::vector<Header> headers = {};
 };
 struct ControlReply {
   int status = 200;
   json::value body;
   bool retry_after = false;
-  std::vector<Header> headers = {};    // beside those that the front sets
-  std::optional<Bytes> raw = {};       // stands for the body where that is not JSON, or not this program's
+  std::vector<Header> headers = {};  // beside those that the front sets
+  std::optional<Bytes> raw = {};     // stands for the body where that is not JSON, or not this program's
 };
 using ControlAnswer = std::function<void(ControlReply)>;
 
@@ -27,7 +27,8 @@
 
 class Control {
  public:
-  Control(Post& post, Board& board, Chance& chance, Member self, std::function<json::value()> own_usage);
+  Control(Messenger& messenger, SharedState& shared_state, RandomSource& random, Member self,
+          std::function<json::value()> own_load);
   void handle(ControlRequest request, ControlAnswer answer);
 
  private:
@@ -37,7 +38,8 @@
   };
   static std::optional<Target> split(View target);
   void resources(const ControlRequest& request, const Target& target, ControlAnswer answer);
-  void put(const std::string& type, const std::string& name, const ControlRequest& request, const Target& target, ControlAnswer answer, bool second_look);
+  void put(const std::string& type, const std::string& name, const ControlRequest& request, const Target& target,
+           ControlAnswer answer, bool second_look);
   void show(const std::string& type, const std::string& name, ControlAnswer answer);
   void remove(const std::string& type, const std::string& name, const Target& target, ControlAnswer answer);
   void write(Write write, ControlAnswer answer);
@@ -45,15 +47,15 @@
   void watch(const Target& target, Moment until, ControlAnswer answer);
   void lots(const ControlRequest& request, const Target& target, ControlAnswer answer);
   void list_lots(ControlAnswer answer);
-  json::value soundness() const;
+  json::value health() const;
   json::value listing(const std::string& type) const;
 
-  Post& post_;
-  Board& board_;
-  Chance& chance_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
+  RandomSource& random_;
   Member self_;
-  std::function<json::value()> own_usage_;
-  KeptClient client_;
+  std::function<json::value()> own_load_;
+  StoreClient client_;
   LotCalls lots_;
 };
 
--- a/source/control/fleet_calls.hpp
+++ b/source/control/fleet_calls.hpp
@@ -2,20 +2,21 @@
 // revisions, evacuation of zones, and the retirement of machines that hold lots.
 #pragma once
 #include "coding/json.hpp"
-#include "kept/kept.hpp"
+#include "replication/replicated_store.hpp"
 
 namespace mothwalk {
 
 struct ConfigurationChange {
-  std::uint64_t base = 0;              // the revision that it builds on; 0 for the first
-  std::uint64_t hash = 0;              // of the whole change: one sent again is answered as it was the first time
+  std::uint64_t base = 0;  // the revision that it builds on; 0 for the first
+  std::uint64_t hash = 0;  // of the whole change: one sent again is answered as it was the first time
   // The next revision and document, or why the change is refused.
   std::function<Result<FleetConfiguration>(const FleetConfiguration& current)> make;
 };
 
 class FleetCalls {
  public:
-  FleetCalls(Post& post, Board& board) : post_(post), board_(board), client_(post, board) {}
+  FleetCalls(Messenger& messenger, SharedState& shared_state)
+      : messenger_(messenger), shared_state_(shared_state), client_(messenger, shared_state) {}
   // Faults: conflict (another revision is current), invalid, unknown (send it again), refused (nothing was done).
   void change(ConfigurationChange change, Span limit, Answer<Version> answer);
   void show(Span limit, Answer<FleetConfiguration> answer);
@@ -31,9 +32,9 @@
   Address holder_named(const std::string& machine) const;
   void attempt(std::shared_ptr<ConfigurationChange> change, Moment until, bool sent, Answer<Version> answer);
 
-  Post& post_;
-  Board& board_;
-  KeptClient client_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
+  StoreClient client_;
 };
 
 }  // namespace mothwalk
--- a/source/host/beast_exchange.cpp
+++ b/source/host/beast_exchange.cpp
@@ -1,5 +1,5 @@
-// One attempt: a connection, its request, the head and the body piece by piece, each step under its budget. A connection
-// is always being read, so that its end, or an answer that nobody waits for, is seen while it is idle.
+// One attempt: a connection, its request, the head and the body piece by piece, each step under its budget. A
+// connection is always being read, so that its end, or an answer that nobody waits for, is seen while it is idle.
 #include "host/beast_exchange.hpp"
 
 #include <algorithm>
@@ -14,7 +14,8 @@
 using boost::asio::ip::tcp;
 
 namespace {
-constexpr Span unstated_idle = std::chrono::milliseconds(800);   // where a runner does not say how long it keeps idle ones
+constexpr Span unstated_idle =
+    std::chrono::milliseconds(800);  // where a runner does not say how long it keeps idle ones
 constexpr std::size_t input_bytes = 8192;
 
 std::string head_of(const AttemptRequest& request) {
@@ -26,7 +27,8 @@
   }
   if (!host) head.append("Host: ").append(request.to.text).append("\r\n");
   const std::size_t length = request.body ? request.body->size() : 0;
-  if (length > 0 || (request.method != "GET" && request.method != "HEAD")) head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+  if (length > 0 || (request.method != "GET" && request.method != "HEAD"))
+    head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
   return head += "\r\n";
 }
 
@@ -37,13 +39,16 @@
   const auto begin = text->find("timeout=");
   if (begin == std::string::npos) return std::nullopt;
   std::int64_t seconds = 0;
-  for (std::size_t index = begin + 8; index < text->size() && (*text)[index] >= '0' && (*text)[index] <= '9' && seconds < 3600; ++index) seconds = seconds * 10 + ((*text)[index] - '0');
+  for (std::size_t index = begin + 8;
+       index < text->size() && (*text)[index] >= '0' && (*text)[index] <= '9' && seconds < 3600; ++index)
+    seconds = seconds * 10 + ((*text)[index] - '0');
   return std::chrono::seconds(seconds);
 }
 }  // namespace
 
 struct BeastExchange::Connection {
-  Connection(boost::asio::io_context& context, std::uint64_t given, std::string key_given) : number(given), key(std::move(key_given)), socket(context) {}
+  Connection(boost::asio::io_context& context, std::uint64_t given, std::string key_given)
+      : number(given), key(std::move(key_given)), socket(context) {}
   std::uint64_t number;
   std::string key;
   tcp::socket socket;
@@ -82,7 +87,8 @@
     connections_[connection->number] = connection;
     Pool& pool = pools_[key];
     ++pool.open;
-    if (given.connections > 0 && pool.open > given.connections && !pool.idle.empty()) close(ConnectionPointer(pool.idle.front()));
+    if (given.connections > 0 && pool.open > given.connections && !pool.idle.empty())
+      close(ConnectionPointer(pool.idle.front()));
   }
   attempts_[id] = connection;
   connection->id = id;
@@ -116,7 +122,8 @@
     if (age * 2 > connection->idle && !repeatable && age * 4 < connection->idle * 3) return nullptr;
     boost::system::error_code error;
     char byte = 0;
-    if (age * 4 < connection->idle * 3) connection->socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (age * 4 < connection->idle * 3)
+      connection->socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     if (error == boost::asio::error::would_block) {
       found->second.idle.pop_back();
       return connection;
@@ -141,8 +148,10 @@
   deadlines_.set(connection->number, connection->began + connection->request.connecting);
   connection->socket.async_connect(*endpoint, [this, connection](const boost::system::error_code& failed) {
     if (connection->closed) return;
-    // A process that was frozen meanwhile wakes with a connection that stands and a policy that may be old: nothing is sent.
-    if (failed || steady_now() - connection->began > connection->request.connecting) return finish(connection, AttemptEnd::not_sent);
+    // A process that was frozen meanwhile wakes with a connection that stands and a configuration that may be old:
+    // nothing is sent.
+    if (failed || steady_now() - connection->began > connection->request.connecting)
+      return finish(connection, AttemptEnd::not_sent);
     connection->connected = true;
     boost::system::error_code ignored;
     connection->socket.set_option(tcp::no_delay(true), ignored);
@@ -158,7 +167,8 @@
   boost::system::error_code error;
   while (connection->sent < whole && !error) {
     std::array<boost::asio::const_buffer, 2> buffers;
-    const std::size_t of_body = connection->sent > connection->head.size() ? connection->sent - connection->head.size() : 0;
+    const std::size_t of_body =
+        connection->sent > connection->head.size() ? connection->sent - connection->head.size() : 0;
     buffers[0] = boost::asio::buffer(connection->head) + connection->sent;
     if (body > 0) buffers[1] = boost::asio::buffer(*connection->request.body) + of_body;
     connection->sent += connection->socket.write_some(buffers, error);
@@ -169,9 +179,10 @@
     return;
   }
   if (error == boost::asio::error::would_block) {
-    connection->socket.async_wait(tcp::socket::wait_write, [this, connection, id = connection->id](const boost::system::error_code& failed) {
-      if (!failed && !connection->closed && connection->id == id) write(connection);
-    });
+    connection->socket.async_wait(tcp::socket::wait_write,
+                                  [this, connection, id = connection->id](const boost::system::error_code& failed) {
+                                    if (!failed && !connection->closed && connection->id == id) write(connection);
+                                  });
     return;
   }
   // A runner may answer and close before it has read all: its answer is read all the same.
@@ -184,17 +195,19 @@
 void BeastExchange::read(const ConnectionPointer& connection) {
   if (connection->held || connection->reading || connection->closed) return;
   connection->reading = true;
-  connection->socket.async_read_some(boost::asio::buffer(connection->input.data() + connection->filled, connection->input.size() - connection->filled), [this, connection](const boost::system::error_code& error, std::size_t count) {
-    connection->reading = false;
-    if (connection->closed) return;
-    if (!connection->watcher) {
-      // Its end, or an answer that nobody asked for.
-      counts_.unasked += !error;
-      return close(connection);
-    }
-    if (error) return broken(connection);
-    take(connection, count);
-  });
+  connection->socket.async_read_some(
+      boost::asio::buffer(connection->input.data() + connection->filled, connection->input.size() - connection->filled),
+      [this, connection](const boost::system::error_code& error, std::size_t count) {
+        connection->reading = false;
+        if (connection->closed) return;
+        if (!connection->watcher) {
+          // Its end, or an answer that nobody asked for.
+          counts_.unasked += !error;
+          return close(connection);
+        }
+        if (error) return broken(connection);
+        take(connection, count);
+      });
 }
 
 void BeastExchange::take(const ConnectionPointer& connection, std::size_t count) {
@@ -203,15 +216,19 @@
   HttpReader<false>& reader = *connection->reader;
   boost::system::error_code error;
   const std::size_t used = reader.feed(View(connection->input.data(), connection->filled), error);
-  std::copy(connection->input.begin() + static_cast<std::ptrdiff_t>(used), connection->input.begin() + static_cast<std::ptrdiff_t>(connection->filled), connection->input.begin());
+  std::copy(connection->input.begin() + static_cast<std::ptrdiff_t>(used),
+            connection->input.begin() + static_cast<std::ptrdiff_t>(connection->filled), connection->input.begin());
   connection->filled -= used;
   const std::shared_ptr<AttemptWatcher> watcher = connection->watcher;
   const Id id = connection->id;
-  auto mine = [&] { return !connection->closed && connection->id == id; };
+  auto mine = [&] {
+    return !connection->closed && connection->id == id;
+  };
   if (reader.is_header_done() && !connection->headed) {
     connection->headed = true;
     // Without a length or chunks the end can't be told from a break: such an answer is not passed as whole.
-    if (error || reader.status < 200 || reader.status > 599 || reader.need_eof()) return finish(connection, AttemptEnd::broken);
+    if (error || reader.status < 200 || reader.status > 599 || reader.need_eof())
+      return finish(connection, AttemptEnd::broken);
     if (const auto idle = idle_of(reader.headers)) connection->idle = *idle;
     watcher->on_head(reader.status, reader.headers);
     if (!mine()) return;
@@ -222,20 +239,27 @@
     watcher->on_piece(piece);
     if (!mine()) return;
   }
-  if (error || (connection->filled == connection->input.size() && used == 0)) return finish(connection, AttemptEnd::broken);
+  if (error || (connection->filled == connection->input.size() && used == 0))
+    return finish(connection, AttemptEnd::broken);
   if (reader.is_done()) return finish(connection, AttemptEnd::whole);
   watcher->on_pause();
   if (!mine()) return;
-  if (connection->held) deadlines_.clear(connection->number);
-  else deadlines_.set(connection->number, steady_now() + (connection->any_piece ? connection->request.between_pieces : connection->request.first_piece));
+  if (connection->held)
+    deadlines_.clear(connection->number);
+  else
+    deadlines_.set(connection->number, steady_now() + (connection->any_piece ? connection->request.between_pieces
+                                                                             : connection->request.first_piece));
   read(connection);
 }
 
-// The connection ended before the answer did. Where that was one kept since an earlier request, and no byte of an answer
-// came, repeatable work goes again over a fresh one; any work does where nothing was written.
+// The connection ended before the answer did. Where that was one kept since an earlier request, and no byte of an
+// answer came, repeatable work goes again over a fresh one; any work does where nothing was written.
 void BeastExchange::broken(const ConnectionPointer& connection) {
-  const bool again = connection->used_before && !connection->any_byte && (connection->request.repeatable || connection->sent == 0);
-  if (!again) return finish(connection, !connection->any_byte && connection->sent == 0 ? AttemptEnd::not_sent : AttemptEnd::broken);
+  const bool again =
+      connection->used_before && !connection->any_byte && (connection->request.repeatable || connection->sent == 0);
+  if (!again)
+    return finish(connection,
+                  !connection->any_byte && connection->sent == 0 ? AttemptEnd::not_sent : AttemptEnd::broken);
   ++counts_.stale;
   const Id id = connection->id;
   AttemptRequest request = std::move(connection->request);
@@ -259,7 +283,8 @@
   if (!connection->watcher || connection->closed) return;
   const auto watcher = std::exchange(connection->watcher, nullptr);
   attempts_.erase(connection->id);
-  const bool kept = end == AttemptEnd::whole && connection->written && connection->filled == 0 && connection->reader->keep_alive() && connection->idle > Span{};
+  const bool kept = end == AttemptEnd::whole && connection->written && connection->filled == 0 &&
+                    connection->reader->keep_alive() && connection->idle > Span{};
   if (!kept) {
     counts_.unasked += end == AttemptEnd::whole && connection->filled > 0;
     close(connection);
--- a/source/host/beast_exchange.hpp
+++ b/source/host/beast_exchange.hpp
@@ -1,6 +1,6 @@
-// HTTP attempts to runners over connections that are kept. One that was not used for a while may be closing at the other
-// end, so work that may not be repeated gets a fresh one; bytes that nobody asked for end a connection, and what ended
-// before its whole answer is never used again.
+// HTTP attempts to runners over connections that are kept. One that was not used for a while may be closing at the
+// other end, so work that may not be repeated gets a fresh one; bytes that nobody asked for end a connection, and what
+// ended before its whole answer is never used again.
 #pragma once
 #include "host/deadlines.hpp"
 
@@ -12,7 +12,8 @@
 
 class BeastExchange : public Exchange {
  public:
-  explicit BeastExchange(boost::asio::io_context& context) : context_(context), deadlines_(context, [this](std::uint64_t key) { due(key); }) {}
+  explicit BeastExchange(boost::asio::io_context& context)
+      : context_(context), deadlines_(context, [this](std::uint64_t key) { due(key); }) {}
   ~BeastExchange() override;
   Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) override;
   void cancel(Id id) override;
@@ -23,8 +24,8 @@
   struct Connection;
   using ConnectionPointer = std::shared_ptr<Connection>;
   struct Pool {
-    std::vector<ConnectionPointer> idle;   // the one used last stands last
-    std::size_t open = 0;                  // idle ones and those in use
+    std::vector<ConnectionPointer> idle;  // the one used last stands last
+    std::size_t open = 0;                 // idle ones and those in use
   };
   ConnectionPointer idle_for(const std::string& key, bool repeatable);
   void connect(const ConnectionPointer& connection);
@@ -40,7 +41,7 @@
   Deadlines deadlines_;
   std::unordered_map<Id, ConnectionPointer> attempts_;
   std::unordered_map<std::uint64_t, ConnectionPointer> connections_;
-  std::unordered_map<std::string, Pool> pools_;   // by the runner's address and name
+  std::unordered_map<std::string, Pool> pools_;  // by the runner's address and name
   ExchangeCounts counts_;
   Id last_ = 0;
   std::uint64_t last_connection_ = 0;
--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -20,16 +20,19 @@
 }
 }  // namespace
 
-Daemon::Daemon(Settings settings, std::string version, std::unique_ptr<Place> place) : settings_(std::move(settings)), place_(std::move(place)) {
+Daemon::Daemon(Settings settings, std::string version, std::unique_ptr<Place> place)
+    : settings_(std::move(settings)), place_(std::move(place)) {
   self_.address = settings_.address;
-  self_.hall = settings_.hall;
+  self_.zone = settings_.zone;
   self_.callers = settings_.callers;
   self_.control = settings_.control;
   self_.version = std::move(version);
   self_.keeps = settings_.keeps;
   self_.name = settings_.name;
   // Later starts at one address have higher incarnations; a clock that went back only delays the newer one's standing.
-  self_.incarnation = new_incarnation(std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()), kept_duty_.thread.chance());
+  self_.incarnation =
+      new_incarnation(std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()),
+                      store_duty_.thread.random());
 }
 
 Daemon::~Daemon() {
@@ -38,74 +41,98 @@
   if (disk_) disk_->stop();
 }
 
-void Daemon::make_post(Duty& duty, const std::string& slice) {
-  duty.post = std::make_unique<Post>(*wire_, duty.thread.schedule(), settings_.address, self_.incarnation, slice);
+void Daemon::make_messenger(Duty& duty, const std::string& slice) {
+  duty.messenger =
+      std::make_unique<Messenger>(*wire_, duty.thread.timers(), settings_.address, self_.incarnation, slice);
   wire_->route(slice, [&duty](Envelope envelope) {
-    duty.thread.offer([&duty, envelope = std::move(envelope)]() mutable { duty.post->take(std::move(envelope)); });
+    duty.thread.offer([&duty, envelope = std::move(envelope)]() mutable { duty.messenger->take(std::move(envelope)); });
   });
 }
 
 Result<Done> Daemon::open() {
-  wire_ = std::make_unique<TcpWire>(settings_.address, [](View sentence) { logs::warn("wire", sentence); }, shared_);
+  wire_ = std::make_unique<TcpWire>(
+      settings_.address, [](View sentence) { logs::warn("wire", sentence); }, shared_context_);
   const bool holder = !settings_.data_folder.empty();
   const bool keeps_control = holder && settings_.keeps != "lots", keeps_lots = holder && settings_.keeps != "control";
   const Dialect& dialect = place_ ? place_->dialect() : plain_dialect();
   const ConfigurationFormat* format = place_ ? &place_->format() : nullptr;
-  make_post(sessions_duty_, "sessions");
-  make_post(news_duty_, "news");
-  make_post(control_duty_, "control");
+  make_messenger(sessions_duty_, "sessions");
+  make_messenger(news_duty_, "news");
+  make_messenger(control_duty_, "control");
   if (settings_.first_start) {
-    make_post(founding_duty_, "founding");
-    founding_ = std::make_unique<Founding>(*founding_duty_.post, board_, *settings_.first_start);
+    make_messenger(founding_duty_, "founding");
+    founding_ = std::make_unique<Founding>(*founding_duty_.messenger, shared_state_, *settings_.first_start);
   }
   if (holder) {
-    make_post(kept_duty_, "kept");
-    disk_ = std::make_unique<FileDisk>(settings_.data_folder, [this](Task task) { boost::asio::post(kept_duty_.thread.context(), std::move(task)); });
+    make_messenger(store_duty_, "store");
+    disk_ = std::make_unique<FileDisk>(
+        settings_.data_folder, [this](Task task) { boost::asio::post(store_duty_.thread.context(), std::move(task)); });
     auto opened = disk_->open();
     if (auto fault = fault_of(opened)) return *fault;
-    Kept::Report report;
-    report.note = [](View sentence) { logs::note("kept", sentence); };
+    ReplicatedStore::Report report;
+    report.note = [](View sentence) {
+      logs::note("store", sentence);
+    };
     report.fatal = [this] {
-      logs::warn("kept", "The disk failed; this daemon ends.");
-      boost::asio::post(main_, [this] { exit_code_ = 5; main_.stop(); });
+      logs::warn("store", "The disk failed; this daemon ends.");
+      boost::asio::post(main_, [this] {
+        exit_code_ = 5;
+        main_.stop();
+      });
     };
-    kept_ = std::make_unique<Kept>(*kept_duty_.post, board_, *disk_, kept_duty_.thread.chance(), self_, settings_.seeds, std::move(report), settings_.first_start);
-    auto loaded = kept_->load();
+    store_ =
+        std::make_unique<ReplicatedStore>(*store_duty_.messenger, shared_state_, *disk_, store_duty_.thread.random(),
+                                          self_, settings_.seeds, std::move(report), settings_.first_start);
+    auto loaded = store_->load();
     if (auto fault = fault_of(loaded)) return *fault;
-    self_.holder = kept_->identity();
+    self_.holder = store_->identity();
   }
   if (keeps_control) {
-    make_post(circle_duty_, "circle");
-    circle_ = std::make_unique<CircleDuty>(*circle_duty_.post, board_);
+    make_messenger(circle_duty_, "circle");
+    circle_ = std::make_unique<CircleDuty>(*circle_duty_.messenger, shared_state_);
   }
   if (keeps_lots) {
-    make_post(lots_duty_, "lots");
-    lots_ = std::make_unique<Lots>(*lots_duty_.post, board_);
+    make_messenger(lots_duty_, "lots");
+    lots_ = std::make_unique<Lots>(*lots_duty_.messenger, shared_state_);
   }
-  sessions_ = std::make_unique<Sessions>(*sessions_duty_.post, board_, self_, settings_.seeds);
-  news_ = std::make_unique<News>(*news_duty_.post, board_, news_duty_.thread.chance(), keeps_control, format);
+  sessions_ = std::make_unique<Sessions>(*sessions_duty_.messenger, shared_state_, self_, settings_.seeds);
+  news_ =
+      std::make_unique<News>(*news_duty_.messenger, shared_state_, news_duty_.thread.random(), keeps_control, format);
   // Where machines hold lots alone, these place the items as well.
   if (!place_ || settings_.keeps == "lots") {
-    make_post(placing_duty_, "placing");
+    make_messenger(placing_duty_, "placing");
     lot_exchange_ = std::make_unique<BeastExchange>(placing_duty_.thread.context());
-    placing_ = std::make_unique<Placing>(*placing_duty_.post, board_, *lot_exchange_, placing_duty_.thread.chance(), dialect);
+    placing_ = std::make_unique<Placing>(*placing_duty_.messenger, shared_state_, *lot_exchange_,
+                                         placing_duty_.thread.random(), dialect);
   }
   if (place_ && !settings_.control.empty()) {
-    make_post(listing_duty_, "listing");
+    make_messenger(listing_duty_, "listing");
     list_exchange_ = std::make_unique<BeastExchange>(listing_duty_.thread.context());
     list_source_ = place_->list_source();
-    runner_list_ = std::make_unique<RunnerList>(*listing_duty_.post, board_, *list_exchange_, listing_duty_.thread.chance(), *list_source_);
+    runner_list_ = std::make_unique<RunnerList>(*listing_duty_.messenger, shared_state_, *list_exchange_,
+                                                listing_duty_.thread.random(), *list_source_);
   }
-  control_ = std::make_unique<Control>(*control_duty_.post, board_, control_duty_.thread.chance(), self_, [this] { return usage(); });
-  if (place_) surface_ = place_->surface(*control_duty_.post, board_, control_duty_.thread.chance(), self_);
+  control_ = std::make_unique<Control>(*control_duty_.messenger, shared_state_, control_duty_.thread.random(), self_,
+                                       [this] { return load(); });
+  if (place_) surface_ = place_->surface(*control_duty_.messenger, shared_state_, control_duty_.thread.random(), self_);
   if (!settings_.callers.empty()) {
-    make_post(routes_duty_, "routes");
+    make_messenger(routes_duty_, "routes");
     live_exchange_ = std::make_unique<BeastExchange>(routes_duty_.thread.context());
-    entries_ = std::make_unique<Entries>(*routes_duty_.post, board_, *live_exchange_, routes_duty_.thread.chance(), self_, dialect);
-    front_ = std::make_unique<Front>(routes_duty_.thread.context(), *entries_, [this](ControlRequest request, ControlAnswer answer) {
-      return control_duty_.thread.offer([this, request = std::move(request), answer = std::move(answer)]() mutable { handle(std::move(request), std::move(answer)); });
-    }, most_sessions(), surface_ ? Front::ToControlSide([this](View method, View target, const std::vector<Header>& headers) { return surface_->takes(method, target, headers); }) : Front::ToControlSide());
-    entries_->serves_while_draining = place_ != nullptr;
+    router_ = std::make_unique<Router>(*routes_duty_.messenger, shared_state_, *live_exchange_,
+                                       routes_duty_.thread.random(), self_, dialect);
+    front_ = std::make_unique<Front>(
+        routes_duty_.thread.context(), *router_,
+        [this](ControlRequest request, ControlAnswer answer) {
+          return control_duty_.thread.offer([this, request = std::move(request), answer = std::move(answer)]() mutable {
+            handle(std::move(request), std::move(answer));
+          });
+        },
+        most_sessions(),
+        surface_ ? Front::ToControlSide([this](View method, View target, const std::vector<Header>& headers) {
+          return surface_->takes(method, target, headers);
+        })
+                 : Front::ToControlSide());
+    router_->serves_while_draining = place_ != nullptr;
   }
   return listen();
 }
@@ -119,30 +146,40 @@
 }
 
 void Daemon::handle(ControlRequest request, ControlAnswer answer) {
-  if (surface_) surface_->handle(std::move(request), std::move(answer));
-  else control_->handle(std::move(request), std::move(answer));
+  if (surface_)
+    surface_->handle(std::move(request), std::move(answer));
+  else
+    control_->handle(std::move(request), std::move(answer));
 }
 
-json::value Daemon::usage() {
+json::value Daemon::load() {
   std::lock_guard lock(counts_mutex_);
   const WireCounts& wire = wire_->counts();
   json::object dropped;
   for (Duty* duty : duties_)
-    if (duty->post && duty->thread.dropped() > 0) dropped[duty->post->slice()] = duty->thread.dropped();
-  return json::object{{"entries", to_json(counts_)}, {"open", open_}, {"placed", placed_},
-                      {"wire", json::object{{"frames_out", wire.frames_out.load()}, {"bytes_out", wire.bytes_out.load()}, {"frames_in", wire.frames_in.load()}, {"bytes_in", wire.bytes_in.load()}, {"foreign", wire.foreign.load()}}},
-                      {"kept", json::object{{"appends", syncs_.load()}, {"commits", commits_.load()}}}, {"rings_full", dropped}};
+    if (duty->messenger && duty->thread.dropped() > 0) dropped[duty->messenger->slice()] = duty->thread.dropped();
+  return json::object{{"entries", to_json(counts_)},
+                      {"open", open_},
+                      {"placed", placed_},
+                      {"wire", json::object{{"frames_out", wire.frames_out.load()},
+                                            {"bytes_out", wire.bytes_out.load()},
+                                            {"frames_in", wire.frames_in.load()},
+                                            {"bytes_in", wire.bytes_in.load()},
+                                            {"foreign", wire.foreign.load()}}},
+                      {"store", json::object{{"appends", syncs_.load()}, {"commits", commits_.load()}}},
+                      {"rings_full", dropped}};
 }
 
 int Daemon::run() {
-  logs::note("daemon", "Serving callers at " + settings_.callers.text + " and operators at " + settings_.control.text + ".");
+  logs::note("daemon",
+             "Serving callers at " + settings_.callers.text + " and operators at " + settings_.control.text + ".");
   wire_->start();
   for (Duty* duty : duties_) duty->thread.start();
   sessions_duty_.thread.offer([this] { sessions_->start(); });
   news_duty_.thread.offer([this] { news_->start(); });
   if (placing_) placing_duty_.thread.offer([this] { placing_->start(); });
-  if (entries_) routes_duty_.thread.offer([this] { entries_->start(); });
-  if (kept_) kept_duty_.thread.offer([this] { kept_->start(); });
+  if (router_) routes_duty_.thread.offer([this] { router_->start(); });
+  if (store_) store_duty_.thread.offer([this] { store_->start(); });
   if (circle_) circle_duty_.thread.offer([this] { circle_->start(); });
   if (lots_) lots_duty_.thread.offer([this] { lots_->start(); });
   if (runner_list_) listing_duty_.thread.offer([this] { runner_list_->start(); });
@@ -150,37 +187,50 @@
   boost::asio::steady_timer timer(main_);
   Moment drain_until{}, drain_began{};
   // Watchers of a place's health answers need a moment to send new callers elsewhere.
-  const Span drain_least = settings_.health.empty() ? Span(std::chrono::milliseconds(200)) : Span(std::chrono::milliseconds(2600));
+  const Span drain_least =
+      settings_.health.empty() ? Span(std::chrono::milliseconds(200)) : Span(std::chrono::milliseconds(2600));
   std::string last_state;
   std::function<void()> watch = [&] {
-    if (entries_) routes_duty_.thread.offer([this] {
-      std::lock_guard lock(counts_mutex_);
-      counts_ = entries_->counts();
-      open_ = entries_->open();
-    });
-    if (placing_) placing_duty_.thread.offer([this] {
-      std::lock_guard lock(counts_mutex_);
-      placed_ = placing_->open();
-    });
-    if (kept_) kept_duty_.thread.offer([this] { syncs_ = kept_->syncs(); commits_ = kept_->commits(); });
+    if (router_)
+      routes_duty_.thread.offer([this] {
+        std::lock_guard lock(counts_mutex_);
+        counts_ = router_->counts();
+        open_ = router_->open();
+      });
+    if (placing_)
+      placing_duty_.thread.offer([this] {
+        std::lock_guard lock(counts_mutex_);
+        placed_ = placing_->open();
+      });
+    if (store_)
+      store_duty_.thread.offer([this] {
+        syncs_ = store_->syncs();
+        commits_ = store_->commits();
+      });
     const Moment now = steady_now();
-    const std::string state = board_.permitted(now) ? "The policy is fresh; this daemon serves." : board_.permit_until < 0 ? "" : "No control daemon in touch with a majority answers; the newest policy known stays in force.";
+    const std::string state =
+        shared_state_.has_lease(now) ? "The configuration is fresh; this daemon serves."
+        : shared_state_.lease_until < 0
+            ? ""
+            : "No control daemon in touch with a majority answers; the newest configuration known stays in force.";
     if (!state.empty() && state != last_state) logs::note("news", state);
     if (!state.empty()) last_state = state;
     if (drain_until.microseconds > 0) return drain(now - drain_began >= drain_least, now > drain_until);
     timer.expires_after(std::chrono::milliseconds(200));
     timer.async_wait([&](const boost::system::error_code&) { watch(); });
   };
-  // Ends when nothing is open any more. What is open is counted on the thread that serves, at the moment of the end, so that
-  // no request comes between.
-  drain_again_ = [&] { watch(); };
+  // Ends when nothing is open any more. What is open is counted on the thread that serves, at the moment of the end, so
+  // that no request comes between.
+  drain_again_ = [&] {
+    watch();
+  };
   std::function<void()> wait = [&] {
     signals.async_wait([&](const boost::system::error_code& error, int signal) {
       if (error) return;
       if (signal == SIGHUP) return wait();
       if (drain_until.microseconds > 0) return main_.stop();
       logs::note("daemon", "Draining: new requests are refused, open ones end.");
-      board_.draining = true;
+      shared_state_.draining = true;
       drain_began = steady_now();
       drain_until = drain_began + settings_.drain + std::chrono::milliseconds(place_ ? 0 : 400);
       wait();
@@ -197,7 +247,9 @@
     if (long_enough && front_) front_->close();
     const std::size_t left = (front_ ? front_->busy() : 0) + placed_;
     if ((left == 0 && long_enough) || over) {
-      logs::note("daemon", left == 0 ? "Drained; ending." : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
+      logs::note("daemon", left == 0
+                               ? "Drained; ending."
+                               : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
       return main_.stop();
     }
     boost::asio::post(main_, [this] {
@@ -205,8 +257,10 @@
       drain_timer_.async_wait([this](const boost::system::error_code&) { drain_again_(); });
     });
   };
-  if (entries_ && !settings_.single_thread) boost::asio::post(routes_duty_.thread.context(), count);
-  else count();
+  if (router_ && !settings_.single_thread)
+    boost::asio::post(routes_duty_.thread.context(), count);
+  else
+    count();
 }
 
 }  // namespace mothwalk
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -6,14 +6,14 @@
 #include "host/beast_exchange.hpp"
 #include "host/file_disk.hpp"
 #include "host/front.hpp"
-#include "kept/founding.hpp"
 #include "host/place.hpp"
 #include "host/settings.hpp"
 #include "host/tcp_wire.hpp"
 #include "lots/lots.hpp"
 #include "lots/placing.hpp"
 #include "news/news.hpp"
-#include "routes/entries.hpp"
+#include "replication/founding.hpp"
+#include "routes/router.hpp"
 #include "sessions/sessions.hpp"
 
 namespace mothwalk {
@@ -29,24 +29,29 @@
  private:
   struct Duty {
     DutyThread thread;
-    std::unique_ptr<Post> post;
-    Duty(std::string name, boost::asio::io_context* shared) : thread(std::move(name), shared) {}
+    std::unique_ptr<Messenger> messenger;
+    Duty(std::string name, boost::asio::io_context* shared_context) : thread(std::move(name), shared_context) {}
   };
-  void make_post(Duty& duty, const std::string& slice);
+  void make_messenger(Duty& duty, const std::string& slice);
   Result<Done> listen();
   void handle(ControlRequest request, ControlAnswer answer);
-  json::value usage();
+  json::value load();
   void drain(bool long_enough, bool over);
 
   Settings settings_;
   std::unique_ptr<Place> place_;
   boost::asio::io_context main_{1};
-  boost::asio::io_context* shared_ = settings_.single_thread ? &main_ : nullptr;
+  boost::asio::io_context* shared_context_ = settings_.single_thread ? &main_ : nullptr;
   Member self_;
-  Board board_;
+  SharedState shared_state_;
   std::unique_ptr<TcpWire> wire_;
-  Duty sessions_duty_{"sessions", shared_}, news_duty_{"news", shared_}, kept_duty_{"kept", shared_}, circle_duty_{"circle", shared_}, lots_duty_{"lots", shared_}, placing_duty_{"placing", shared_}, routes_duty_{"routes", shared_}, control_duty_{"control", shared_}, listing_duty_{"listing", shared_}, founding_duty_{"founding", shared_};
-  const std::vector<Duty*> duties_{&sessions_duty_, &news_duty_, &kept_duty_, &circle_duty_, &lots_duty_, &placing_duty_, &routes_duty_, &control_duty_, &listing_duty_, &founding_duty_};
+  Duty sessions_duty_{"sessions", shared_context_}, news_duty_{"news", shared_context_},
+      store_duty_{"store", shared_context_}, circle_duty_{"circle", shared_context_},
+      lots_duty_{"lots", shared_context_}, placing_duty_{"placing", shared_context_},
+      routes_duty_{"routes", shared_context_}, control_duty_{"control", shared_context_},
+      listing_duty_{"listing", shared_context_}, founding_duty_{"founding", shared_context_};
+  const std::vector<Duty*> duties_{&sessions_duty_, &news_duty_,   &store_duty_,   &circle_duty_,  &lots_duty_,
+                                   &placing_duty_,  &routes_duty_, &control_duty_, &listing_duty_, &founding_duty_};
   std::unique_ptr<FileDisk> disk_;
   std::unique_ptr<BeastExchange> live_exchange_, lot_exchange_, list_exchange_;
   std::unique_ptr<ListSource> list_source_;
@@ -54,11 +59,11 @@
   std::unique_ptr<Sessions> sessions_;
   std::unique_ptr<News> news_;
   std::unique_ptr<Founding> founding_;
-  std::unique_ptr<Kept> kept_;
+  std::unique_ptr<ReplicatedStore> store_;
   std::unique_ptr<CircleDuty> circle_;
   std::unique_ptr<Lots> lots_;
   std::unique_ptr<Placing> placing_;
-  std::unique_ptr<Entries> entries_;
+  std::unique_ptr<Router> router_;
   std::unique_ptr<Control> control_;
   std::unique_ptr<Surface> surface_;
   std::unique_ptr<Front> front_;
--- a/source/host/deadlines.hpp
+++ b/source/host/deadlines.hpp
@@ -7,7 +7,8 @@
 
 class Deadlines {
  public:
-  Deadlines(boost::asio::io_context& context, std::function<void(std::uint64_t)> due) : timer_(context), due_(std::move(due)) {}
+  Deadlines(boost::asio::io_context& context, std::function<void(std::uint64_t)> due)
+      : timer_(context), due_(std::move(due)) {}
   void set(std::uint64_t key, Moment at) {
     clear(key);
     moments_[key] = at;
--- a/source/host/duty_thread.cpp
+++ b/source/host/duty_thread.cpp
@@ -1,4 +1,4 @@
-// The steady clock counts suspended time, so that a permit never outlives a machine's sleep.
+// The steady clock counts suspended time, so that a lease never outlives a machine's sleep.
 #include "host/duty_thread.hpp"
 
 #include <pthread.h>
@@ -14,9 +14,11 @@
   return Moment{static_cast<std::int64_t>(time.tv_sec) * 1000000 + time.tv_nsec / 1000};
 }
 
-Moment AsioSchedule::now() const { return steady_now(); }
+Moment AsioTimers::now() const {
+  return steady_now();
+}
 
-Schedule::Id AsioSchedule::after(Span span, Task task) {
+Timers::Id AsioTimers::after(Span span, Task task) {
   const Id id = ++last_;
   auto timer = std::make_unique<boost::asio::steady_timer>(context_, span);
   timer->async_wait([this, id, task = std::move(task)](const boost::system::error_code& error) {
@@ -27,14 +29,16 @@
   return id;
 }
 
-void AsioSchedule::cancel(Id id) { timers_.erase(id); }
+void AsioTimers::cancel(Id id) {
+  timers_.erase(id);
+}
 
-SystemChance::SystemChance(std::uint64_t salt) {
+SystemRandom::SystemRandom(std::uint64_t salt) {
   std::random_device device;
   state_ = (static_cast<std::uint64_t>(device()) << 32 | device()) ^ salt;
 }
 
-std::uint64_t SystemChance::next() {
+std::uint64_t SystemRandom::next() {
   state_ += 0x9E3779B97F4A7C15ULL;
   std::uint64_t mixed = state_;
   mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
--- a/source/host/duty_thread.hpp
+++ b/source/host/duty_thread.hpp
@@ -1,4 +1,4 @@
-// An event loop for one duty, a bounded ring for what others hand in, and the steady schedule. The loop has a thread of
+// An event loop for one duty, a bounded ring for what others hand in, and the steady timers. The loop has a thread of
 // its own, or is one that several duties share: then nothing wakes another thread, which is cheaper on a small machine.
 #pragma once
 #include <atomic>
@@ -11,9 +11,9 @@
 
 namespace mothwalk {
 
-class AsioSchedule : public Schedule {
+class AsioTimers : public Timers {
  public:
-  explicit AsioSchedule(boost::asio::io_context& context) : context_(context) {}
+  explicit AsioTimers(boost::asio::io_context& context) : context_(context) {}
   Moment now() const override;
   Id after(Span span, Task task) override;
   void cancel(Id id) override;
@@ -24,9 +24,9 @@
   Id last_ = 0;
 };
 
-class SystemChance : public Chance {
+class SystemRandom : public RandomSource {
  public:
-  explicit SystemChance(std::uint64_t salt);
+  explicit SystemRandom(std::uint64_t salt);
   std::uint64_t next() override;
 
  private:
@@ -37,13 +37,18 @@
  public:
   // Runs on the shared loop where one is given.
   explicit DutyThread(std::string name, boost::asio::io_context* shared = nullptr)
-      : name_(std::move(name)), own_(shared == nullptr ? std::make_unique<boost::asio::io_context>(1) : nullptr), context_(shared == nullptr ? *own_ : *shared), schedule_(context_), chance_(hash_of(name_)), ring_(8192) {
+      : name_(std::move(name)),
+        own_(shared == nullptr ? std::make_unique<boost::asio::io_context>(1) : nullptr),
+        context_(shared == nullptr ? *own_ : *shared),
+        timers_(context_),
+        random_(hash_of(name_)),
+        ring_(8192) {
     if (own_) work_.emplace(own_->get_executor());
   }
   ~DutyThread() { stop(); }
   boost::asio::io_context& context() { return context_; }
-  AsioSchedule& schedule() { return schedule_; }
-  Chance& chance() { return chance_; }
+  AsioTimers& timers() { return timers_; }
+  RandomSource& random() { return random_; }
   bool offer(Task task);
   void start();
   void stop();
@@ -54,8 +59,8 @@
   std::unique_ptr<boost::asio::io_context> own_;
   boost::asio::io_context& context_;
   std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> work_;
-  AsioSchedule schedule_;
-  SystemChance chance_;
+  AsioTimers timers_;
+  SystemRandom random_;
   Ring<Task> ring_;
   std::thread thread_;
   std::atomic<std::uint64_t> dropped_{0};
--- a/source/host/file_disk.cpp
+++ b/source/host/file_disk.cpp
@@ -18,11 +18,15 @@
 }
 
 Result<Done> FileDisk::open() {
-  auto fault = [&](const std::string& what, const std::string& remedy) { return Fault{FaultKind::conflict, "data_folder", what + " '" + folder_ + "': " + std::strerror(errno), remedy}; };
-  if (::mkdir(folder_.c_str(), 0700) != 0 && errno != EEXIST) return fault("can't make", "give a folder whose parent exists and is writable");
+  auto fault = [&](const std::string& what, const std::string& remedy) {
+    return Fault{FaultKind::conflict, "data_folder", what + " '" + folder_ + "': " + std::strerror(errno), remedy};
+  };
+  if (::mkdir(folder_.c_str(), 0700) != 0 && errno != EEXIST)
+    return fault("can't make", "give a folder whose parent exists and is writable");
   lock_ = ::open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   if (lock_ < 0) return fault("can't write in", "give a writable folder");
-  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) return fault("another daemon uses", "stop that daemon, or give each its own folder");
+  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0)
+    return fault("another daemon uses", "stop that daemon, or give each its own folder");
   file_ = ::open(path().c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (file_ < 0) return fault("can't open the records in", "make the folder's files writable");
   thread_ = std::thread([this] { run(); });
@@ -42,9 +46,12 @@
   // Through the file that was opened: one that can't be read must never look like an empty folder.
   Bytes bytes, part(1u << 20, '\0');
   ssize_t count = 0;
-  while ((count = ::pread(file_, part.data(), part.size(), static_cast<off_t>(bytes.size()))) > 0 || (count < 0 && errno == EINTR))
+  while ((count = ::pread(file_, part.data(), part.size(), static_cast<off_t>(bytes.size()))) > 0 ||
+         (count < 0 && errno == EINTR))
     if (count > 0) bytes.append(part, 0, static_cast<std::size_t>(count));
-  if (count < 0) return Fault{FaultKind::damaged, "data_folder", "the records can't be read", "check the disk, or empty the folder so that this machine joins as a new holder"};
+  if (count < 0)
+    return Fault{FaultKind::damaged, "data_folder", "the records can't be read",
+                 "check the disk, or empty the folder so that this machine joins as a new holder"};
   return bytes;
 }
 
@@ -115,7 +122,7 @@
     }
     auto done = std::make_shared<std::vector<std::function<void(bool)>>>();
     for (auto& order : batch) done->push_back(std::move(order.done));
-    post_([done, good] {
+    execute_([done, good] {
       for (auto& each : *done) each(good);
     });
     lock.lock();
--- a/source/host/file_disk.hpp
+++ b/source/host/file_disk.hpp
@@ -12,8 +12,9 @@
 
 class FileDisk : public Disk {
  public:
-  // Callbacks are handed to `post`.
-  FileDisk(std::string folder, std::function<void(Task)> post) : folder_(std::move(folder)), post_(std::move(post)) {}
+  // Callbacks are handed to `execute`.
+  FileDisk(std::string folder, std::function<void(Task)> execute)
+      : folder_(std::move(folder)), execute_(std::move(execute)) {}
   ~FileDisk() override;
   Result<Done> open();
   void stop();
@@ -33,7 +34,7 @@
   std::string path() const { return folder_ + "/records"; }
 
   std::string folder_;
-  std::function<void(Task)> post_;
+  std::function<void(Task)> execute_;
   int lock_ = -1, file_ = -1;
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -17,7 +17,9 @@
 constexpr std::size_t input_bytes = 4096, long_input_bytes = 32768, kept_output_bytes = 16384;
 constexpr Span lingering = std::chrono::seconds(1);
 
-bool for_lots(View, View target, const std::vector<Header>&) { return target == "/lots" || target.starts_with("/lots/") || target.starts_with("/lots?"); }
+bool for_lots(View, View target, const std::vector<Header>&) {
+  return target == "/lots" || target.starts_with("/lots/") || target.starts_with("/lots?");
+}
 
 void put_hex(std::string& out, std::size_t value) {
   char digits[16];
@@ -31,7 +33,12 @@
 class Front::Session : public std::enable_shared_from_this<Front::Session> {
  public:
   Session(Front& front, tcp::socket socket, bool callers, std::uint64_t number)
-      : front_(front), alive_(front.alive_), socket_(std::move(socket)), number_(number), callers_(callers), over_(front.sessions_.size() >= front.most_sessions_) {}
+      : front_(front),
+        alive_(front.alive_),
+        socket_(std::move(socket)),
+        number_(number),
+        callers_(callers),
+        over_(front.sessions_.size() >= front.most_sessions_) {}
   ~Session() {
     if (*alive_) front_.sessions_.erase(number_);
   }
@@ -85,7 +92,9 @@
       session_->flush();
       session_->close();
     }
-    std::size_t backlog() const override { return session_->output_.size() + session_->in_flight_.size() - session_->written_; }
+    std::size_t backlog() const override {
+      return session_->output_.size() + session_->in_flight_.size() - session_->written_;
+    }
 
    private:
     bool current() const { return session_->turn_ == turn_ && !session_->closed_; }
@@ -96,15 +105,17 @@
 
   // A next request is awaited; it may have come already.
   void expect() {
-    limits_ = front_.entries_.limits();
+    limits_ = front_.router_.limits();
     reader_.emplace();
     reader_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
     reader_->body_limit(limits_.body_bytes);
     headed_ = false;
     // A little longer than callers count on, so that none meets a connection that is just closing.
     set_deadline(limits_.idle_time + lingering);
-    if (filled_ > 0) parse();
-    else read();
+    if (filled_ > 0)
+      parse();
+    else
+      read();
   }
 
   void set_deadline(Span span) { front_.deadlines_.set(number_, steady_now() + span); }
@@ -113,31 +124,35 @@
     if (reading_ || closed_ || (input_.size() > 0 && filled_ == input_.size())) return;
     if (input_.empty()) input_.resize(input_bytes);
     reading_ = true;
-    socket_.async_read_some(boost::asio::buffer(input_.data() + filled_, input_.size() - filled_), [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-      self->reading_ = false;
-      if (self->closed_) return;
-      if (error) return self->close();
-      self->filled_ += count;
-      if (self->lingering_) {
-        self->filled_ = 0;
-        return self->read();
-      }
-      // What is sent ahead of an answer waits; then the caller's leaving is noticed by the failing write.
-      if (!self->answering_ && !self->done_) self->parse();
-    });
+    socket_.async_read_some(boost::asio::buffer(input_.data() + filled_, input_.size() - filled_),
+                            [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+                              self->reading_ = false;
+                              if (self->closed_) return;
+                              if (error) return self->close();
+                              self->filled_ += count;
+                              if (self->lingering_) {
+                                self->filled_ = 0;
+                                return self->read();
+                              }
+                              // What is sent ahead of an answer waits; then the caller's leaving is noticed by the
+                              // failing write.
+                              if (!self->answering_ && !self->done_) self->parse();
+                            });
   }
 
   void parse() {
     boost::system::error_code error;
     const bool first = !reader_->got_some();
     const std::size_t used = reader_->feed(View(input_.data(), filled_), error);
-    std::copy(input_.begin() + static_cast<std::ptrdiff_t>(used), input_.begin() + static_cast<std::ptrdiff_t>(filled_), input_.begin());
+    std::copy(input_.begin() + static_cast<std::ptrdiff_t>(used), input_.begin() + static_cast<std::ptrdiff_t>(filled_),
+              input_.begin());
     filled_ -= used;
     if (error) return failed(error);
     if (reader_->is_header_done() && !headed_) {
       headed_ = true;
       if (over_) return busy("this daemon serves as many connections as it may");
-      if (reader_->version != 11) return fault(505, Fault{FaultKind::invalid, "version", "only HTTP/1.1 is served", "use HTTP/1.1"});
+      if (reader_->version != 11)
+        return fault(505, Fault{FaultKind::invalid, "version", "only HTTP/1.1 is served", "use HTTP/1.1"});
       const std::string* expectation = header_of(reader_->headers, "Expect");
       if (expectation != nullptr && same_name(*expectation, "100-continue") && !reader_->is_done()) {
         output_.append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -145,17 +160,26 @@
       }
     }
     if (reader_->is_done()) return dispatch();
-    if (headed_) set_deadline(limits_.idle_time);
-    else if (first) set_deadline(limits_.header_time);
+    if (headed_)
+      set_deadline(limits_.idle_time);
+    else if (first)
+      set_deadline(limits_.header_time);
     const std::size_t room = headed_ ? long_input_bytes : std::max(input_bytes, filled_ + input_bytes / 2);
     if (input_.size() < room) input_.resize(room);
     read();
   }
 
   void failed(const boost::system::error_code& error) {
-    if (error == http::error::header_limit) return fault(431, Fault{FaultKind::too_large, "headers", "the headers are longer than " + std::to_string(limits_.header_bytes) + " bytes", "send fewer headers"});
-    if (error == http::error::body_limit) return fault(413, Fault{FaultKind::too_large, "body", "the body is longer than " + std::to_string(limits_.body_bytes) + " bytes", "send a shorter one"});
-    fault(400, Fault{FaultKind::invalid, "request", "this is not an HTTP/1.1 request: " + error.message(), "send a well-formed request"});
+    if (error == http::error::header_limit)
+      return fault(431, Fault{FaultKind::too_large, "headers",
+                              "the headers are longer than " + std::to_string(limits_.header_bytes) + " bytes",
+                              "send fewer headers"});
+    if (error == http::error::body_limit)
+      return fault(
+          413, Fault{FaultKind::too_large, "body",
+                     "the body is longer than " + std::to_string(limits_.body_bytes) + " bytes", "send a shorter one"});
+    fault(400, Fault{FaultKind::invalid, "request", "this is not an HTTP/1.1 request: " + error.message(),
+                     "send a well-formed request"});
   }
 
   void dispatch() {
@@ -169,32 +193,44 @@
     ++turn_;
     answering_ = true;
     read();
-    const bool to_control = !callers_ || (front_.to_control_side_ ? front_.to_control_side_(reader_->method, reader_->target, reader_->headers) : for_lots(reader_->method, reader_->target, reader_->headers));
+    const bool to_control =
+        !callers_ ||
+        (front_.to_control_side_ ? front_.to_control_side_(reader_->method, reader_->target, reader_->headers)
+                                 : for_lots(reader_->method, reader_->target, reader_->headers));
     if (to_control) {
-      ControlRequest control{std::move(reader_->method), std::move(reader_->target), std::move(reader_->body), callers_, std::move(reader_->headers)};
+      ControlRequest control{std::move(reader_->method), std::move(reader_->target), std::move(reader_->body), callers_,
+                             std::move(reader_->headers)};
       // Another thread gets no share in this session, which must end on its own thread.
       held_ = shared_from_this();
-      const bool taken = front_.control_(std::move(control), [weak = weak_from_this(), &context = front_.context_, turn = turn_](ControlReply reply) {
-        boost::asio::post(context, [weak, turn, reply = std::move(reply)] {
-          if (auto self = weak.lock(); self && self->turn_ == turn && !self->closed_) self->whole(reply);
-        });
-      });
+      const bool taken = front_.control_(
+          std::move(control), [weak = weak_from_this(), &context = front_.context_, turn = turn_](ControlReply reply) {
+            boost::asio::post(context, [weak, turn, reply = std::move(reply)] {
+              if (auto self = weak.lock(); self && self->turn_ == turn && !self->closed_) self->whole(reply);
+            });
+          });
       if (!taken) busy("this daemon's control is busy");
       return;
     }
-    LiveRequest live{std::move(reader_->method), std::move(reader_->target), std::move(reader_->headers), std::make_shared<const Bytes>(std::move(reader_->body))};
+    LiveRequest live{std::move(reader_->method), std::move(reader_->target), std::move(reader_->headers),
+                     std::make_shared<const Bytes>(std::move(reader_->body))};
     const auto turn = turn_;
     live_ = true;
-    const Entries::Id id = front_.entries_.arrive(std::move(live), std::make_shared<Caller>(shared_from_this(), turn));
-    if (turn_ == turn && answering_) entry_ = id;
-    else live_ = false;
+    const Router::Id id = front_.router_.arrive(std::move(live), std::make_shared<Caller>(shared_from_this(), turn));
+    if (turn_ == turn && answering_)
+      entry_ = id;
+    else
+      live_ = false;
   }
 
   // The status line and what this side says of the connection.
   std::string& start_head(int status) {
-    keep_ = keep_ && !front_.entries_.draining();
+    keep_ = keep_ && !front_.router_.draining();
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
-    output_.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+    output_.append("HTTP/1.1 ")
+        .append(std::to_string(status))
+        .append(" ")
+        .append(reason.data(), reason.size())
+        .append("\r\n");
     if (!keep_) output_.append("Connection: close\r\n");
     return output_;
   }
@@ -209,7 +245,8 @@
     }
     if (!type && !reply.raw) out.append("Content-Type: application/json\r\n");
     if (reply.retry_after && !retry) out.append("Retry-After: 1\r\n");
-    if (const auto* object = reply.body.if_object(); object != nullptr && object->contains("outcome")) out.append("X-Mothwalk-Outcome: ").append(std::string(object->at("outcome").as_string())).append("\r\n");
+    if (const auto* object = reply.body.if_object(); object != nullptr && object->contains("outcome"))
+      out.append("X-Mothwalk-Outcome: ").append(std::string(object->at("outcome").as_string())).append("\r\n");
     const Bytes body = reply.raw ? *reply.raw : json::serialize(reply.body) + "\n";
     out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
     if (!head_request_) out.append(body);
@@ -224,7 +261,10 @@
 
   void busy(const std::string& why) {
     keep_ = keep_ && reader_->is_done() && !over_;
-    refuse(503, Fault{FaultKind::refused, "request", why + "; nothing was done", "send it again after the time in Retry-After"}, true);
+    refuse(
+        503,
+        Fault{FaultKind::refused, "request", why + "; nothing was done", "send it again after the time in Retry-After"},
+        true);
   }
 
   void refuse(int status, const Fault& fault, bool retry_after) {
@@ -253,17 +293,18 @@
   }
 
   void write_on() {
-    socket_.async_write_some(boost::asio::buffer(in_flight_) + written_, [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-      if (self->closed_) return;
-      if (error) return self->close();
-      self->written_ += count;
-      if (self->written_ < self->in_flight_.size()) return self->write_on();
-      self->writing_ = false;
-      self->in_flight_ = {};
-      self->written_ = 0;
-      self->flush();
-      if (self->done_ && !self->writing_ && !self->closed_) self->next();
-    });
+    socket_.async_write_some(boost::asio::buffer(in_flight_) + written_,
+                             [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+                               if (self->closed_) return;
+                               if (error) return self->close();
+                               self->written_ += count;
+                               if (self->written_ < self->in_flight_.size()) return self->write_on();
+                               self->writing_ = false;
+                               self->in_flight_ = {};
+                               self->written_ = 0;
+                               self->flush();
+                               if (self->done_ && !self->writing_ && !self->closed_) self->next();
+                             });
   }
 
   void answered() {
@@ -302,7 +343,8 @@
     front_.deadlines_.clear(number_);
     boost::system::error_code ignored;
     socket_.close(ignored);
-    if (live_ && answering_) boost::asio::post(front_.context_, [self = shared_from_this()] { self->front_.entries_.gone(self->entry_); });
+    if (live_ && answering_)
+      boost::asio::post(front_.context_, [self = shared_from_this()] { self->front_.router_.gone(self->entry_); });
   }
 
   Front& front_;
@@ -311,26 +353,34 @@
   std::uint64_t number_;
   bool callers_, over_;
   CallerLimits limits_;
-  std::string input_;                // its first `filled_` bytes are to be read
+  std::string input_;  // its first `filled_` bytes are to be read
   std::size_t filled_ = 0;
   std::optional<HttpReader<true>> reader_;
-  std::string output_, in_flight_;   // not given to the connection yet, and being given
+  std::string output_, in_flight_;  // not given to the connection yet, and being given
   std::size_t written_ = 0;
   std::uint64_t turn_ = 0;
-  Entries::Id entry_ = 0;
-  std::shared_ptr<Session> held_;    // itself, while control answers
-  bool keep_ = true, head_request_ = false, headed_ = false, reading_ = false, writing_ = false, done_ = false, lingering_ = false, closed_ = false, answering_ = false, live_ = false;
+  Router::Id entry_ = 0;
+  std::shared_ptr<Session> held_;  // itself, while control answers
+  bool keep_ = true, head_request_ = false, headed_ = false, reading_ = false, writing_ = false, done_ = false,
+       lingering_ = false, closed_ = false, answering_ = false, live_ = false;
 };
 
-Front::Front(boost::asio::io_context& context, Entries& entries, ToControl control, std::size_t most_sessions, ToControlSide to_control_side)
-    : context_(context), entries_(entries), control_(std::move(control)), most_sessions_(most_sessions), to_control_side_(std::move(to_control_side)),
+Front::Front(boost::asio::io_context& context, Router& router, ToControl control, std::size_t most_sessions,
+             ToControlSide to_control_side)
+    : context_(context),
+      router_(router),
+      control_(std::move(control)),
+      most_sessions_(most_sessions),
+      to_control_side_(std::move(to_control_side)),
       deadlines_(context, [this](std::uint64_t number) {
         auto found = sessions_.find(number);
         if (found == sessions_.end()) return;
         if (auto session = found->second.lock()) session->due();
       }) {}
 
-Front::~Front() { *alive_ = false; }
+Front::~Front() {
+  *alive_ = false;
+}
 
 Result<Done> Front::listen(const Address& address, bool callers) {
   const auto endpoint = endpoint_of(address);
@@ -342,7 +392,9 @@
   if (!error) listener->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error) listener->acceptor.bind(*endpoint, error);
   if (!error) listener->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  if (error) return Fault{FaultKind::conflict, field, "can't listen on " + address.text + ": " + error.message(), "give an address of this machine with a free port"};
+  if (error)
+    return Fault{FaultKind::conflict, field, "can't listen on " + address.text + ": " + error.message(),
+                 "give an address of this machine with a free port"};
   listeners_.push_back(listener);
   accept(listener);
   return Done{};
@@ -374,13 +426,13 @@
     boost::system::error_code ignored;
     listener->acceptor.close(ignored);
   }
-  for (const auto& session : sessions())
-    session->close_idle();
+  for (const auto& session : sessions()) session->close_idle();
 }
 
 std::size_t Front::busy() const {
   const auto all = sessions();
-  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& session) { return session->busy(); }));
+  return static_cast<std::size_t>(
+      std::count_if(all.begin(), all.end(), [](const auto& session) { return session->busy(); }));
 }
 
 std::vector<std::shared_ptr<Front::Session>> Front::sessions() const {
--- a/source/host/front.hpp
+++ b/source/host/front.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "control/control.hpp"
 #include "host/deadlines.hpp"
-#include "routes/entries.hpp"
+#include "routes/router.hpp"
 
 namespace mothwalk {
 
@@ -13,7 +13,8 @@
   using ToControl = std::function<bool(ControlRequest, ControlAnswer)>;
   // Which requests of the callers' side are not live ones, but for control.
   using ToControlSide = std::function<bool(View method, View target, const std::vector<Header>& headers)>;
-  Front(boost::asio::io_context& context, Entries& entries, ToControl control, std::size_t most_sessions, ToControlSide to_control_side = {});
+  Front(boost::asio::io_context& context, Router& router, ToControl control, std::size_t most_sessions,
+        ToControlSide to_control_side = {});
   ~Front();
   // A side that is not the callers' is closed to everything but control.
   Result<Done> listen(const Address& address, bool callers);
@@ -32,7 +33,7 @@
   std::vector<std::shared_ptr<Session>> sessions() const;
 
   boost::asio::io_context& context_;
-  Entries& entries_;
+  Router& router_;
   ToControl control_;
   std::size_t most_sessions_;
   ToControlSide to_control_side_;
--- a/source/host/http_client.cpp
+++ b/source/host/http_client.cpp
@@ -43,13 +43,15 @@
   context.run();
   if (!outcome || *outcome) {
     const std::string what = outcome ? outcome->message() : "nothing happened";
-    return Fault{sent ? FaultKind::unknown : FaultKind::lost, "address", "the call to " + to.text + " failed: " + what, "check that the daemon runs, or name another with --control"};
+    return Fault{sent ? FaultKind::unknown : FaultKind::lost, "address", "the call to " + to.text + " failed: " + what,
+                 "check that the daemon runs, or name another with --control"};
   }
   HttpAnswer answer;
   answer.status = static_cast<int>(parser.get().result_int());
   for (const auto& field : parser.get()) {
     std::string name(field.name_string());
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
     answer.headers[name] = std::string(field.value());
   }
   answer.body = std::move(parser.get().body());
--- a/source/host/http_reader.hpp
+++ b/source/host/http_reader.hpp
@@ -7,14 +7,15 @@
 
 namespace mothwalk {
 
-template <bool is_request> class HttpReader : public boost::beast::http::basic_parser<is_request> {
+template <bool is_request>
+class HttpReader : public boost::beast::http::basic_parser<is_request> {
  public:
   using Error = boost::beast::error_code;
   HttpReader() { this->eager(true); }
   std::string method, target;
   int status = 0, version = 0;
   std::vector<Header> headers;
-  Bytes body;                      // what came since the owner last took it
+  Bytes body;  // what came since the owner last took it
   // Reads what it can; gives the count of bytes that it is done with. The rest is to be given again, with more.
   std::size_t feed(View bytes, Error& error) {
     std::size_t used = 0;
@@ -42,7 +43,8 @@
     version = number;
   }
   void on_field_impl(boost::beast::http::field, Text name, Text value, Error&) override {
-    if (!this->is_header_done()) headers.push_back(Header{std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+    if (!this->is_header_done())
+      headers.push_back(Header{std::string(name.data(), name.size()), std::string(value.data(), value.size())});
   }
   void on_header_impl(Error&) override {}
   void on_body_init_impl(const boost::optional<std::uint64_t>& length, Error&) override {
--- a/source/host/logs.cpp
+++ b/source/host/logs.cpp
@@ -7,8 +7,8 @@
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wall"
 #pragma GCC diagnostic ignored "-Wextra"
-#include <easylogging++.cc>
 #include <easylogging++.h>
+#include <easylogging++.cc>
 #pragma GCC diagnostic pop
 #include <atomic>
 
--- a/source/host/main.cpp
+++ b/source/host/main.cpp
@@ -7,7 +7,9 @@
 
 int main(int count, char** words) {
   using namespace mothwalk;
-  auto complain = [](const Fault& fault) { std::cerr << "mothwalk-daemon: " << fault.field << ": " << fault.message << "; " << fault.remedy << ".\n"; };
+  auto complain = [](const Fault& fault) {
+    std::cerr << "mothwalk-daemon: " << fault.field << ": " << fault.message << "; " << fault.remedy << ".\n";
+  };
   std::unique_ptr<Place> place = count == 1 ? place_of_process() : nullptr;
   auto line = place ? Result<CommandLine>(CommandLine{}) : read_command_line(count, words);
   if (auto fault = fault_of(line)) {
--- a/source/host/place.hpp
+++ b/source/host/place.hpp
@@ -1,6 +1,6 @@
-// The seam between the daemon and the place that it runs at, where that place has ways of its own: what it tells a process
-// of itself, how its callers, runners and operators speak, and where its list of runners is. Without one, the daemon
-// goes by its own settings and interfaces.
+// The seam between the daemon and the place that it runs at, where that place has ways of its own: what it tells a
+// process of itself, how its callers, runners and operators speak, and where its list of runners is. Without one, the
+// daemon goes by its own settings and interfaces.
 #pragma once
 #include "control/control.hpp"
 #include "host/settings.hpp"
@@ -27,7 +27,8 @@
   virtual const ConfigurationFormat& format() const = 0;
   // The list of runners; none where this daemon has no way to it.
   virtual std::unique_ptr<ListSource> list_source() const = 0;
-  virtual std::unique_ptr<Surface> surface(Post& post, Board& board, Chance& chance, const Member& self) = 0;
+  virtual std::unique_ptr<Surface> surface(Messenger& messenger, SharedState& shared_state, RandomSource& random,
+                                           const Member& self) = 0;
 };
 
 // The place that this process finds itself at, or none. Defined by the adapter that is linked in.
--- a/source/host/ring.hpp
+++ b/source/host/ring.hpp
@@ -7,7 +7,8 @@
 
 namespace mothwalk {
 
-template <class T> class Ring {
+template <class T>
+class Ring {
  public:
   explicit Ring(std::size_t capacity) : places_(capacity) {}
   // Tells whether the ring was empty before, in `first`.
--- a/source/host/settings.hpp
+++ b/source/host/settings.hpp
@@ -6,18 +6,20 @@
 
 struct Settings {
   Address address, callers, control;
-  ZoneId hall;
+  ZoneId zone;
   std::vector<Address> seeds;
-  std::string data_folder;             // empty: this daemon holds no state
-  std::string log_level = "notes";     // notes, warnings, quiet
-  std::string log_file;                // empty: standard output
+  std::string data_folder;          // empty: this daemon holds no state
+  std::string log_level = "notes";  // notes, warnings, quiet
+  std::string log_file;             // empty: standard output
   Span drain = std::chrono::seconds(20);
-  std::string name;                    // of the machine, as operators know it; may be empty
-  std::string keeps;                   // what the data folder holds: empty for control state and lots, or "control", "lots"
-  std::optional<bool> first_start;     // whether the whole fleet starts with empty folders; absent: the seeds hold state and know
-  bool single_thread = false;          // all duties on one thread: fewer wake-ups where processor time is dear
-  Address health;                      // where watchers ask whether callers may come; empty: at control alone
-  MOTHWALK_FIELDS(address, callers, control, hall, seeds, data_folder, log_level, log_file, drain, name, keeps, first_start, single_thread, health)
+  std::string name;   // of the machine, as operators know it; may be empty
+  std::string keeps;  // what the data folder holds: empty for control state and lots, or "control", "lots"
+  std::optional<bool>
+      first_start;  // whether the whole fleet starts with empty folders; absent: the seeds hold state and know
+  bool single_thread = false;  // all duties on one thread: fewer wake-ups where processor time is dear
+  Address health;              // where watchers ask whether callers may come; empty: at control alone
+  MOTHWALK_FIELDS(address, callers, control, zone, seeds, data_folder, log_level, log_file, drain, name, keeps,
+                  first_start, single_thread, health)
 };
 
 struct CommandLine {
--- a/source/host/tcp_wire.cpp
+++ b/source/host/tcp_wire.cpp
@@ -19,7 +19,8 @@
   boost::system::error_code error;
   const auto ip = asio::ip::make_address(address.text.substr(0, colon), error);
   const std::string port = address.text.substr(colon + 1);
-  if (error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
+  if (error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos)
+    return std::nullopt;
   const int number = std::stoi(port);
   if (number > 65535) return std::nullopt;
   return tcp::endpoint(ip, static_cast<unsigned short>(number));
@@ -44,7 +45,8 @@
   Bytes body;
 };
 
-TcpWire::TcpWire(Address self, std::function<void(View)> note, asio::io_context* shared) : self_(std::move(self)), note_(std::move(note)), thread_("wire", shared), acceptor_(thread_.context()) {}
+TcpWire::TcpWire(Address self, std::function<void(View)> note, asio::io_context* shared)
+    : self_(std::move(self)), note_(std::move(note)), thread_("wire", shared), acceptor_(thread_.context()) {}
 
 Result<Done> TcpWire::listen() {
   const auto endpoint = endpoint_of(self_);
@@ -54,7 +56,9 @@
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor_.bind(*endpoint, error);
   if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return Fault{FaultKind::conflict, "address", "can't listen on " + self_.text + ": " + error.message(), "give an address of this machine with a free port"};
+  if (error)
+    return Fault{FaultKind::conflict, "address", "can't listen on " + self_.text + ": " + error.message(),
+                 "give an address of this machine with a free port"};
   accept();
   return Done{};
 }
@@ -72,37 +76,43 @@
 }
 
 void TcpWire::read(std::shared_ptr<Incoming> incoming) {
-  asio::async_read(incoming->socket, asio::buffer(incoming->head), [this, incoming](const boost::system::error_code& error, std::size_t) {
-    if (error) return;
-    const std::size_t length = static_cast<std::size_t>(incoming->head[0]) << 24 | static_cast<std::size_t>(incoming->head[1]) << 16 | static_cast<std::size_t>(incoming->head[2]) << 8 | incoming->head[3];
-    if (length == 0 || length > longest_frame) {
-      ++counts_.foreign;
-      return note_("A peer sent a frame of a foreign form; the stream is closed.");
-    }
-    // The body grows as bytes arrive, so that a bare claim of length takes no memory.
-    incoming->body.clear();
-    auto more = std::make_shared<std::function<void()>>();
-    std::weak_ptr<std::function<void()>> weak = more;
-    *more = [this, incoming, length, weak] {
-      const std::size_t have = incoming->body.size();
-      const std::size_t step = std::min<std::size_t>(length - have, 1u << 20);
-      incoming->body.resize(have + step);
-      asio::async_read(incoming->socket, asio::buffer(incoming->body.data() + have, step), [this, incoming, length, next = weak.lock()](const boost::system::error_code& failed, std::size_t) {
-        if (failed) return;
-        if (incoming->body.size() < length) return (*next)();
-        auto envelope = from_cbor<Envelope>(incoming->body);
-        if (!envelope) {
+  asio::async_read(
+      incoming->socket, asio::buffer(incoming->head),
+      [this, incoming](const boost::system::error_code& error, std::size_t) {
+        if (error) return;
+        const std::size_t length = static_cast<std::size_t>(incoming->head[0]) << 24 |
+                                   static_cast<std::size_t>(incoming->head[1]) << 16 |
+                                   static_cast<std::size_t>(incoming->head[2]) << 8 | incoming->head[3];
+        if (length == 0 || length > longest_frame) {
           ++counts_.foreign;
-          return note_("A peer sent a frame that can't be read; the stream is closed.");
+          return note_("A peer sent a frame of a foreign form; the stream is closed.");
         }
-        ++counts_.frames_in;
-        counts_.bytes_in += length + 4;
-        deliver(std::move(*envelope));
-        read(incoming);
+        // The body grows as bytes arrive, so that a bare claim of length takes no memory.
+        incoming->body.clear();
+        auto more = std::make_shared<std::function<void()>>();
+        std::weak_ptr<std::function<void()>> weak = more;
+        *more = [this, incoming, length, weak] {
+          const std::size_t have = incoming->body.size();
+          const std::size_t step = std::min<std::size_t>(length - have, 1u << 20);
+          incoming->body.resize(have + step);
+          asio::async_read(
+              incoming->socket, asio::buffer(incoming->body.data() + have, step),
+              [this, incoming, length, next = weak.lock()](const boost::system::error_code& failed, std::size_t) {
+                if (failed) return;
+                if (incoming->body.size() < length) return (*next)();
+                auto envelope = from_cbor<Envelope>(incoming->body);
+                if (!envelope) {
+                  ++counts_.foreign;
+                  return note_("A peer sent a frame that can't be read; the stream is closed.");
+                }
+                ++counts_.frames_in;
+                counts_.bytes_in += length + 4;
+                deliver(std::move(*envelope));
+                read(incoming);
+              });
+        };
+        (*more)();
       });
-    };
-    (*more)();
-  });
 }
 
 void TcpWire::deliver(Envelope envelope) {
@@ -134,8 +144,10 @@
   counts_.bytes_out += frame.size();
   link->queued += frame.size();
   link->queue.push_back(std::move(frame));
-  if (link->connected) write(link);
-  else if (!link->connecting) connect(link);
+  if (link->connected)
+    write(link);
+  else if (!link->connecting)
+    connect(link);
 }
 
 void TcpWire::connect(std::shared_ptr<Link> link) {
@@ -158,7 +170,8 @@
     setsockopt(link->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unheard, sizeof unheard);
     // The peer never writes on this stream: a read that ends tells that it is gone.
     auto byte = std::make_shared<char>();
-    link->socket.async_read_some(asio::buffer(byte.get(), 1), [this, link, byte](const boost::system::error_code&, std::size_t) { drop(link); });
+    link->socket.async_read_some(asio::buffer(byte.get(), 1),
+                                 [this, link, byte](const boost::system::error_code&, std::size_t) { drop(link); });
     write(link);
   });
 }
@@ -171,13 +184,14 @@
     link->in_flight += link->queue.front();
     link->queue.pop_front();
   }
-  asio::async_write(link->socket, asio::buffer(link->in_flight), [this, link](const boost::system::error_code& error, std::size_t) {
-    if (link->dropped) return;
-    if (error) return drop(link);
-    link->writing = false;
-    link->queued -= link->in_flight.size();
-    write(link);
-  });
+  asio::async_write(link->socket, asio::buffer(link->in_flight),
+                    [this, link](const boost::system::error_code& error, std::size_t) {
+                      if (link->dropped) return;
+                      if (error) return drop(link);
+                      link->writing = false;
+                      link->queued -= link->in_flight.size();
+                      write(link);
+                    });
 }
 
 void TcpWire::drop(std::shared_ptr<Link> link) {
--- a/source/listing/listing.cpp
+++ b/source/listing/listing.cpp
@@ -8,7 +8,7 @@
 namespace {
 using std::chrono::milliseconds;
 constexpr Span page_span = milliseconds(600);
-constexpr std::size_t most_pages = 200;   // a list whose pages lead in a circle ends here
+constexpr std::size_t most_pages = 200;  // a list whose pages lead in a circle ends here
 constexpr std::size_t longest_page = 4u << 20;
 
 // Cold time runs down by itself: only that it begins, ends or grows is news.
@@ -18,7 +18,9 @@
     auto found = told.runners.find(name);
     if (found == told.runners.end()) return false;
     const Runner& before = found->second;
-    if (before.address != runner.address || before.kind != runner.kind || before.hall != runner.hall || before.slots != runner.slots || before.leaving != runner.leaving) return false;
+    if (before.address != runner.address || before.kind != runner.kind || before.zone != runner.zone ||
+        before.slots != runner.slots || before.leaving != runner.leaving)
+      return false;
     if ((before.cold > Span{}) != (runner.cold > Span{}) || runner.cold > before.cold) return false;
   }
   return true;
@@ -30,8 +32,10 @@
   explicit Watcher(std::function<void(std::optional<ListBody>)> then) : then_(std::move(then)) {}
   void on_head(int status, const std::vector<Header>&) override { body_.status = status; }
   void on_piece(View piece) override {
-    if (body_.body.size() + piece.size() <= longest_page) body_.body.append(piece);
-    else body_.status = 0;
+    if (body_.body.size() + piece.size() <= longest_page)
+      body_.body.append(piece);
+    else
+      body_.status = 0;
   }
   void on_end(AttemptEnd end) override { end == AttemptEnd::whole ? then_(std::move(body_)) : then_(std::nullopt); }
 
@@ -40,20 +44,25 @@
   ListBody body_;
 };
 
-RunnerList::RunnerList(Post& post, Board& board, Exchange& exchange, Chance& chance, ListSource& source)
-    : post_(post), board_(board), exchange_(exchange), chance_(chance), source_(source) {
-  post_.on_ask<FetchListPage>([this](const Address&, FetchListPage page, Answer<ListBody> answer) {
+RunnerList::RunnerList(Messenger& messenger, SharedState& shared_state, Exchange& exchange, RandomSource& random,
+                       ListSource& source)
+    : messenger_(messenger), shared_state_(shared_state), exchange_(exchange), random_(random), source_(source) {
+  messenger_.on_ask<FetchListPage>([this](const Address&, FetchListPage page, Answer<ListBody> answer) {
     fetch(page.target, [answer](std::optional<ListBody> body) {
-      if (body) answer(std::move(*body));
-      else answer(Fault{FaultKind::lost, "list", "the list can't be read from here either", "ask another daemon"});
+      if (body)
+        answer(std::move(*body));
+      else
+        answer(Fault{FaultKind::lost, "list", "the list can't be read from here either", "ask another daemon"});
     });
   });
 }
 
-void RunnerList::start() { tick(); }
+void RunnerList::start() {
+  tick();
+}
 
 void RunnerList::tick() {
-  const auto owned = board_.owned.get();
+  const auto owned = shared_state_.owned.get();
   auto slot = owned->slots.find(slot_of(listing_key));
   const Epoch epoch = slot == owned->slots.end() ? Epoch{} : slot->second;
   if (epoch != epoch_) {
@@ -68,7 +77,7 @@
     gathered_ = RunnerListing{};
     read(std::nullopt);
   }
-  post_.schedule().after(epoch_.value > 0 ? source_.period() : Span(milliseconds(200)), [this] { tick(); });
+  messenger_.timers().after(epoch_.value > 0 ? source_.period() : Span(milliseconds(200)), [this] { tick(); });
 }
 
 void RunnerList::fetch(const std::string& target, std::function<void(std::optional<ListBody>)> then) {
@@ -85,20 +94,23 @@
 
 void RunnerList::read(std::optional<std::string> next) {
   const std::string target = source_.target(next);
-  const auto members = board_.members.get();
+  const auto members = shared_state_.members.get();
   std::vector<Address> others;
   // After two failures on its own way others read for it; now and then the own way is tried again.
   through_others_ = failures_ >= 2 && reads_ % 8 != 0;
   if (through_others_)
     for (const auto& [address, member] : members->all)
-      if (address != post_.self()) others.push_back(address);
+      if (address != messenger_.self()) others.push_back(address);
   if (others.empty()) through_others_ = false;
   if (!through_others_) return fetch(target, [this](std::optional<ListBody> body) { take_page(std::move(body)); });
   ++reads_;
-  post_.ask(others[chance_.below(others.size())], FetchListPage{target}, page_span + milliseconds(200), [this](Result<ListBody> result) {
-    if (auto* body = std::get_if<ListBody>(&result)) take_page(std::move(*body));
-    else failed();
-  });
+  messenger_.ask(others[random_.below(others.size())], FetchListPage{target}, page_span + milliseconds(200),
+                 [this](Result<ListBody> result) {
+                   if (auto* body = std::get_if<ListBody>(&result))
+                     take_page(std::move(*body));
+                   else
+                     failed();
+                 });
 }
 
 void RunnerList::failed() {
@@ -119,11 +131,13 @@
 }
 
 void RunnerList::tell() {
-  const auto owned = board_.owned.get();
+  const auto owned = shared_state_.owned.get();
   auto slot = owned->slots.find(slot_of(listing_key));
   if (slot == owned->slots.end() || slot->second != epoch_ || (told_ && same_listing(*told_, gathered_))) return;
   told_ = gathered_;
-  post_.tell(post_.self(), Spread{{NewsItem{std::string(listing_key), Stamp{epoch_, Version{++version_}}, false, to_cbor(gathered_)}}});
+  messenger_.tell(
+      messenger_.self(),
+      Spread{{NewsItem{std::string(listing_key), Stamp{epoch_, Version{++version_}}, false, to_cbor(gathered_)}}});
 }
 
 }  // namespace mothwalk
