--- a/source/listing/listing.hpp
+++ b/source/listing/listing.hpp
@@ -2,13 +2,13 @@
 // listing's slot, and tells it as news under that owner's epoch, so that a former owner's word never falls behind the
 // newer one's. A reader that can't reach the list has another daemon read it.
 #pragma once
-#include "kept/kept.hpp"
+#include "replication/replicated_store.hpp"
 
 namespace mothwalk {
 
 struct ListPage {
   std::map<std::string, Runner> runners;
-  std::optional<std::string> next;   // what to ask the next page with; none on the last
+  std::optional<std::string> next;  // what to ask the next page with; none on the last
 };
 
 // How the outside list is asked for and read.
@@ -18,7 +18,7 @@
   virtual Address address() const = 0;
   virtual std::string target(const std::optional<std::string>& next) const = 0;
   virtual Result<ListPage> read(View body) const = 0;
-  virtual Span period() const = 0;   // between two readings
+  virtual Span period() const = 0;  // between two readings
 };
 
 struct ListBody {
@@ -36,7 +36,8 @@
 
 class RunnerList {
  public:
-  RunnerList(Post& post, Board& board, Exchange& exchange, Chance& chance, ListSource& source);
+  RunnerList(Messenger& messenger, SharedState& shared_state, Exchange& exchange, RandomSource& random,
+             ListSource& source);
   void start();
 
  private:
@@ -48,14 +49,14 @@
   void failed();
   void tell();
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   Exchange& exchange_;
-  Chance& chance_;
+  RandomSource& random_;
   ListSource& source_;
-  Epoch epoch_;                       // under which this daemon reads; zero while it does not
+  Epoch epoch_;  // under which this daemon reads; zero while it does not
   std::uint64_t version_ = 0, reads_ = 0;
-  std::uint32_t failures_ = 0;        // in a row, over this daemon's own way to the list
+  std::uint32_t failures_ = 0;  // in a row, over this daemon's own way to the list
   std::size_t pages_ = 0;
   bool reading_ = false, through_others_ = false;
   RunnerListing gathered_;
--- a/source/lots/lot_calls.cpp
+++ b/source/lots/lot_calls.cpp
@@ -4,27 +4,31 @@
 namespace mothwalk {
 
 namespace {
-std::string key_of(const std::string& id) { return "lot/" + id; }
+std::string key_of(const std::string& id) {
+  return "lot/" + id;
+}
 }  // namespace
 
 void LotCalls::submit(SubmitLot submit, Span limit, Answer<LotStatus> answer) {
   const std::string key = key_of(submit.id);
-  client_.ask_owner<SubmitLot>(key, std::move(submit), post_.schedule().now() + limit, false, std::move(answer));
+  client_.ask_owner<SubmitLot>(key, std::move(submit), messenger_.timers().now() + limit, false, std::move(answer));
 }
 
 void LotCalls::read(ReadLot read, Span limit, Answer<LotPage> answer) {
   const std::string key = key_of(read.id);
-  client_.ask_owner<ReadLot>(key, std::move(read), post_.schedule().now() + limit, false, std::move(answer));
+  client_.ask_owner<ReadLot>(key, std::move(read), messenger_.timers().now() + limit, false, std::move(answer));
 }
 
 void LotCalls::body(std::string id, std::string item, Span limit, Answer<ItemBody> answer) {
   const std::string key = key_of(id);
-  client_.ask_owner<ReadItem>(key, ReadItem{std::move(id), std::move(item)}, post_.schedule().now() + limit, false, std::move(answer));
+  client_.ask_owner<ReadItem>(key, ReadItem{std::move(id), std::move(item)}, messenger_.timers().now() + limit, false,
+                              std::move(answer));
 }
 
 void LotCalls::end(std::string id, Span limit, Answer<LotStatus> answer) {
   const std::string key = key_of(id);
-  client_.ask_owner<CancelLot>(key, CancelLot{std::move(id)}, post_.schedule().now() + limit, false, std::move(answer));
+  client_.ask_owner<CancelLot>(key, CancelLot{std::move(id)}, messenger_.timers().now() + limit, false,
+                               std::move(answer));
 }
 
 }  // namespace mothwalk
--- a/source/lots/lot_calls.hpp
+++ b/source/lots/lot_calls.hpp
@@ -1,27 +1,27 @@
-// The calls for kept lots that any daemon can make on a client's behalf: each goes to the lot's owner, wherever that is, and
-// again and again until the limit. What the faults say:
+// The calls for kept lots that any daemon can make on a client's behalf: each goes to the lot's owner, wherever that
+// is, and again and again until the limit. What the faults say:
 //   refused, invalid, too_large  it was not taken and never will be by this call
 //   conflict                     a lot of this id was handed in with other content
 //   unknown                      whether it was taken is not known; the same call again settles it
-//   unknown_name                 there is no such lot (or no such unlisted item): a majority has confirmed the owner's word
-//   busy, lost, ...              not now; for reads, refused and unknown mean no more than that either
+//   unknown_name                 there is no such lot (or no such unlisted item): a majority has confirmed the owner's
+//   word busy, lost, ...              not now; for reads, refused and unknown mean no more than that either
 #pragma once
-#include "kept/kept.hpp"
 #include "lots/messages.hpp"
+#include "replication/replicated_store.hpp"
 
 namespace mothwalk {
 
 class LotCalls {
  public:
-  LotCalls(Post& post, Board& board) : post_(post), client_(post, board) {}
+  LotCalls(Messenger& messenger, SharedState& shared_state) : messenger_(messenger), client_(messenger, shared_state) {}
   void submit(SubmitLot submit, Span limit, Answer<LotStatus> answer);
   void read(ReadLot read, Span limit, Answer<LotPage> answer);
   void body(std::string id, std::string item, Span limit, Answer<ItemBody> answer);
   void end(std::string id, Span limit, Answer<LotStatus> answer);
 
  private:
-  Post& post_;
-  KeptClient client_;
+  Messenger& messenger_;
+  StoreClient client_;
 };
 
 }  // namespace mothwalk
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -1,16 +1,16 @@
-// The owner's side of kept lots. A lot is a kept key: its head is what was handed in, its entries are the starts, results
-// and the end. A start of an item that may not run twice is on a majority of disks before the item leaves; for the others
-// a new owner asks the placers what they hold. Results keep the positions in which they were appended, and are shown once
-// they are on a majority of disks; whatever a new owner takes over it rebuilds from the record.
+// The owner's side of kept lots. A lot is a kept key: its head is what was handed in, its entries are the starts,
+// results and the end. A start of an item that may not run twice is on a majority of disks before the item leaves; for
+// the others a new owner asks the placers what they hold. Results keep the positions in which they were appended, and
+// are shown once they are on a majority of disks; whatever a new owner takes over it rebuilds from the record.
 #pragma once
-#include "kept/kept.hpp"
 #include "lots/messages.hpp"
+#include "replication/replicated_store.hpp"
 
 namespace mothwalk {
 
 class Lots {
  public:
-  Lots(Post& post, Board& board);
+  Lots(Messenger& messenger, SharedState& shared_state);
   void start();
 
  private:
@@ -25,7 +25,7 @@
     std::optional<Moment> placer_missing;
     StreamPart part;
   };
-  struct Waiter {                      // a read held until there is a result at its position
+  struct Waiter {  // a read held until there is a result at its position
     std::uint64_t number = 0;
     ReadLot read;
     Answer<LotPage> answer;
@@ -34,14 +34,14 @@
     std::string id;
     Epoch epoch;
     LotHead head;
-    std::string content;               // names what was handed in: equal for a lot handed in again
+    std::string content;  // names what was handed in: equal for a lot handed in again
     std::vector<Item> items;
-    std::vector<LotEntry> results;     // on a majority of disks
+    std::vector<LotEntry> results;          // on a majority of disks
     std::set<std::uint32_t> pending, busy;  // items: free to run; with a placer or with a result being written
     std::vector<Waiter> waiters;
     bool cancelled = false, cancelling = false, removing = false;
-    Moment begun;                      // such that now - begun is the time since submission
-    Moment due;                        // lots due earlier go first
+    Moment begun;  // such that now - begun is the time since submission
+    Moment due;    // lots due earlier go first
     Moment closed_at;
     bool finished() const { return results.size() == items.size(); }
     bool closed() const { return finished() || (head.batch && cancelled && busy.empty()); }
@@ -50,8 +50,9 @@
   struct Slot {
     Epoch epoch;
     bool loading = false, ready = false;
-    bool adopting = false;             // placers are asked what they hold; nothing is handed out meanwhile
-    std::optional<Moment> confirmed;   // when the last question began that a majority answered: this daemon owns the slot
+    bool adopting = false;  // placers are asked what they hold; nothing is handed out meanwhile
+    std::optional<Moment>
+        confirmed;  // when the last question began that a majority answered: this daemon owns the slot
     bool confirming = false;
     std::vector<std::function<void(bool)>> waiting;
     SlotLots lots;
@@ -68,8 +69,8 @@
   Lot* find(const std::string& id, bool* ready);
   Lot* find_under(const std::string& id, Epoch epoch);
   void append(const Lot& lot, const std::vector<LotEntry>& entries, std::function<void(Lot*, bool)> then);
-  // Goes on once a majority has said that the slot still is owned under the epoch that the lots were read in: after this
-  // call began, or within the lease before it.
+  // Goes on once a majority has said that the slot still is owned under the epoch that the lots were read in: after
+  // this call began, or within the lease before it.
   void confirm(std::uint32_t slot, std::function<void(bool)> then);
   void lease(std::uint32_t slot, std::function<void(bool)> then);
   bool leased(const Slot& slot) const;
@@ -90,10 +91,10 @@
   // Whether the fetch comes from the newest placer of the runner that this owner has heard of.
   bool newest_placer(const Address& placer, std::uint64_t incarnation, const FetchItems& fetch);
   void requeue(Lot& lot, std::uint32_t index);
-  double took(const Lot& lot) const;   // seconds that an item of its lane runs, about
+  double took(const Lot& lot) const;            // seconds that an item of its lane runs, about
   bool late(const Lot& lot, Moment now) const;  // an item begun now would miss the time that the lot was promised
-  void queue(const Lot& lot);          // puts the lot among those that have items to run, or takes it out
-  bool leads(const PolicyView& policy, const Lot& lot, const std::string& kind) const;
+  void queue(const Lot& lot);                   // puts the lot among those that have items to run, or takes it out
+  bool leads(const ConfigurationView& configuration, const Lot& lot, const std::string& kind) const;
   bool repeatable(const Lot& lot) const;
   void sweep(Lot& lot, Moment now);
   void remove(Lot& lot);
@@ -101,15 +102,15 @@
   void announce();
   LotStatus status(const Lot& lot) const;
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   std::vector<Slot> slots_{slot_count};
-  std::set<std::pair<Moment, std::string>> queue_;   // lots with items to run, by when they are due
-  std::map<std::string, Placer> terms_;  // the highest known of each runner
-  std::map<std::string, double> took_;   // by lane, about how many seconds an item runs
+  std::set<std::pair<Moment, std::string>> queue_;  // lots with items to run, by when they are due
+  std::map<std::string, Placer> terms_;             // the highest known of each runner
+  std::map<std::string, double> took_;              // by lane, about how many seconds an item runs
   std::uint64_t ticks_ = 0, last_waiter_ = 0;
   bool announce_soon_ = false;
-  std::set<std::string> announced_;      // kinds
+  std::set<std::string> announced_;  // kinds
 };
 
 }  // namespace mothwalk
--- a/source/lots/messages.hpp
+++ b/source/lots/messages.hpp
@@ -1,40 +1,41 @@
 // The messages between those who hand lots in, the lots' owners and the daemons that place items on outside runners.
 #pragma once
-#include "kept/messages.hpp"
+#include "replication/messages.hpp"
 
 namespace mothwalk {
 
-// An item is a request of its own. In a lot that is no batch it is a plain text: its id is its position, its path the lane's.
+// An item is a request of its own. In a lot that is no batch it is a plain text: its id is its position, its path the
+// lane's.
 struct LotItem {
   std::string id, path;
   std::vector<Header> headers;
   Bytes body;
-  std::uint32_t tokens = 0;      // of the prompt and the most that may come out
+  std::uint32_t tokens = 0;  // of the prompt and the most that may come out
   MOTHWALK_FIELDS(id, path, headers, body, tokens)
 };
 struct LotHead {
   std::string lane;
-  Span deadline{};               // of lots that are no batch: items without a result by then expire
+  Span deadline{};  // of lots that are no batch: items without a result by then expire
   std::vector<LotItem> items;
-  bool batch = false;            // items are whole requests that may run again, their answers series of events with rising ids
-  std::string host;              // of a batch, as its attempts carry it
-  Span completion{};             // of a batch, since its submission: by when all results are due
-  Span retention{};              // of a batch, since its submission: from when items may be given up
-  std::uint32_t attempts = 0;    // of a batch: answers of 500 that end an item
-  std::uint64_t revision = 0;    // of the configuration that the lane was found in
+  bool batch = false;  // items are whole requests that may run again, their answers series of events with rising ids
+  std::string host;    // of a batch, as its attempts carry it
+  Span completion{};   // of a batch, since its submission: by when all results are due
+  Span retention{};    // of a batch, since its submission: from when items may be given up
+  std::uint32_t attempts = 0;  // of a batch: answers of 500 that end an item
+  std::uint64_t revision = 0;  // of the configuration that the lane was found in
   MOTHWALK_FIELDS(lane, deadline, items, batch, host, completion, retention, attempts, revision)
 };
 
 // What is appended to a lot's record. Elapsed is the steady time since submission as the owner knew it, so a deadline
 // needs no wall clock and survives a change of owner.
 struct LotEntry {
-  std::string what;        // start, result, cancel
+  std::string what;  // start, result, cancel
   std::uint32_t item = 0;
   std::uint64_t attempt = 0;
   Address placer;
   std::uint64_t incarnation = 0;
   Span elapsed{};
-  std::string outcome;     // answer, unknown, expired, cancelled; of a batch answer or abandoned
+  std::string outcome;  // answer, unknown, expired, cancelled; of a batch answer or abandoned
   std::int32_t status = 0;
   Bytes body;
   MOTHWALK_FIELDS(what, item, attempt, placer, incarnation, elapsed, outcome, status, body)
@@ -62,8 +63,8 @@
   std::uint32_t position = 0, item = 0;
   std::string outcome;
   std::int32_t status = 0;
-  Bytes body;                    // of a batch: the data of all events in order, joined by line feeds
-  std::string id = {};           // of a batch's item
+  Bytes body;           // of a batch: the data of all events in order, joined by line feeds
+  std::string id = {};  // of a batch's item
   MOTHWALK_FIELDS(position, item, outcome, status, body, id)
 };
 struct LotPage {
@@ -77,7 +78,7 @@
   using Reply = LotPage;
   std::string id;
   std::uint32_t after = 0, limit = 0;
-  Span wait{};                   // how long the answer may be held until there is a result at that position; at most a second
+  Span wait{};  // how long the answer may be held until there is a result at that position; at most a second
   MOTHWALK_FIELDS(id, after, limit, wait)
 };
 struct ItemBody {
@@ -105,8 +106,8 @@
 // Between owners and placing daemons.
 struct PendingItems {
   static constexpr View kind = "placing.pending";
-  std::map<std::string, std::uint32_t> kinds;   // items that can be in time
-  std::map<std::string, std::uint32_t> late;    // and those that can't any more
+  std::map<std::string, std::uint32_t> kinds;  // items that can be in time
+  std::map<std::string, std::uint32_t> late;   // and those that can't any more
   MOTHWALK_FIELDS(kinds, late)
 };
 // What an owner's lots ask of a kind's runners: items that wait, and how many have to run at once to be in time.
@@ -123,15 +124,15 @@
 // What whole events have come of an item's answer, so that any runner can go on after the last of them.
 struct StreamPart {
   Bytes text;
-  std::uint64_t last_event = 0;    // 0: none
-  std::string version;             // of the weights that answered
+  std::uint64_t last_event = 0;  // 0: none
+  std::string version;           // of the weights that answered
   MOTHWALK_FIELDS(text, last_event, version)
 };
 struct PlacedItem {
   std::string lot, lane;
   std::uint32_t item = 0;
   std::uint64_t attempt = 0;
-  std::uint32_t failures = 0;      // answers of 500 so far
+  std::uint32_t failures = 0;  // answers of 500 so far
   bool batch = false;
   std::string host;
   LotItem request;
@@ -140,7 +141,7 @@
 };
 struct ItemsReply {
   std::vector<PlacedItem> items;
-  std::uint32_t remaining = 0, late = 0;   // of the kind with this owner, as in PendingItems
+  std::uint32_t remaining = 0, late = 0;  // of the kind with this owner, as in PendingItems
   MOTHWALK_FIELDS(items, remaining, late)
 };
 struct FetchItems {
@@ -148,8 +149,8 @@
   using Reply = ItemsReply;
   std::string runner_kind, runner;
   std::uint32_t count = 0;
-  std::uint64_t term = 0;          // the placer's, for this runner
-  std::uint64_t tokens = 0;        // that the items may have together; 0: no bound
+  std::uint64_t term = 0;    // the placer's, for this runner
+  std::uint64_t tokens = 0;  // that the items may have together; 0: no bound
   MOTHWALK_FIELDS(runner_kind, runner, count, term, tokens)
 };
 // An owner asks a placer which of the items that it takes to be with it are in its hands (running or being reported).
@@ -189,8 +190,8 @@
   std::string lot;
   MOTHWALK_FIELDS(lot)
 };
-// Outcome: answer (the runner's), lost (may have run), stopped (may have run, stopped by us), not_run (did not run); of a
-// batch also failed (500), impossible (422) and damaged (it did not go on after the part it was given).
+// Outcome: answer (the runner's), lost (may have run), stopped (may have run, stopped by us), not_run (did not run); of
+// a batch also failed (500), impossible (422) and damaged (it did not go on after the part it was given).
 struct FinishItem {
   std::string lot;
   std::uint32_t item = 0;
@@ -198,12 +199,12 @@
   std::string outcome;
   std::int32_t status = 0;
   Bytes body;
-  StreamPart part = {};            // of a batch, what came before the end
+  StreamPart part = {};  // of a batch, what came before the end
   std::uint32_t failures = 0;
   MOTHWALK_FIELDS(lot, item, attempt, outcome, status, body, part, failures)
 };
 struct FinishReply {
-  std::vector<std::uint32_t> heard;   // which of the reports are settled, by place in the list
+  std::vector<std::uint32_t> heard;  // which of the reports are settled, by place in the list
   MOTHWALK_FIELDS(heard)
 };
 struct FinishItems {
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -12,18 +12,19 @@
 constexpr Span tick_span = milliseconds(100);
 constexpr Span start_lease = milliseconds(1000);
 constexpr Span fetch_limit = milliseconds(1500);
-constexpr Span work_gap = milliseconds(20);         // so that items that end together are replaced by one fetch
-constexpr Span report_gap = milliseconds(15);       // and reported by one message
+constexpr Span work_gap = milliseconds(20);    // so that items that end together are replaced by one fetch
+constexpr Span report_gap = milliseconds(15);  // and reported by one message
 constexpr Span report_limit = milliseconds(1000);
 constexpr std::size_t most_reports = 64;
 constexpr std::size_t report_bytes = 1u << 20;
 constexpr Span source_span = milliseconds(1500);
 constexpr Span leave_span = milliseconds(2000);
 constexpr Span account_span = milliseconds(1500);  // totals told so long after a change are made of reports after it
-constexpr std::uint64_t usage_ticks = 10;
+constexpr std::uint64_t load_ticks = 10;
 constexpr std::size_t longest_body = 4u << 20;
-constexpr Span first_event_limit = milliseconds(5000), next_event_limit = milliseconds(3000);  // silence; what came is kept
-constexpr double cold_share = 0.35, warm_share = 1.2;   // of what a cold runner bears; live requests may take the rest
+constexpr Span first_event_limit = milliseconds(5000),
+               next_event_limit = milliseconds(3000);  // silence; what came is kept
+constexpr double cold_share = 0.35, warm_share = 1.2;  // of what a cold runner bears; live requests may take the rest
 constexpr Span run_budget = milliseconds(30000);
 
 bool leads(const Lane& lane, const KindId& kind) {
@@ -36,16 +37,20 @@
 // The answer is taken as it is.
 class Placing::Watcher : public AttemptWatcher {
  public:
-  Watcher(Placing& placing, std::uint64_t attempt, std::vector<std::uint32_t> refusals) : placing_(placing), attempt_(attempt), refusals_(std::move(refusals)) {}
+  Watcher(Placing& placing, std::uint64_t attempt, std::vector<std::uint32_t> refusals)
+      : placing_(placing), attempt_(attempt), refusals_(std::move(refusals)) {}
   void on_head(int status, const std::vector<Header>&) override { status_ = status; }
   void on_piece(View piece) override {
-    if (body_.size() + piece.size() <= longest_body) body_.append(piece);
-    else too_long_ = true;
+    if (body_.size() + piece.size() <= longest_body)
+      body_.append(piece);
+    else
+      too_long_ = true;
   }
   void on_end(AttemptEnd end) override {
     if (end == AttemptEnd::not_sent) return placing_.ended(attempt_, {"not_run", 0, {}, {}});
     if (end != AttemptEnd::whole || too_long_) return placing_.ended(attempt_, {"lost", 0, {}, {}});
-    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end()) return placing_.ended(attempt_, {"not_run", status_, {}, {}});
+    if (std::find(refusals_.begin(), refusals_.end(), static_cast<std::uint32_t>(status_)) != refusals_.end())
+      return placing_.ended(attempt_, {"not_run", status_, {}, {}});
     placing_.ended(attempt_, {"answer", status_, std::move(body_), {}});
   }
 
@@ -61,7 +66,8 @@
 // The answer is a series of events: their data is the text, and only a whole answer ends it.
 class Placing::BatchWatcher : public AttemptWatcher {
  public:
-  BatchWatcher(Placing& placing, std::uint64_t attempt, RequestFacts facts, StreamPart part) : placing_(placing), attempt_(attempt), facts_(std::move(facts)), part_(std::move(part)) {
+  BatchWatcher(Placing& placing, std::uint64_t attempt, RequestFacts facts, StreamPart part)
+      : placing_(placing), attempt_(attempt), facts_(std::move(facts)), part_(std::move(part)) {
     reader_.begin(part_.last_event > 0 ? std::optional(part_.last_event) : std::nullopt);
   }
   void on_head(int status, const std::vector<Header>& headers) override {
@@ -93,7 +99,9 @@
   StreamPart part() const { return part_.last_event > 0 && !damaged_ ? part_ : StreamPart{}; }
 
  private:
-  bool good() const { return status_ >= 200 && status_ < 300 && !answer_.foreign && !answer_.not_run && !answer_.other_instance; }
+  bool good() const {
+    return status_ >= 200 && status_ < 300 && !answer_.foreign && !answer_.not_run && !answer_.other_instance;
+  }
   void give(const char* outcome) { placing_.ended(attempt_, {outcome, status_, {}, part()}); }
   void add(View events) {
     while (!events.empty()) {
@@ -120,29 +128,32 @@
   bool any_ = false, damaged_ = false;
 };
 
-Placing::Placing(Post& post, Board& board, Exchange& exchange, Chance& chance, const Dialect& dialect)
-    : post_(post), board_(board), exchange_(exchange), chance_(chance), dialect_(dialect) {
-  post_.on_tell<PendingItems>([this](const Address& from, PendingItems pending) {
-    sources_[from] = Source{std::move(pending.kinds), std::move(pending.late), post_.schedule().now()};
+Placing::Placing(Messenger& messenger, SharedState& shared_state, Exchange& exchange, RandomSource& random,
+                 const Dialect& dialect)
+    : messenger_(messenger), shared_state_(shared_state), exchange_(exchange), random_(random), dialect_(dialect) {
+  messenger_.on_tell<PendingItems>([this](const Address& from, PendingItems pending) {
+    sources_[from] = Source{std::move(pending.kinds), std::move(pending.late), messenger_.timers().now()};
     work_soon();
   });
-  post_.on_tell<PlacerTotals>([this](const Address&, PlacerTotals told) {
-    board_.take_totals(told.totals.runner_kind, KindTotals{post_.schedule().now(), std::move(told.totals.runners)});
+  messenger_.on_tell<PlacerTotals>([this](const Address&, PlacerTotals told) {
+    shared_state_.take_totals(told.totals.runner_kind,
+                              KindTotals{messenger_.timers().now(), std::move(told.totals.runners)});
   });
-  post_.on_ask<AskHeld>([this](const Address&, AskHeld ask, Answer<HeldReply> answer) {
-    if (ask.incarnation != post_.incarnation()) return answer(Fault{FaultKind::stale, "incarnation", "the placer was started anew", "take its items as lost"});
+  messenger_.on_ask<AskHeld>([this](const Address&, AskHeld ask, Answer<HeldReply> answer) {
+    if (ask.incarnation != messenger_.incarnation())
+      return answer(Fault{FaultKind::stale, "incarnation", "the placer was started anew", "take its items as lost"});
     HeldReply reply;
     for (auto& item : ask.items)
       if (!held_.contains(item)) reply.missing.push_back(std::move(item));
     answer(std::move(reply));
   });
-  post_.on_ask<AskSlot>([this](const Address&, AskSlot ask, Answer<SlotItems> answer) {
-    SlotItems reply{post_.incarnation(), {}};
+  messenger_.on_ask<AskSlot>([this](const Address&, AskSlot ask, Answer<SlotItems> answer) {
+    SlotItems reply{messenger_.incarnation(), {}};
     for (const auto& name : held_)
       if (slot_of("lot/" + name.lot) == ask.slot) reply.items.push_back(name);
     answer(std::move(reply));
   });
-  post_.on_tell<StopLot>([this](const Address&, StopLot ended) {
+  messenger_.on_tell<StopLot>([this](const Address&, StopLot ended) {
     std::vector<std::uint64_t> stopped;
     for (const auto& [number, attempt] : attempts_)
       if (attempt.item.lot == ended.lot) stopped.push_back(number);
@@ -150,100 +161,116 @@
   });
 }
 
-void Placing::start() { tick(); }
+void Placing::start() {
+  tick();
+}
 
-bool Placing::outside(const PolicyView& policy, const std::string& name, const Runner& runner) const {
-  if (runner.leaving || policy.evacuated(runner.hall)) return false;
-  auto circle = policy.circles.find(runner.kind.text);
-  if (circle == policy.circles.end() || circle->second.spec.has(name)) return false;
+bool Placing::outside(const ConfigurationView& configuration, const std::string& name, const Runner& runner) const {
+  if (runner.leaving || configuration.evacuated(runner.zone)) return false;
+  auto circle = configuration.circles.find(runner.kind.text);
+  if (circle == configuration.circles.end() || circle->second.spec.has(name)) return false;
   const auto& dark = circle->second.spec.dark;
   return std::find(dark.begin(), dark.end(), RunnerId(name)) == dark.end();
 }
 
-std::optional<std::uint64_t> Placing::appointed(const PolicyView& policy, const std::string& name, const Runner& runner) const {
-  auto circle = policy.circles.find(runner.kind.text);
-  if (circle == policy.circles.end()) return std::nullopt;
+std::optional<std::uint64_t> Placing::appointed(const ConfigurationView& configuration, const std::string& name,
+                                                const Runner& runner) const {
+  auto circle = configuration.circles.find(runner.kind.text);
+  if (circle == configuration.circles.end()) return std::nullopt;
   const auto& placers = circle->second.spec.placers;
   auto placer = placers.find(name);
-  if (placer == placers.end() || placer->second.address != post_.self() || placer->second.incarnation != post_.incarnation()) return std::nullopt;
-  if (!outside(policy, name, runner)) return std::nullopt;
+  if (placer == placers.end() || placer->second.address != messenger_.self() ||
+      placer->second.incarnation != messenger_.incarnation())
+    return std::nullopt;
+  if (!outside(configuration, name, runner)) return std::nullopt;
   return placer->second.term;
 }
 
 // Slots free of items and of streams that began while the runner was in the circle; half of them stay free until the
-// totals are newer than the change that made this daemon its placer. A runner that may turn cold at any moment is never given more in a
-// second than a cold one bears.
+// totals are newer than the change that made this daemon its placer. A runner that may turn cold at any moment is never
+// given more in a second than a cold one bears.
 std::uint32_t Placing::room(const std::string& name, const Runner& runner, const Kind& kind, Work& state) {
-  const auto usage = board_.usage.get();
-  auto totals = usage->find(runner.kind.text);
-  if (totals == usage->end() || !state.outside_since) return 0;
+  const auto load = shared_state_.load.get();
+  auto totals = load->find(runner.kind.text);
+  if (totals == load->end() || !state.outside_since) return 0;
   auto found = totals->second.runners.find(name);
-  const std::uint32_t taken = state.open + (found == totals->second.runners.end() ? 0 : found->second.open + found->second.foreign);
+  const std::uint32_t taken =
+      state.open + (found == totals->second.runners.end() ? 0 : found->second.open + found->second.foreign);
   std::uint32_t free = taken < runner.slots ? runner.slots - taken : 0;
-  if (totals->second.heard < *state.outside_since + account_span) free = free > runner.slots / 2 ? free - runner.slots / 2 : 0;
+  if (totals->second.heard < *state.outside_since + account_span)
+    free = free > runner.slots / 2 ? free - runner.slots / 2 : 0;
   if (kind.cold_rate > 0) {
-    const Moment now = post_.schedule().now();
+    const Moment now = messenger_.timers().now();
     while (!state.sent.empty() && now - state.sent.front() > milliseconds(1100)) state.sent.pop_front();
-    const auto bound = static_cast<std::size_t>(std::max(1.0, kind.cold_rate * (runner.cold > Span{} ? cold_share : warm_share)));
+    const auto bound =
+        static_cast<std::size_t>(std::max(1.0, kind.cold_rate * (runner.cold > Span{} ? cold_share : warm_share)));
     free = std::min(free, static_cast<std::uint32_t>(bound - std::min(bound, state.sent.size())));
   }
   return free;
 }
 
-void Placing::report_usage() {
-  const auto policy = board_.policy.get();
-  const auto members = board_.members.get();
-  const Moment now = post_.schedule().now();
-  std::map<std::string, UsageReport> reports;
+void Placing::report_load() {
+  const auto configuration = shared_state_.configuration.get();
+  const auto members = shared_state_.members.get();
+  const Moment now = messenger_.timers().now();
+  std::map<std::string, LoadReport> reports;
   for (const auto& [name, state] : works_) {
-    auto runner = policy->runners.find(name);
+    auto runner = configuration->runners.find(name);
     const bool tried = state.last_sent.microseconds > 0 && now - state.last_sent < std::chrono::seconds(10);
-    if (runner == policy->runners.end() || (state.open == 0 && !tried)) continue;
+    if (runner == configuration->runners.end() || (state.open == 0 && !tried)) continue;
     const bool failing = state.failures > 0 && now < state.not_before + std::chrono::seconds(1);
-    reports[runner->second.spec.kind.text].runners[name] = RunnerUsage{state.open, failing && state.failures >= 2, tried, failing ? std::optional(Span{}) : std::nullopt};
+    reports[runner->second.spec.kind.text].runners[name] =
+        ObservedLoad{state.open, failing && state.failures >= 2, tried, failing ? std::optional(Span{}) : std::nullopt};
   }
   for (auto& [kind, report] : reports) {
     report.runner_kind = kind;
-    report.incarnation = post_.incarnation();
+    report.incarnation = messenger_.incarnation();
     report.items = true;
-    if (const Seat* seat = slot_owner(policy->roster, *members, slot_of("circle/" + kind))) post_.tell(seat->address, report);
+    if (const Seat* seat = slot_owner(configuration->roster, *members, slot_of("circle/" + kind)))
+      messenger_.tell(seat->address, report);
   }
 }
 
 void Placing::tick() {
-  const Moment now = post_.schedule().now();
-  const auto policy = board_.policy.get();
+  const Moment now = messenger_.timers().now();
+  const auto configuration = shared_state_.configuration.get();
   mine_.clear();
-  for (const auto& [kind, circle] : policy->circles)
+  for (const auto& [kind, circle] : configuration->circles)
     for (const auto& [name, placer] : circle.spec.placers)
-      if (placer.address == post_.self()) works_.try_emplace(name);
+      if (placer.address == messenger_.self()) works_.try_emplace(name);
   // Items on a runner that entered the circle get a bounded time to end; those that may run again are then stopped.
   for (auto each = works_.begin(); each != works_.end();) {
     auto& [name, state] = *each;
-    auto runner = policy->runners.find(name);
-    if (runner == policy->runners.end() && state.open == 0 && !state.fetching) {
+    auto runner = configuration->runners.find(name);
+    if (runner == configuration->runners.end() && state.open == 0 && !state.fetching) {
       each = works_.erase(each);
       continue;
     }
-    const bool out = runner != policy->runners.end() && outside(*policy, name, runner->second.spec);
-    if (out) state.inside_since.reset();
-    else if (!state.inside_since) state.inside_since = now;
-    const auto term = out ? appointed(*policy, name, runner->second.spec) : std::nullopt;
-    if (!term) state.outside_since.reset();
-    else if (!state.outside_since || state.term != *term) state.outside_since = now;
+    const bool out = runner != configuration->runners.end() && outside(*configuration, name, runner->second.spec);
+    if (out)
+      state.inside_since.reset();
+    else if (!state.inside_since)
+      state.inside_since = now;
+    const auto term = out ? appointed(*configuration, name, runner->second.spec) : std::nullopt;
+    if (!term)
+      state.outside_since.reset();
+    else if (!state.outside_since || state.term != *term)
+      state.outside_since = now;
     state.term = term.value_or(0);
     if (term) mine_.insert(name);
     ++each;
   }
-  if (++ticks_ % usage_ticks == 0) report_usage();
+  if (++ticks_ % load_ticks == 0) report_load();
   std::vector<std::uint64_t> late;
   for (const auto& [number, attempt] : attempts_)
-    if (const Work& state = works_[attempt.runner]; attempt.repeatable && state.inside_since && now - *state.inside_since > leave_span) late.push_back(number);
+    if (const Work& state = works_[attempt.runner];
+        attempt.repeatable && state.inside_since && now - *state.inside_since > leave_span)
+      late.push_back(number);
   stop(late);
   std::erase_if(sources_, [&](const auto& entry) { return now - entry.second.heard > source_span; });
   work();
   if (!reports_.empty()) flush();
-  post_.schedule().after(tick_span, [this] { tick(); });
+  messenger_.timers().after(tick_span, [this] { tick(); });
 }
 
 void Placing::stop(const std::vector<std::uint64_t>& numbers) {
@@ -258,33 +285,35 @@
 void Placing::work_soon() {
   if (work_soon_) return;
   work_soon_ = true;
-  post_.schedule().after(work_gap, [this] {
+  messenger_.timers().after(work_gap, [this] {
     work_soon_ = false;
     work();
   });
 }
 
 void Placing::work() {
-  const Moment now = post_.schedule().now();
-  if (sources_.empty() || mine_.empty() || !board_.permitted(now) || board_.draining) return;
-  const auto policy = board_.policy.get();
+  const Moment now = messenger_.timers().now();
+  if (sources_.empty() || mine_.empty() || !shared_state_.has_lease(now) || shared_state_.draining) return;
+  const auto configuration = shared_state_.configuration.get();
   for (const auto& name : mine_) {
-    auto entry = policy->runners.find(name);
-    if (entry == policy->runners.end()) continue;
+    auto entry = configuration->runners.find(name);
+    if (entry == configuration->runners.end()) continue;
     const Runner& runner = entry->second.spec;
-    auto kind = policy->kinds.find(runner.kind.text);
-    if (kind == policy->kinds.end()) continue;
+    auto kind = configuration->kinds.find(runner.kind.text);
+    if (kind == configuration->kinds.end()) continue;
     Work& state = works_[name];
     if (state.fetching || now < state.not_before) continue;
-    const auto term = appointed(*policy, name, runner);
+    const auto term = appointed(*configuration, name, runner);
     if (!term) continue;
     const std::uint32_t free = room(name, runner, kind->second.spec, state);
     // A runner that failed lately gets one item to prove itself with.
-    if (free > 0 && (state.failures == 0 || state.open == 0)) fetch(name, runner, state, *term, state.failures > 0 ? 1 : free, kind->second.spec);
+    if (free > 0 && (state.failures == 0 || state.open == 0))
+      fetch(name, runner, state, *term, state.failures > 0 ? 1 : free, kind->second.spec);
   }
 }
 
-void Placing::fetch(const std::string& name, const Runner& runner, Work& state, std::uint64_t term, std::uint32_t count, const Kind& kind) {
+void Placing::fetch(const std::string& name, const Runner& runner, Work& state, std::uint64_t term, std::uint32_t count,
+                    const Kind& kind) {
   FetchItems ask{runner.kind.text, name, count, term, 0};
   if (kind.engine.memory_tokens > 0) {
     if (state.tokens >= kind.engine.memory_tokens) return;
@@ -295,41 +324,51 @@
     for (const auto& [address, source] : sources_) {
       const auto& counts = late ? source.late : source.kinds;
       if (late && !owners.empty()) break;
-      if (auto found = counts.find(runner.kind.text); found != counts.end() && found->second > 0) owners.push_back(address);
+      if (auto found = counts.find(runner.kind.text); found != counts.end() && found->second > 0)
+        owners.push_back(address);
     }
   if (owners.empty()) return;
-  const Address owner = owners[chance_.below(owners.size())];
+  const Address owner = owners[random_.below(owners.size())];
   state.fetching = true;
-  post_.ask(owner, ask, fetch_limit, [this, name, owner, kind = runner.kind.text, began = post_.schedule().now()](Result<ItemsReply> result) {
-    works_[name].fetching = false;
-    auto* reply = std::get_if<ItemsReply>(&result);
-    if (reply == nullptr) {
-      sources_.erase(owner);
-      return;
-    }
-    if (auto source = sources_.find(owner); source != sources_.end()) source->second.kinds[kind] = reply->remaining, source->second.late[kind] = reply->late;
-    const Moment now = post_.schedule().now();
-    const auto policy = board_.policy.get();
-    auto found = policy->runners.find(name);
-    const bool good = found != policy->runners.end() && appointed(*policy, name, found->second.spec) && board_.permitted(now) && now - began < start_lease;
-    for (const auto& item : reply->items) {
-      held_.insert(ItemName{item.lot, item.item, item.attempt});
-      if (good) send(name, item);
-      else report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}, {}, item.failures});
-    }
-    work_soon();
-  });
+  messenger_.ask(
+      owner, ask, fetch_limit,
+      [this, name, owner, kind = runner.kind.text, began = messenger_.timers().now()](Result<ItemsReply> result) {
+        works_[name].fetching = false;
+        auto* reply = std::get_if<ItemsReply>(&result);
+        if (reply == nullptr) {
+          sources_.erase(owner);
+          return;
+        }
+        if (auto source = sources_.find(owner); source != sources_.end())
+          source->second.kinds[kind] = reply->remaining, source->second.late[kind] = reply->late;
+        const Moment now = messenger_.timers().now();
+        const auto configuration = shared_state_.configuration.get();
+        auto found = configuration->runners.find(name);
+        const bool good = found != configuration->runners.end() &&
+                          appointed(*configuration, name, found->second.spec) && shared_state_.has_lease(now) &&
+                          now - began < start_lease;
+        for (const auto& item : reply->items) {
+          held_.insert(ItemName{item.lot, item.item, item.attempt});
+          if (good)
+            send(name, item);
+          else
+            report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}, {}, item.failures});
+        }
+        work_soon();
+      });
 }
 
 void Placing::send(const std::string& name, const PlacedItem& item) {
-  const auto policy = board_.policy.get();
-  auto lane = policy->lanes.find(item.lane);
-  auto runner = policy->runners.find(name);
-  auto kind = runner == policy->runners.end() ? policy->kinds.end() : policy->kinds.find(runner->second.spec.kind.text);
-  if (lane == policy->lanes.end() || kind == policy->kinds.end() || !leads(lane->second.spec, runner->second.spec.kind))
+  const auto configuration = shared_state_.configuration.get();
+  auto lane = configuration->lanes.find(item.lane);
+  auto runner = configuration->runners.find(name);
+  auto kind = runner == configuration->runners.end() ? configuration->kinds.end()
+                                                     : configuration->kinds.find(runner->second.spec.kind.text);
+  if (lane == configuration->lanes.end() || kind == configuration->kinds.end() ||
+      !leads(lane->second.spec, runner->second.spec.kind))
     return report(FinishItem{item.lot, item.item, item.attempt, "not_run", 0, {}, {}, item.failures});
   const std::uint64_t number = ++last_attempt_;
-  const Moment now = post_.schedule().now();
+  const Moment now = messenger_.timers().now();
   Work& state = works_[name];
   ++state.open;
   state.tokens += item.request.tokens;
@@ -358,10 +397,13 @@
     AttemptFacts given{name, run_budget, std::nullopt};
     if (item.part.last_event > 0) given.last_event = item.part.last_event;
     dialect_.write_attempt(request, facts, given);
-    watcher = attempt.batch = std::make_shared<BatchWatcher>(*this, number, std::move(facts), std::move(attempt.item.part));
+    watcher = attempt.batch =
+        std::make_shared<BatchWatcher>(*this, number, std::move(facts), std::move(attempt.item.part));
   } else {
     request.target = lane->second.spec.path;
-    request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", item.lot + "/" + std::to_string(item.item)}, {"X-Mothwalk-Lot", item.lot}};
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Request-Id", item.lot + "/" + std::to_string(item.item)},
+                       {"X-Mothwalk-Lot", item.lot}};
     watcher = std::make_shared<Watcher>(*this, number, kind->second.spec.refusals);
   }
   attempt.exchange = exchange_.start(request, watcher);
@@ -373,7 +415,7 @@
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
   const std::string& outcome = ending.outcome;
-  const Moment now = post_.schedule().now();
+  const Moment now = messenger_.timers().now();
   Work& state = works_[attempt.runner];
   --state.open;
   state.tokens -= std::min<std::uint64_t>(state.tokens, attempt.item.request.tokens);
@@ -385,7 +427,8 @@
     state.failures = std::min(state.failures + 1, 5u);
     state.not_before = now + milliseconds(200 << state.failures);
   }
-  FinishItem finish{attempt.item.lot, attempt.item.item, attempt.item.attempt, outcome, ending.status, std::move(ending.body), std::move(ending.part), attempt.item.failures};
+  FinishItem finish{attempt.item.lot, attempt.item.item,      attempt.item.attempt,   outcome,
+                    ending.status,    std::move(ending.body), std::move(ending.part), attempt.item.failures};
   finish.failures += outcome == "failed";
   report(std::move(finish));
   work_soon();
@@ -402,15 +445,15 @@
 void Placing::report_soon() {
   if (report_soon_) return;
   report_soon_ = true;
-  post_.schedule().after(report_gap, [this] {
+  messenger_.timers().after(report_gap, [this] {
     report_soon_ = false;
     flush();
   });
 }
 
 void Placing::flush() {
-  const auto policy = board_.policy.get();
-  const auto members = board_.members.get();
+  const auto configuration = shared_state_.configuration.get();
+  const auto members = shared_state_.members.get();
   struct Parcel {
     FinishItems message;
     std::vector<ItemName> names;
@@ -420,7 +463,7 @@
   for (auto& [name, report] : reports_) {
     if (report.on_its_way) continue;
     const std::string key = "lot/" + name.lot;
-    const Seat* seat = slot_owner(policy->roster_of(key), *members, slot_of(key));
+    const Seat* seat = slot_owner(configuration->roster_of(key), *members, slot_of(key));
     if (seat == nullptr) continue;
     Parcel& parcel = parcels[seat->address];
     if (parcel.names.size() >= most_reports || parcel.bytes >= report_bytes) continue;
@@ -430,17 +473,18 @@
     parcel.message.items.push_back(report.finish);
   }
   for (auto& [owner, parcel] : parcels)
-    post_.ask(owner, parcel.message, report_limit, [this, names = std::move(parcel.names)](Result<FinishReply> result) {
-      for (const auto& name : names)
-        if (auto found = reports_.find(name); found != reports_.end()) found->second.on_its_way = false;
-      auto* reply = std::get_if<FinishReply>(&result);
-      if (reply == nullptr) return;            // the next tick sends them again
-      for (const std::uint32_t place : reply->heard) {
-        if (place >= names.size()) continue;
-        reports_.erase(names[place]);
-        held_.erase(names[place]);
-      }
-    });
+    messenger_.ask(owner, parcel.message, report_limit,
+                   [this, names = std::move(parcel.names)](Result<FinishReply> result) {
+                     for (const auto& name : names)
+                       if (auto found = reports_.find(name); found != reports_.end()) found->second.on_its_way = false;
+                     auto* reply = std::get_if<FinishReply>(&result);
+                     if (reply == nullptr) return;  // the next tick sends them again
+                     for (const std::uint32_t place : reply->heard) {
+                       if (place >= names.size()) continue;
+                       reports_.erase(names[place]);
+                       held_.erase(names[place]);
+                     }
+                   });
 }
 
 }  // namespace mothwalk
--- a/source/lots/placing.hpp
+++ b/source/lots/placing.hpp
@@ -12,7 +12,8 @@
 
 class Placing {
  public:
-  Placing(Post& post, Board& board, Exchange& exchange, Chance& chance, const Dialect& dialect = plain_dialect());
+  Placing(Messenger& messenger, SharedState& shared_state, Exchange& exchange, RandomSource& random,
+          const Dialect& dialect = plain_dialect());
   void start();
   std::size_t open() const { return attempts_.size(); }
 
@@ -21,13 +22,13 @@
   class BatchWatcher;
   struct Work {
     std::uint32_t open = 0;
-    std::uint64_t tokens = 0;          // of the open items
+    std::uint64_t tokens = 0;  // of the open items
     bool fetching = false;
     Moment not_before;
     std::uint32_t failures = 0;
     std::optional<Moment> inside_since, outside_since;
     Moment last_sent;
-    std::deque<Moment> sent;           // within the last second, where the kind bounds that
+    std::deque<Moment> sent;  // within the last second, where the kind bounds that
     std::uint64_t term = 0;
   };
   struct Attempt {
@@ -50,12 +51,14 @@
   void tick();
   void work();
   void work_soon();
-  void fetch(const std::string& name, const Runner& runner, Work& state, std::uint64_t term, std::uint32_t count, const Kind& kind);
-  bool outside(const PolicyView& policy, const std::string& name, const Runner& runner) const;
+  void fetch(const std::string& name, const Runner& runner, Work& state, std::uint64_t term, std::uint32_t count,
+             const Kind& kind);
+  bool outside(const ConfigurationView& configuration, const std::string& name, const Runner& runner) const;
   // This daemon's term as the runner's placer, or none.
-  std::optional<std::uint64_t> appointed(const PolicyView& policy, const std::string& name, const Runner& runner) const;
+  std::optional<std::uint64_t> appointed(const ConfigurationView& configuration, const std::string& name,
+                                         const Runner& runner) const;
   std::uint32_t room(const std::string& name, const Runner& runner, const Kind& kind, Work& state);
-  void report_usage();
+  void report_load();
   void send(const std::string& runner, const PlacedItem& item);
   void stop(const std::vector<std::uint64_t>& attempts);
   void ended(std::uint64_t attempt, Ending ending);
@@ -63,15 +66,15 @@
   void report_soon();
   void flush();
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   Exchange& exchange_;
-  Chance& chance_;
+  RandomSource& random_;
   const Dialect& dialect_;
   std::map<std::string, Work> works_;
-  std::set<std::string> mine_;       // the runners that this daemon places on, as of the last tick
+  std::set<std::string> mine_;  // the runners that this daemon places on, as of the last tick
   std::map<std::uint64_t, Attempt> attempts_;
-  std::set<ItemName> held_;          // from the fetch until the owner has heard the report
+  std::set<ItemName> held_;  // from the fetch until the owner has heard the report
   struct Report {
     FinishItem finish;
     bool on_its_way = false;
--- a/source/mothwalk.hpp
+++ b/source/mothwalk.hpp
@@ -36,24 +36,32 @@
   Number next() const { return Number{value + 1}; }
 };
 
-using Address = Name<struct AddressTag>;       // ip:port of a daemon's peer side or of a runner
-using ZoneId = Name<struct HallTag>;           // a zone
+using Address = Name<struct AddressTag>;  // ip:port of a daemon's peer side or of a runner
+using ZoneId = Name<struct ZoneTag>;      // a zone
 using RunnerId = Name<struct RunnerTag>;
 using KindId = Name<struct KindTag>;
-using HolderId = Name<struct HolderTag>;       // random identity of a data folder
+using HolderId = Name<struct HolderTag>;  // random identity of a data folder
 using Epoch = Number<struct EpochTag>;
 using Version = Number<struct VersionTag>;
 
 struct Stamp {
   Epoch epoch;
   Version version;
-  template <class Visitor> void fields(Visitor&& visit) { visit("epoch", epoch); visit("version", version); }
-  template <class Visitor> void fields(Visitor&& visit) const { visit("epoch", epoch); visit("version", version); }
+  template <class Visitor>
+  void fields(Visitor&& visit) {
+    visit("epoch", epoch);
+    visit("version", version);
+  }
+  template <class Visitor>
+  void fields(Visitor&& visit) const {
+    visit("epoch", epoch);
+    visit("version", version);
+  }
   auto operator<=>(const Stamp&) const = default;
 };
 
-using Span = std::chrono::microseconds;        // a length of time
-struct Moment {                                // a point on the steady clock that counts suspended time
+using Span = std::chrono::microseconds;  // a length of time
+struct Moment {                          // a point on the steady clock that counts suspended time
   std::int64_t microseconds = 0;
   auto operator<=>(const Moment&) const = default;
   Moment operator+(Span span) const { return Moment{microseconds + span.count()}; }
@@ -74,7 +82,9 @@
 struct Done {};
 
 template <class Value>
-const Fault* fault_of(const Result<Value>& result) { return std::get_if<Fault>(&result); }
+const Fault* fault_of(const Result<Value>& result) {
+  return std::get_if<Fault>(&result);
+}
 
 std::string_view fault_name(FaultKind kind);
 int fault_status(FaultKind kind);
--- a/source/news/news.cpp
+++ b/source/news/news.cpp
@@ -1,4 +1,4 @@
-// Spreading, comparing, mending, and the permit that a whole comparison brings.
+// Spreading, comparing, mending, and the lease that a whole comparison brings.
 #include "news/news.hpp"
 
 #include <algorithm>
@@ -11,28 +11,32 @@
 }
 }  // namespace
 
-News::News(Post& post, Board& board, Chance& chance, bool control, const ConfigurationFormat* format) : post_(post), board_(board), chance_(chance), control_(control), format_(format) {
-  post_.on_tell<Spread>([this](const Address&, Spread spread) { take(std::move(spread.items), true); });
-  post_.on_ask<Compare>([this](const Address&, Compare compare, Answer<CompareReply> answer) {
-    CompareReply reply{compare.digest == view_.digest, majority_permit(), {}};
+News::News(Messenger& messenger, SharedState& shared_state, RandomSource& random, bool control,
+           const ConfigurationFormat* format)
+    : messenger_(messenger), shared_state_(shared_state), random_(random), control_(control), format_(format) {
+  messenger_.on_tell<Spread>([this](const Address&, Spread spread) { take(std::move(spread.items), true); });
+  messenger_.on_ask<Compare>([this](const Address&, Compare compare, Answer<CompareReply> answer) {
+    CompareReply reply{compare.digest == view_.digest, majority_lease(), {}};
     if (!reply.same)
       for (const auto& [key, item] : items_) reply.listing.push_back(KeyStamp{key, item.stamp});
     answer(std::move(reply));
   });
-  post_.on_ask<FetchNews>([this](const Address&, FetchNews fetch, Answer<FetchNewsReply> answer) {
+  messenger_.on_ask<FetchNews>([this](const Address&, FetchNews fetch, Answer<FetchNewsReply> answer) {
     FetchNewsReply reply;
     for (const auto& key : fetch.keys)
       if (auto found = items_.find(key); found != items_.end()) reply.items.push_back(found->second);
     answer(std::move(reply));
   });
-  post_.on_ask<Taken>([this](const Address&, Taken taken, Answer<TakenReply> answer) {
+  messenger_.on_ask<Taken>([this](const Address&, Taken taken, Answer<TakenReply> answer) {
     auto found = items_.find(taken.key);
     if (found == items_.end()) return answer(TakenReply{});
     answer(TakenReply{true, found->second.removed, found->second.stamp});
   });
 }
 
-void News::start() { tick(); }
+void News::start() {
+  tick();
+}
 
 bool News::take(std::vector<NewsItem> items, bool spread) {
   std::vector<NewsItem> fresh;
@@ -46,30 +50,32 @@
     items_[item.key] = std::move(item);
   }
   if (fresh.empty()) return false;
-  board_.policy.set(view_);
+  shared_state_.configuration.set(view_);
   if (spread) pass_on(fresh);
   return true;
 }
 
 void News::pass_on(const std::vector<NewsItem>& items) {
-  const auto members = board_.members.get();
+  const auto members = shared_state_.members.get();
   std::vector<Address> others;
   for (const auto& [address, member] : members->all)
-    if (address != post_.self()) others.push_back(address);
+    if (address != messenger_.self()) others.push_back(address);
   for (std::size_t count = 0; count < fan_out && !others.empty(); ++count) {
-    const std::size_t index = chance_.below(others.size());
-    post_.tell(others[index], Spread{items});
+    const std::size_t index = random_.below(others.size());
+    messenger_.tell(others[index], Spread{items});
     others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
   }
 }
 
-Span News::majority_permit() const {
+Span News::majority_lease() const {
   if (!control_ || view_.roster.seats.empty()) return Span{};
-  const Moment now = post_.schedule().now();
+  const Moment now = messenger_.timers().now();
   std::vector<Span> left;
   for (const auto& seat : view_.roster.seats) {
-    if (seat.address == post_.self()) left.push_back(permit_span);
-    else if (auto found = compared_.find(seat.address); found != compared_.end()) left.push_back(found->second + permit_span - now);
+    if (seat.address == messenger_.self())
+      left.push_back(lease_span);
+    else if (auto found = compared_.find(seat.address); found != compared_.end())
+      left.push_back(found->second + lease_span - now);
   }
   std::sort(left.rbegin(), left.rend());
   const std::size_t majority = view_.roster.majority();
@@ -78,57 +84,62 @@
 }
 
 void News::tick() {
-  const auto members = board_.members.get();
-  const Moment now = post_.schedule().now();
+  const auto members = shared_state_.members.get();
+  const Moment now = messenger_.timers().now();
   if (control_) {
     for (const auto& [address, member] : members->all)
-      if (member.keeps_control() && address != post_.self()) compare(address);
-    if (const Span permit = majority_permit(); permit > Span{}) board_.permit_until = (now + permit).microseconds;
+      if (member.keeps_control() && address != messenger_.self()) compare(address);
+    if (const Span lease = majority_lease(); lease > Span{}) shared_state_.lease_until = (now + lease).microseconds;
   } else if (!members->home.empty()) {
     compare(members->home);
   }
-  // A gap between two ticks means that this process was frozen: the search for a permit begins anew.
-  const bool frozen = now.microseconds - board_.news_tick.load() > 3 * round_span.count();
-  if (board_.permitted(now)) board_.permit_sought = -1;
-  else if (board_.permit_sought.load() < 0 || frozen) board_.permit_sought = now.microseconds;
-  board_.news_tick = now.microseconds;
-  post_.schedule().after(round_span, [this] { tick(); });
+  // A gap between two ticks means that this process was frozen: the search for a lease begins anew.
+  const bool frozen = now.microseconds - shared_state_.news_tick.load() > 3 * round_span.count();
+  if (shared_state_.has_lease(now))
+    shared_state_.lease_sought = -1;
+  else if (shared_state_.lease_sought.load() < 0 || frozen)
+    shared_state_.lease_sought = now.microseconds;
+  shared_state_.news_tick = now.microseconds;
+  messenger_.timers().after(round_span, [this] { tick(); });
 }
 
 void News::compare(const Address& peer) {
   if (!comparing_.insert(peer).second) return;
-  const Moment began = post_.schedule().now();
-  post_.ask(peer, Compare{view_.digest}, std::chrono::milliseconds(500), [this, peer, began](Result<CompareReply> result) {
-    auto* reply = std::get_if<CompareReply>(&result);
-    if (reply == nullptr) return void(comparing_.erase(peer));
-    if (reply->same) return finish(peer, began, reply->permit);
-    FetchNews wanted;
-    Spread owed;
-    std::map<std::string, Stamp> theirs;
-    for (const auto& each : reply->listing) {
-      theirs[each.key] = each.stamp;
-      auto found = items_.find(each.key);
-      if (found == items_.end() || found->second.stamp < each.stamp) wanted.keys.push_back(each.key);
-    }
-    for (const auto& [key, item] : items_)
-      if (auto found = theirs.find(key); found == theirs.end() || found->second < item.stamp) owed.items.push_back(item);
-    if (!owed.items.empty()) post_.tell(peer, owed);
-    if (wanted.keys.empty()) return finish(peer, began, reply->permit);
-    post_.ask(peer, wanted, std::chrono::milliseconds(500), [this, peer, began, permit = reply->permit](Result<FetchNewsReply> fetched) {
-      auto* items = std::get_if<FetchNewsReply>(&fetched);
-      if (items == nullptr) return void(comparing_.erase(peer));
-      take(std::move(items->items), false);
-      finish(peer, began, permit);
-    });
-  });
+  const Moment began = messenger_.timers().now();
+  messenger_.ask(peer, Compare{view_.digest}, std::chrono::milliseconds(500),
+                 [this, peer, began](Result<CompareReply> result) {
+                   auto* reply = std::get_if<CompareReply>(&result);
+                   if (reply == nullptr) return void(comparing_.erase(peer));
+                   if (reply->same) return finish(peer, began, reply->lease);
+                   FetchNews wanted;
+                   Spread owed;
+                   std::map<std::string, Stamp> theirs;
+                   for (const auto& each : reply->listing) {
+                     theirs[each.key] = each.stamp;
+                     auto found = items_.find(each.key);
+                     if (found == items_.end() || found->second.stamp < each.stamp) wanted.keys.push_back(each.key);
+                   }
+                   for (const auto& [key, item] : items_)
+                     if (auto found = theirs.find(key); found == theirs.end() || found->second < item.stamp)
+                       owed.items.push_back(item);
+                   if (!owed.items.empty()) messenger_.tell(peer, owed);
+                   if (wanted.keys.empty()) return finish(peer, began, reply->lease);
+                   messenger_.ask(peer, wanted, std::chrono::milliseconds(500),
+                                  [this, peer, began, lease = reply->lease](Result<FetchNewsReply> fetched) {
+                                    auto* items = std::get_if<FetchNewsReply>(&fetched);
+                                    if (items == nullptr) return void(comparing_.erase(peer));
+                                    take(std::move(items->items), false);
+                                    finish(peer, began, lease);
+                                  });
+                 });
 }
 
-void News::finish(const Address& peer, Moment began, Span permit) {
+void News::finish(const Address& peer, Moment began, Span lease) {
   comparing_.erase(peer);
   compared_[peer] = began;
-  if (control_ || permit <= Span{}) return;
-  const std::int64_t until = (began + std::min(permit, permit_span)).microseconds;
-  if (until > board_.permit_until.load()) board_.permit_until = until;
+  if (control_ || lease <= Span{}) return;
+  const std::int64_t until = (began + std::min(lease, lease_span)).microseconds;
+  if (until > shared_state_.lease_until.load()) shared_state_.lease_until = until;
 }
 
 }  // namespace mothwalk
--- a/source/news/news.hpp
+++ b/source/news/news.hpp
@@ -1,9 +1,9 @@
-// News: the policy (with circles and the roster) as every daemon holds it. A change is passed on to a few others, gaps
-// are mended by comparing digests, and a key never goes back to a lower stamp. A daemon that has just been compared
-// whole with a control daemon in touch with a majority of the roster holds a short permit to serve.
+// News: the configuration (with circles and the roster) as every daemon holds it. A change is passed on to a few
+// others, gaps are mended by comparing digests, and a key never goes back to a lower stamp. A daemon that has just been
+// compared whole with a control daemon in touch with a majority of the roster holds a short lease to serve.
 #pragma once
-#include "sessions/board.hpp"
-#include "sessions/post.hpp"
+#include "sessions/messenger.hpp"
+#include "sessions/shared_state.hpp"
 
 namespace mothwalk {
 
@@ -26,9 +26,9 @@
 };
 struct CompareReply {
   bool same = false;
-  Span permit{};               // how long a daemon that reaches this digest may serve; zero for not at all
+  Span lease{};  // how long a daemon that reaches this digest may serve; zero for not at all
   std::vector<KeyStamp> listing;
-  MOTHWALK_FIELDS(same, permit, listing)
+  MOTHWALK_FIELDS(same, lease, listing)
 };
 struct Compare {
   static constexpr View kind = "news.compare";
@@ -60,28 +60,29 @@
 
 class News {
  public:
-  News(Post& post, Board& board, Chance& chance, bool control, const ConfigurationFormat* format = nullptr);
+  News(Messenger& messenger, SharedState& shared_state, RandomSource& random, bool control,
+       const ConfigurationFormat* format = nullptr);
   void start();
 
  private:
   static constexpr Span round_span = std::chrono::milliseconds(200);
-  static constexpr Span permit_span = std::chrono::milliseconds(800);
+  static constexpr Span lease_span = std::chrono::milliseconds(800);
   static constexpr std::size_t fan_out = 3;
   void tick();
   void compare(const Address& peer);
-  void finish(const Address& peer, Moment began, Span permit);
+  void finish(const Address& peer, Moment began, Span lease);
   bool take(std::vector<NewsItem> items, bool spread);
   void pass_on(const std::vector<NewsItem>& items);
-  Span majority_permit() const;
+  Span majority_lease() const;
 
-  Post& post_;
-  Board& board_;
-  Chance& chance_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
+  RandomSource& random_;
   bool control_;
   const ConfigurationFormat* format_;
   std::map<std::string, NewsItem> items_;
-  PolicyView view_;
-  std::map<Address, Moment> compared_;   // when the last whole comparison with that control daemon began
+  ConfigurationView view_;
+  std::map<Address, Moment> compared_;  // when the last whole comparison with that control daemon began
   std::set<Address> comparing_;
 };
 
--- a/source/operator/main.cpp
+++ b/source/operator/main.cpp
@@ -9,10 +9,10 @@
 #include <iterator>
 
 #include "coding/json.hpp"
+#include "configuration/resources.hpp"
 #include "host/http_client.hpp"
 #include "operator/planner.hpp"
-#include "policy/resources.hpp"
-#include "routes/entries.hpp"
+#include "routes/router.hpp"
 
 using namespace mothwalk;
 
@@ -24,20 +24,20 @@
   apply FILE             documents {"type","name","spec"[,"version"]}, one or a list; "-" reads standard input
   delete TYPE NAME
   watch [COUNT]          prints changes as they come; ends after COUNT of them
-  evacuate HALL          no work to the hall's runners; "restore HALL" takes it back
+  evacuate HALL          no work to the zone's runners; "restore HALL" takes it back
   restore HALL
   retire ADDRESS         takes the holder's seat away; "reinstate ADDRESS" takes it back
   reinstate ADDRESS
   lots [ID]              kept lots, or one
   cancel ID              cancels a lot
   circle [KIND]          who takes live prompts, and why
-  soundness              every daemon's state
+  health              every daemon's state
   aims                   service-level aims against what was counted; exit code 1 if one is not met
   members                who is there
   check FILE             checks documents with the daemon's own code, without changing anything
   plan FILE              shows what applying the documents would change
 
-Types: lane, kind, runner, hall, lots, holder, circle. The control addresses may also stand in MOTHWALK_CONTROL.
+Types: lane, kind, runner, zone, lots, holder, circle. The control addresses may also stand in MOTHWALK_CONTROL.
 Exit codes: 0 done, 1 refused or not found, 2 wrong use, 3 no daemon answered, 4 the outcome is not known.
 )";
 
@@ -46,14 +46,21 @@
   bool as_json = false;
 
   int say(const Fault& fault) const {
-    if (as_json) std::cerr << json::serialize(fault_to_json(fault)) << "\n";
-    else std::cerr << "mothwalk-operator: " << (fault.field.empty() ? "" : fault.field + ": ") << fault.message << "; " << fault.remedy << ".\n";
-    return fault.kind == FaultKind::lost ? 3 : fault.kind == FaultKind::unknown ? 4 : fault.kind == FaultKind::invalid && fault.field == "command" ? 2 : 1;
+    if (as_json)
+      std::cerr << json::serialize(fault_to_json(fault)) << "\n";
+    else
+      std::cerr << "mothwalk-operator: " << (fault.field.empty() ? "" : fault.field + ": ") << fault.message << "; "
+                << fault.remedy << ".\n";
+    return fault.kind == FaultKind::lost                                  ? 3
+           : fault.kind == FaultKind::unknown                             ? 4
+           : fault.kind == FaultKind::invalid && fault.field == "command" ? 2
+                                                                          : 1;
   }
 
   // Goes to the first daemon that answers; a call that may have taken effect is not sent to a second one.
   Result<json::value> call(View method, const std::string& target, View body = "") const {
-    Fault last{FaultKind::lost, "control", "no control address is given", "name one with --control or MOTHWALK_CONTROL"};
+    Fault last{FaultKind::lost, "control", "no control address is given",
+               "name one with --control or MOTHWALK_CONTROL"};
     for (const auto& control : controls) {
       auto answer = http_call(control, method, target, body, std::chrono::seconds(25));
       if (auto fault = fault_of(answer)) {
@@ -66,7 +73,10 @@
       if (auto fault = fault_of(parsed)) return *fault;
       json::value value = std::get<json::value>(parsed);
       if (given.status == 200) return value;
-      Fault fault{given.status == 404 ? FaultKind::unknown_name : given.status == 504 ? FaultKind::unknown : FaultKind::refused, "", "the daemon answered " + std::to_string(given.status), "see its logs"};
+      Fault fault{given.status == 404   ? FaultKind::unknown_name
+                  : given.status == 504 ? FaultKind::unknown
+                                        : FaultKind::refused,
+                  "", "the daemon answered " + std::to_string(given.status), "see its logs"};
       if (value.is_object() && value.as_object().contains("message")) {
         fault.field = std::string(value.at("field").as_string());
         fault.message = std::string(value.at("message").as_string());
@@ -86,16 +96,21 @@
       }
     for (const auto& row : rows) {
       std::string line;
-      for (std::size_t column = 0; column < row.size(); ++column) line += row[column] + (column + 1 < row.size() ? std::string(widths[column] - row[column].size() + 2, ' ') : "");
+      for (std::size_t column = 0; column < row.size(); ++column)
+        line +=
+            row[column] + (column + 1 < row.size() ? std::string(widths[column] - row[column].size() + 2, ' ') : "");
       std::cout << line << "\n";
     }
   }
 };
 
-std::string plain(const json::value& value) { return value.is_string() ? std::string(value.as_string()) : json::serialize(value); }
+std::string plain(const json::value& value) {
+  return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
+}
 
 // The fields of a list of objects as a table.
-int show_list(const Tool& tool, const json::value& whole, const json::array& list, const std::vector<std::string>& fields) {
+int show_list(const Tool& tool, const json::value& whole, const json::array& list,
+              const std::vector<std::string>& fields) {
   if (tool.as_json) return std::cout << json::serialize(whole) << "\n", 0;
   std::vector<std::vector<std::string>> rows{fields};
   for (const auto& each : list) {
@@ -111,13 +126,20 @@
   auto answer = tool.call("GET", "/v1/resources/" + type + (name.empty() ? "" : "/" + name));
   if (auto fault = fault_of(answer)) return tool.say(*fault);
   const json::value& value = std::get<json::value>(answer);
-  if (name.empty()) return show_list(tool, value, value.at("resources").as_array(), {"type", "name", "version", "spec"});
+  if (name.empty())
+    return show_list(tool, value, value.at("resources").as_array(), {"type", "name", "version", "spec"});
   if (tool.as_json) return std::cout << json::serialize(value) << "\n", 0;
-  tool.table({{"type", plain(value.at("type"))}, {"name", plain(value.at("name"))}, {"version", plain(value.at("version"))}, {"spec", plain(value.at("spec"))}, {"taken", plain(value.at("status").at("taken")) + " of " + plain(value.at("status").at("members"))}, {"waiting", plain(value.at("status").at("waiting"))}});
+  tool.table({{"type", plain(value.at("type"))},
+              {"name", plain(value.at("name"))},
+              {"version", plain(value.at("version"))},
+              {"spec", plain(value.at("spec"))},
+              {"taken", plain(value.at("status").at("taken")) + " of " + plain(value.at("status").at("members"))},
+              {"waiting", plain(value.at("status").at("waiting"))}});
   return 0;
 }
 
-int put(const Tool& tool, const std::string& type, const std::string& name, const json::value& spec, std::optional<std::uint64_t> version) {
+int put(const Tool& tool, const std::string& type, const std::string& name, const json::value& spec,
+        std::optional<std::uint64_t> version) {
   const std::string path = "/v1/resources/" + type + "/" + name;
   if (!version) {
     auto current = tool.call("GET", path);
@@ -127,14 +149,17 @@
     } else {
       const json::value& value = std::get<json::value>(current);
       version = value.at("version").to_number<std::uint64_t>();
-      if (value.at("spec") == spec) return std::cout << type << "/" << name << " is so already, at version " << *version << "\n", 0;
+      if (value.at("spec") == spec)
+        return std::cout << type << "/" << name << " is so already, at version " << *version << "\n", 0;
     }
   }
   auto answer = tool.call("PUT", path + "?version=" + std::to_string(*version), json::serialize(spec));
   if (auto fault = fault_of(answer)) return tool.say(*fault);
   const json::value& value = std::get<json::value>(answer);
-  if (tool.as_json) std::cout << json::serialize(value) << "\n";
-  else std::cout << type << "/" << name << " is at version " << plain(value.at("version")) << "\n";
+  if (tool.as_json)
+    std::cout << json::serialize(value) << "\n";
+  else
+    std::cout << type << "/" << name << " is at version " << plain(value.at("version")) << "\n";
   return 0;
 }
 
@@ -144,7 +169,8 @@
     text.assign(std::istreambuf_iterator<char>(std::cin), {});
   } else {
     std::ifstream stream(file);
-    if (!stream) return Fault{FaultKind::invalid, "command", "the file '" + file + "' can't be read", "give a readable file"};
+    if (!stream)
+      return Fault{FaultKind::invalid, "command", "the file '" + file + "' can't be read", "give a readable file"};
     text.assign(std::istreambuf_iterator<char>(stream), {});
   }
   return read_documents(text);
@@ -156,13 +182,14 @@
   return text;
 }
 
-Result<PolicyView> current_view(const Tool& tool) {
+Result<ConfigurationView> current_view(const Tool& tool) {
   auto answer = tool.call("GET", "/v1/watch");
   if (auto fault = fault_of(answer)) return *fault;
-  PolicyView view;
+  ConfigurationView view;
   for (const auto& each : std::get<json::value>(answer).at("resources").as_array()) {
     const Bytes spec = json::serialize(each.at("spec"));
-    put_in_view(view, plain(each.at("type")) + "/" + plain(each.at("name")), &spec, Stamp{Epoch{}, Version{each.at("version").to_number<std::uint64_t>()}});
+    put_in_view(view, plain(each.at("type")) + "/" + plain(each.at("name")), &spec,
+                Stamp{Epoch{}, Version{each.at("version").to_number<std::uint64_t>()}});
   }
   return view;
 }
@@ -170,11 +197,11 @@
 int check_or_plan(const Tool& tool, const std::string& file, bool plan_it) {
   auto documents = documents_of(file);
   if (auto fault = fault_of(documents)) return tool.say(*fault);
-  PolicyView view;
+  ConfigurationView view;
   if (plan_it || !tool.controls.empty()) {
     auto current = current_view(tool);
     if (auto fault = fault_of(current)) return tool.say(*fault);
-    view = std::get<PolicyView>(current);
+    view = std::get<ConfigurationView>(current);
   }
   auto made = plan(std::get<std::vector<Document>>(documents), view);
   if (auto fault = fault_of(made)) return tool.say(*fault);
@@ -193,11 +220,13 @@
   // All are checked before the first is sent: a faulty file changes nothing.
   auto view = current_view(tool);
   if (auto fault = fault_of(view)) return tool.say(*fault);
-  auto made = plan(std::get<std::vector<Document>>(documents), std::get<PolicyView>(view));
+  auto made = plan(std::get<std::vector<Document>>(documents), std::get<ConfigurationView>(view));
   if (auto fault = fault_of(made)) return tool.say(*fault);
   for (const auto& document : std::get<std::vector<Document>>(documents)) {
     auto checked = parse_json(document.canonical);
-    if (const int code = put(tool, document.type, document.name, std::get<json::value>(checked), document.version); code != 0) return code;
+    if (const int code = put(tool, document.type, document.name, std::get<json::value>(checked), document.version);
+        code != 0)
+      return code;
   }
   return 0;
 }
@@ -220,14 +249,17 @@
     const json::value& value = std::get<json::value>(answer);
     digest = plain(value.at("digest"));
     std::map<std::string, std::string> now;
-    for (const auto& each : value.at("resources").as_array()) now[plain(each.at("type")) + "/" + plain(each.at("name"))] = plain(each.at("version")) + " " + plain(each.at("spec"));
+    for (const auto& each : value.at("resources").as_array())
+      now[plain(each.at("type")) + "/" + plain(each.at("name"))] =
+          plain(each.at("version")) + " " + plain(each.at("spec"));
     auto print = [&](const std::string& line) {
       if (count == 0) return;
       std::cout << line << std::endl;
       if (!first) --count;
     };
     for (const auto& [key, text] : now)
-      if (auto before = known.find(key); before == known.end() || before->second != text) print(key + " version " + text);
+      if (auto before = known.find(key); before == known.end() || before->second != text)
+        print(key + " version " + text);
     for (const auto& [key, text] : known)
       if (!now.contains(key)) print(key + " removed");
     known = std::move(now);
@@ -246,10 +278,17 @@
   for (const auto& member : std::get<json::value>(members).at("members").as_array()) {
     Tool one = tool;
     one.controls = {Address(plain(member.at("control")))};
-    auto usage = one.call("GET", "/v1/usage");
-    if (fault_of(usage)) { ++silent; continue; }
-    auto counts = from_json<std::map<std::string, AimCounts>>(json::serialize(std::get<json::value>(usage).at("entries").at("aims")));
-    if (fault_of(counts)) { ++silent; continue; }
+    auto load = one.call("GET", "/v1/load");
+    if (fault_of(load)) {
+      ++silent;
+      continue;
+    }
+    auto counts = from_json<std::map<std::string, AimCounts>>(
+        json::serialize(std::get<json::value>(load).at("entries").at("aims")));
+    if (fault_of(counts)) {
+      ++silent;
+      continue;
+    }
     for (const auto& [name, each] : std::get<0>(counts)) {
       sums[name].ended += each.ended;
       sums[name].answered += each.answered;
@@ -258,73 +297,93 @@
   }
   json::array list;
   bool all_met = true;
-  for (const auto& [name, aim] : std::get<PolicyView>(view).aims) {
+  for (const auto& [name, aim] : std::get<ConfigurationView>(view).aims) {
     const AimCounts& sum = sums[name];
     const double ended = static_cast<double>(std::max<std::uint64_t>(1, sum.ended));
-    const double answered = static_cast<double>(sum.answered) / ended, in_time = static_cast<double>(sum.in_time) / ended;
+    const double answered = static_cast<double>(sum.answered) / ended,
+                 in_time = static_cast<double>(sum.in_time) / ended;
     const bool met = sum.ended == 0 || (answered >= aim.spec.answered && in_time >= aim.spec.in_time);
     all_met = all_met && met;
-    list.push_back(json::object{{"aim", name}, {"lane", aim.spec.lane}, {"requests", sum.ended}, {"answered", share_text(answered, aim.spec.answered)}, {"in_time", share_text(in_time, aim.spec.in_time)}, {"met", met}});
+    list.push_back(json::object{{"aim", name},
+                                {"lane", aim.spec.lane},
+                                {"requests", sum.ended},
+                                {"answered", share_text(answered, aim.spec.answered)},
+                                {"in_time", share_text(in_time, aim.spec.in_time)},
+                                {"met", met}});
   }
   if (silent > 0) std::cerr << "mothwalk-operator: " << silent << " daemons did not answer and are not counted.\n";
   show_list(tool, json::value(list), list, {"aim", "lane", "requests", "answered", "in_time", "met"});
   return all_met ? 0 : 1;
 }
 
-int soundness(const Tool& tool) {
+int health(const Tool& tool) {
   auto members = tool.call("GET", "/v1/members");
   if (auto fault = fault_of(members)) return tool.say(*fault);
   json::array list;
   int code = 0;
   for (const auto& member : std::get<json::value>(members).at("members").as_array()) {
     Tool one{{Address(plain(member.at("control")))}, tool.as_json};
-    auto answer = one.call("GET", "/v1/soundness");
+    auto answer = one.call("GET", "/v1/health");
     if (fault_of(answer)) {
-      list.push_back(json::object{{"address", member.at("address")}, {"hall", member.at("hall")}, {"state", "no answer"}});
+      list.push_back(
+          json::object{{"address", member.at("address")}, {"zone", member.at("zone")}, {"state", "no answer"}});
       code = 1;
       continue;
     }
     list.push_back(std::get<json::value>(answer));
     if (plain(list.back().at("state")) != "serving") code = 1;
   }
-  show_list(tool, json::value(list), list, {"address", "hall", "state", "seated", "slots", "members", "roster", "stalled", "digest"});
+  show_list(tool, json::value(list), list,
+            {"address", "zone", "state", "seated", "slots", "members", "roster", "stalled", "digest"});
   return code;
 }
 
 int run(const Tool& tool, const std::vector<std::string>& words) {
   const std::string& command = words[0];
-  auto wrong = [&](const std::string& what) { return tool.say(Fault{FaultKind::invalid, "command", what, "see mothwalk-operator --help"}); };
+  auto wrong = [&](const std::string& what) {
+    return tool.say(Fault{FaultKind::invalid, "command", what, "see mothwalk-operator --help"});
+  };
   const std::string first = words.size() > 1 ? words[1] : "", second = words.size() > 2 ? words[2] : "";
-  auto needs = [&](std::size_t least, std::size_t most) { return words.size() - 1 >= least && words.size() - 1 <= most; };
+  auto needs = [&](std::size_t least, std::size_t most) {
+    return words.size() - 1 >= least && words.size() - 1 <= most;
+  };
   if (command == "get" && needs(1, 2)) return get(tool, first, second);
   if (command == "apply" && needs(1, 1)) return apply(tool, first);
   if (command == "check" && needs(1, 1)) return check_or_plan(tool, first, false);
   if (command == "plan" && needs(1, 1)) return check_or_plan(tool, first, true);
   if (command == "delete" && needs(2, 2)) return remove(tool, first, second);
-  if (command == "evacuate" && needs(1, 1)) return put(tool, "hall", first, json::object{{"evacuated", true}}, std::nullopt);
-  if (command == "restore" && needs(1, 1)) return put(tool, "hall", first, json::object{{"evacuated", false}}, std::nullopt);
-  if (command == "retire" && needs(1, 1)) return put(tool, "holder", first, json::object{{"retired", true}}, std::nullopt);
-  if (command == "reinstate" && needs(1, 1)) return put(tool, "holder", first, json::object{{"retired", false}}, std::nullopt);
+  if (command == "evacuate" && needs(1, 1))
+    return put(tool, "zone", first, json::object{{"evacuated", true}}, std::nullopt);
+  if (command == "restore" && needs(1, 1))
+    return put(tool, "zone", first, json::object{{"evacuated", false}}, std::nullopt);
+  if (command == "retire" && needs(1, 1))
+    return put(tool, "holder", first, json::object{{"retired", true}}, std::nullopt);
+  if (command == "reinstate" && needs(1, 1))
+    return put(tool, "holder", first, json::object{{"retired", false}}, std::nullopt);
   if (command == "circle" && needs(0, 1)) return get(tool, "circle", first);
-  if (command == "soundness" && needs(0, 0)) return soundness(tool);
+  if ((command == "health" || command == "soundness") && needs(0, 0)) return health(tool);
   if (command == "aims" && needs(0, 0)) return aims(tool);
   if (command == "watch" && needs(0, 1)) {
-    if (!first.empty() && (first.size() > 9 || first.find_first_not_of("0123456789") != std::string::npos)) return wrong("'" + first + "' is not a count");
+    if (!first.empty() && (first.size() > 9 || first.find_first_not_of("0123456789") != std::string::npos))
+      return wrong("'" + first + "' is not a count");
     return watch(tool, first.empty() ? UINT64_MAX : std::stoull(first));
   }
   if (command == "members" && needs(0, 0)) {
     auto answer = tool.call("GET", "/v1/members");
     if (auto fault = fault_of(answer)) return tool.say(*fault);
     const json::value& value = std::get<json::value>(answer);
-    return show_list(tool, value, value.at("members").as_array(), {"address", "hall", "callers", "control", "holder", "roster", "version"});
+    return show_list(tool, value, value.at("members").as_array(),
+                     {"address", "zone", "callers", "control", "holder", "roster", "version"});
   }
   if (command == "lots" && needs(0, 1)) {
     auto answer = tool.call("GET", "/lots" + (first.empty() ? "" : "/" + first));
     if (auto fault = fault_of(answer)) return tool.say(*fault);
     const json::value& value = std::get<json::value>(answer);
     if (first.empty()) {
-      if (!tool.as_json && !value.at("whole").as_bool()) std::cerr << "mothwalk-operator: some holders did not answer; the list is not whole.\n";
-      const int code = show_list(tool, value, value.at("lots").as_array(), {"id", "lane", "state", "items", "results", "started"});
+      if (!tool.as_json && !value.at("whole").as_bool())
+        std::cerr << "mothwalk-operator: some holders did not answer; the list is not whole.\n";
+      const int code =
+          show_list(tool, value, value.at("lots").as_array(), {"id", "lane", "state", "items", "results", "started"});
       return value.at("whole").as_bool() ? code : 1;
     }
     return show_list(tool, value, json::array{value}, {"id", "lane", "state", "items", "results", "started"});
@@ -343,12 +402,17 @@
   std::signal(SIGPIPE, SIG_IGN);
   Tool tool;
   std::string controls = ::getenv("MOTHWALK_CONTROL") == nullptr ? "" : ::getenv("MOTHWALK_CONTROL");
-  const option flags[] = {{"control", 1, nullptr, 'c'}, {"json", 0, nullptr, 'j'}, {"help", 0, nullptr, 'h'}, {nullptr, 0, nullptr, 0}};
+  const option flags[] = {
+      {"control", 1, nullptr, 'c'}, {"json", 0, nullptr, 'j'}, {"help", 0, nullptr, 'h'}, {nullptr, 0, nullptr, 0}};
   for (int found = 0; (found = getopt_long(count, words, "", flags, nullptr)) != -1;) {
-    if (found == 'c') controls = optarg;
-    else if (found == 'j') tool.as_json = true;
-    else if (found == 'h') return std::cout << help, 0;
-    else return 2;
+    if (found == 'c')
+      controls = optarg;
+    else if (found == 'j')
+      tool.as_json = true;
+    else if (found == 'h')
+      return std::cout << help, 0;
+    else
+      return 2;
   }
   while (!controls.empty()) {
     const auto comma = std::min(controls.find(','), controls.size());
--- a/source/operator/planner.cpp
+++ b/source/operator/planner.cpp
@@ -1,4 +1,4 @@
-// One pass over the documents: check, compare, note what it means for lanes, circles and halls.
+// One pass over the documents: check, compare, note what it means for lanes, circles and zones.
 #include "operator/planner.hpp"
 
 #include <algorithm>
@@ -10,23 +10,36 @@
   if (auto fault = fault_of(parsed)) return *fault;
   const json::value& value = std::get<json::value>(parsed);
   json::array list;
-  if (value.is_array()) list = value.as_array();
-  else list.push_back(value);
+  if (value.is_array())
+    list = value.as_array();
+  else
+    list.push_back(value);
   std::vector<Document> documents;
   for (std::size_t index = 0; index < list.size(); ++index) {
-    const std::string path = value.is_array() ? std::string("[").append(std::to_string(index)).append("]") : std::string();
-    auto wrong = [&](const std::string& field, const std::string& message, const std::string& remedy) { return Fault{FaultKind::invalid, path + (path.empty() || field.empty() ? "" : ".") + field, message, remedy}; };
-    if (!list[index].is_object()) return wrong("", "the document is not an object", "give {\"type\", \"name\", \"spec\"}");
+    const std::string path =
+        value.is_array() ? std::string("[").append(std::to_string(index)).append("]") : std::string();
+    auto wrong = [&](const std::string& field, const std::string& message, const std::string& remedy) {
+      return Fault{FaultKind::invalid, path + (path.empty() || field.empty() ? "" : ".") + field, message, remedy};
+    };
+    if (!list[index].is_object())
+      return wrong("", "the document is not an object", "give {\"type\", \"name\", \"spec\"}");
     Document document;
     bool has_spec = false;
     for (const auto& each : list[index].as_object()) {
       std::optional<Fault> fault;
       const std::string field(each.key());
-      if (field == "type") fault = JsonReader::read(each.value(), document.type, field);
-      else if (field == "name") fault = JsonReader::read(each.value(), document.name, field);
-      else if (field == "version") fault = JsonReader::read(each.value(), document.version, field);
-      else if (field == "spec") { document.spec = each.value(); has_spec = true; }
-      else fault = Fault{FaultKind::invalid, field, "this field is not known", "use only: type, name, version, spec"};
+      if (field == "type") {
+        fault = JsonReader::read(each.value(), document.type, field);
+        document.type = current_type(document.type);
+      } else if (field == "name")
+        fault = JsonReader::read(each.value(), document.name, field);
+      else if (field == "version")
+        fault = JsonReader::read(each.value(), document.version, field);
+      else if (field == "spec") {
+        document.spec = each.value();
+        has_spec = true;
+      } else
+        fault = Fault{FaultKind::invalid, field, "this field is not known", "use only: type, name, version, spec"};
       if (fault) return wrong(fault->field, fault->message, fault->remedy);
     }
     if (!has_spec) return wrong("spec", "the spec is missing", "give the resource's fields under spec");
@@ -37,31 +50,33 @@
 
 namespace {
 
-template <class T> std::uint64_t version_in(const Table<T>& table, const std::string& name) {
+template <class T>
+std::uint64_t version_in(const Table<T>& table, const std::string& name) {
   auto found = table.find(name);
   return found == table.end() ? 0 : found->second.stamp.version.value;
 }
 
-std::uint64_t version_of(const PolicyView& view, const std::string& type, const std::string& name) {
+std::uint64_t version_of(const ConfigurationView& view, const std::string& type, const std::string& name) {
   if (type == "lane") return version_in(view.lanes, name);
   if (type == "kind") return version_in(view.kinds, name);
   if (type == "runner") return version_in(view.runners, name);
-  if (type == "hall") return version_in(view.halls, name);
+  if (type == "zone") return version_in(view.zones, name);
   if (type == "lots") return version_in(view.lots, name);
   if (type == "aim") return version_in(view.aims, name);
   return version_in(view.holders, name);
 }
 
-template <class T> std::string spec_in(const Table<T>& table, const std::string& name) {
+template <class T>
+std::string spec_in(const Table<T>& table, const std::string& name) {
   auto found = table.find(name);
   return found == table.end() ? "" : json::serialize(to_json(found->second.spec));
 }
 
-std::string spec_of(const PolicyView& view, const std::string& type, const std::string& name) {
+std::string spec_of(const ConfigurationView& view, const std::string& type, const std::string& name) {
   if (type == "lane") return spec_in(view.lanes, name);
   if (type == "kind") return spec_in(view.kinds, name);
   if (type == "runner") return spec_in(view.runners, name);
-  if (type == "hall") return spec_in(view.halls, name);
+  if (type == "zone") return spec_in(view.zones, name);
   if (type == "lots") return spec_in(view.lots, name);
   if (type == "aim") return spec_in(view.aims, name);
   return spec_in(view.holders, name);
@@ -69,24 +84,24 @@
 
 struct Able {
   std::size_t runners = 0;
-  std::map<std::string, std::size_t> by_hall;
+  std::map<std::string, std::size_t> by_zone;
 };
 
-Able able_runners(const PolicyView& view, const std::string& kind) {
+Able able_runners(const ConfigurationView& view, const std::string& kind) {
   Able able;
   for (const auto& [name, runner] : view.runners) {
-    if (runner.spec.kind.text != kind || runner.spec.leaving || view.evacuated(runner.spec.hall)) continue;
+    if (runner.spec.kind.text != kind || runner.spec.leaving || view.evacuated(runner.spec.zone)) continue;
     ++able.runners;
-    ++able.by_hall[runner.spec.hall.text];
+    ++able.by_zone[runner.spec.zone.text];
   }
   return able;
 }
 
 }  // namespace
 
-Result<Plan> plan(std::vector<Document>& documents, const PolicyView& before) {
+Result<Plan> plan(std::vector<Document>& documents, const ConfigurationView& before) {
   Plan result;
-  PolicyView after = before;
+  ConfigurationView after = before;
   for (std::size_t index = 0; index < documents.size(); ++index) {
     Document& document = documents[index];
     const std::string key = document.type + "/" + document.name;
@@ -99,29 +114,45 @@
     document.canonical = std::get<Bytes>(checked);
     const std::uint64_t current = version_of(after, document.type, document.name);
     if (document.version && *document.version != version_of(before, document.type, document.name))
-      return Fault{FaultKind::stale, key + ".version", "the document is for version " + std::to_string(*document.version) + ", the resource is at " + std::to_string(version_of(before, document.type, document.name)), "read the resource again and make your change to that version"};
+      return Fault{FaultKind::stale, key + ".version",
+                   "the document is for version " + std::to_string(*document.version) + ", the resource is at " +
+                       std::to_string(version_of(before, document.type, document.name)),
+                   "read the resource again and make your change to that version"};
     const std::string old_spec = spec_of(after, document.type, document.name);
-    if (old_spec.empty()) result.changes.push_back(key + " would be made");
-    else if (old_spec != document.canonical) result.changes.push_back(key + " would go from version " + std::to_string(current) + " " + old_spec + " to " + document.canonical);
+    if (old_spec.empty())
+      result.changes.push_back(key + " would be made");
+    else if (old_spec != document.canonical)
+      result.changes.push_back(key + " would go from version " + std::to_string(current) + " " + old_spec + " to " +
+                               document.canonical);
     put_in_view(after, key, &document.canonical, Stamp{Epoch{}, Version{current + 1}});
   }
   for (const auto& [kind, settings] : after.kinds) {
     const Able then = able_runners(before, kind), now = able_runners(after, kind);
-    if (then.runners != now.runners) result.changes.push_back("kind " + kind + ": runners that may take work, " + std::to_string(then.runners) + " to " + std::to_string(now.runners));
-    if (now.runners < settings.spec.circle.floor) result.warnings.push_back("kind " + kind + " has " + std::to_string(now.runners) + " runners for a floor of " + std::to_string(settings.spec.circle.floor));
+    if (then.runners != now.runners)
+      result.changes.push_back("kind " + kind + ": runners that may take work, " + std::to_string(then.runners) +
+                               " to " + std::to_string(now.runners));
+    if (now.runners < settings.spec.circle.floor)
+      result.warnings.push_back("kind " + kind + " has " + std::to_string(now.runners) + " runners for a floor of " +
+                                std::to_string(settings.spec.circle.floor));
     auto circle = before.circles.find(kind);
     if (circle != before.circles.end()) {
       std::size_t stay = 0;
       for (const auto& member : circle->second.spec.members) {
         auto runner = after.runners.find(member.text);
-        stay += runner != after.runners.end() && runner->second.spec.kind.text == kind && !runner->second.spec.leaving && !after.evacuated(runner->second.spec.hall);
+        stay += runner != after.runners.end() && runner->second.spec.kind.text == kind &&
+                !runner->second.spec.leaving && !after.evacuated(runner->second.spec.zone);
       }
       const std::size_t size = circle->second.spec.members.size();
-      if (stay < size) result.changes.push_back("circle " + kind + ": " + std::to_string(size - stay) + " of " + std::to_string(size) + " members would be replaced");
-      if (now.runners < size) result.warnings.push_back("circle " + kind + " would shrink from " + std::to_string(size) + " to " + std::to_string(now.runners));
+      if (stay < size)
+        result.changes.push_back("circle " + kind + ": " + std::to_string(size - stay) + " of " + std::to_string(size) +
+                                 " members would be replaced");
+      if (now.runners < size)
+        result.warnings.push_back("circle " + kind + " would shrink from " + std::to_string(size) + " to " +
+                                  std::to_string(now.runners));
     }
-    for (const auto& [hall, count] : then.by_hall)
-      if (!now.by_hall.contains(hall)) result.warnings.push_back("hall " + hall + " would have no runner of kind " + kind + " that takes work");
+    for (const auto& [zone, count] : then.by_zone)
+      if (!now.by_zone.contains(zone))
+        result.warnings.push_back("zone " + zone + " would have no runner of kind " + kind + " that takes work");
     if (now.runners == 0)
       for (const auto& [name, lane] : after.lanes)
         if (lane.spec.kind.text == kind) result.warnings.push_back("lane " + name + " leads to no runner");
--- a/source/kept/founding.cpp
+++ b/source/replication/founding.cpp
@@ -1,20 +1,23 @@
 // Taking reports and giving the one word.
-#include "kept/founding.hpp"
+#include "replication/founding.hpp"
 
 namespace mothwalk {
 
-Founding::Founding(Post& post, Board& board, bool first_start) : board_(board), first_start_(first_start) {
-  post.on_ask<ReportCandidate>([this](const Address& from, ReportCandidate report, Answer<ReportReply> answer) {
+Founding::Founding(Messenger& messenger, SharedState& shared_state, bool first_start)
+    : shared_state_(shared_state), first_start_(first_start) {
+  messenger.on_ask<ReportCandidate>([this](const Address& from, ReportCandidate report, Answer<ReportReply> answer) {
     if (first_start_ && report.candidate.address == from && !report.candidate.holder.empty()) {
       // A machine that came back empty under its address is another candidate; the one before is no more.
-      std::erase_if(candidates_, [&](const auto& each) { return each.second.address == from && each.first != report.candidate.holder; });
+      std::erase_if(candidates_, [&](const auto& each) {
+        return each.second.address == from && each.first != report.candidate.holder;
+      });
       candidates_[report.candidate.holder] = report.candidate;
     }
     ReportReply reply{first_start_, known(), {}, word_};
     for (const auto& [holder, seat] : candidates_) reply.candidates.push_back(seat);
     answer(std::move(reply));
   });
-  post.on_ask<AskWord>([this](const Address&, AskWord ask, Answer<WordReply> answer) {
+  messenger.on_ask<AskWord>([this](const Address&, AskWord ask, Answer<WordReply> answer) {
     const bool mine = first_start_ && !ask.roster.seats.empty() && (!word_.seats.empty() || !known());
     if (mine && word_.seats.empty()) word_ = std::move(ask.roster);
     answer(WordReply{mine, word_});
@@ -22,8 +25,8 @@
 }
 
 bool Founding::known() const {
-  if (board_.policy.get()->roster.version.value > 0) return true;
-  for (const auto& [address, member] : board_.members.get()->all)
+  if (shared_state_.configuration.get()->roster.version.value > 0) return true;
+  for (const auto& [address, member] : shared_state_.members.get()->all)
     if (member.roster.value > 0) return true;
   return false;
 }
--- a/source/kept/founding.hpp
+++ b/source/replication/founding.hpp
@@ -1,18 +1,18 @@
-// The word of the seeds at the very first start. The seeds are any daemons that serve control, with a disk or without: the
-// holders of control state report to them, and one roster is founded with the word of all three. A seed gives its word to
-// one roster in its life, and only in the first life of its process: a later one neither founds nor gives its word, so
-// memory is enough for it.
+// The word of the seeds at the very first start. The seeds are any daemons that serve control, with a disk or without:
+// the holders of control state report to them, and one roster is founded with the word of all three. A seed gives its
+// word to one roster in its life, and only in the first life of its process: a later one neither founds nor gives its
+// word, so memory is enough for it.
 #pragma once
-#include "sessions/board.hpp"
-#include "sessions/post.hpp"
+#include "sessions/messenger.hpp"
+#include "sessions/shared_state.hpp"
 
 namespace mothwalk {
 
 struct ReportReply {
-  bool first_start = false;    // a daemon started again never gives its word
-  bool known = false;          // it knows of a roster that stands
+  bool first_start = false;  // a daemon started again never gives its word
+  bool known = false;        // it knows of a roster that stands
   std::vector<Seat> candidates;
-  Roster word;                 // the roster that it gave its word for, if any
+  Roster word;  // the roster that it gave its word for, if any
   MOTHWALK_FIELDS(first_start, known, candidates, word)
 };
 // A holder of control state with an empty folder offers itself.
@@ -24,7 +24,7 @@
 };
 struct WordReply {
   bool given = false;
-  Roster roster;               // the one that the word stands for: an earlier one where there is one
+  Roster roster;  // the one that the word stands for: an earlier one where there is one
   MOTHWALK_FIELDS(given, roster)
 };
 struct AskWord {
@@ -36,11 +36,11 @@
 
 class Founding {
  public:
-  Founding(Post& post, Board& board, bool first_start);
+  Founding(Messenger& messenger, SharedState& shared_state, bool first_start);
 
  private:
   bool known() const;
-  Board& board_;
+  SharedState& shared_state_;
   bool first_start_;
   std::map<HolderId, Seat> candidates_;
   Roster word_;
--- a/source/kept/messages.hpp
+++ b/source/replication/messages.hpp
@@ -1,7 +1,7 @@
 // The messages and records of the kept state.
 #pragma once
-#include "sessions/board.hpp"
-#include "sessions/post.hpp"
+#include "sessions/messenger.hpp"
+#include "sessions/shared_state.hpp"
 
 namespace mothwalk {
 
@@ -17,7 +17,8 @@
   MOTHWALK_FIELDS(key, stamp, removed, head, entries, token, written)
 };
 
-// One change to a record. It applies to the record at `before`; a full change carries all and applies to anything older.
+// One change to a record. It applies to the record at `before`; a full change carries all and applies to anything
+// older.
 struct Change {
   std::string key;
   Stamp before, stamp;
@@ -35,7 +36,7 @@
   MOTHWALK_FIELDS(stamp, entries)
 };
 struct Write {
-  static constexpr View kind = "kept.write";
+  static constexpr View kind = "store.write";
   using Reply = WriteReply;
   std::string key;
   std::optional<Bytes> head;
@@ -52,7 +53,7 @@
   MOTHWALK_FIELDS(found, record)
 };
 struct Read {
-  static constexpr View kind = "kept.read";
+  static constexpr View kind = "store.read";
   using Reply = ReadReply;
   std::string key;
   MOTHWALK_FIELDS(key)
@@ -63,7 +64,7 @@
 };
 // Local: all records of an owned slot under a prefix.
 struct ListSlot {
-  static constexpr View kind = "kept.list";
+  static constexpr View kind = "store.list";
   using Reply = RecordsReply;
   std::uint32_t slot = 0;
   Epoch epoch;
@@ -71,9 +72,12 @@
   MOTHWALK_FIELDS(slot, epoch, prefix)
 };
 // Asks the owner whether it still is the owner under the epoch; answered after a majority has said so.
-struct ConfirmReply { bool good = true; MOTHWALK_FIELDS(good) };
+struct ConfirmReply {
+  bool good = true;
+  MOTHWALK_FIELDS(good)
+};
 struct ConfirmSlot {
-  static constexpr View kind = "kept.confirmslot";
+  static constexpr View kind = "store.confirmslot";
   using Reply = ConfirmReply;
   std::uint32_t slot = 0;
   Epoch epoch;
@@ -89,8 +93,8 @@
 // Records go in messages of about this size; one larger record goes alone.
 inline constexpr std::size_t longest_message = 1u << 20;
 
-// A promise comes with the records that are newer than what the taker has. Those of which it has the content already, or
-// that did not fit, are only named.
+// A promise comes with the records that are newer than what the taker has. Those of which it has the content already,
+// or that did not fit, are only named.
 struct PromiseReply {
   bool granted = false;
   Epoch epoch, installed;
@@ -100,7 +104,7 @@
   MOTHWALK_FIELDS(granted, epoch, installed, roster, records, more)
 };
 struct Promise {
-  static constexpr View kind = "kept.promise";
+  static constexpr View kind = "store.promise";
   using Reply = PromiseReply;
   HolderId target, owner;
   std::uint32_t slot = 0;
@@ -117,7 +121,7 @@
   MOTHWALK_FIELDS(outcome, epoch, roster, missing)
 };
 struct Store {
-  static constexpr View kind = "kept.store";
+  static constexpr View kind = "store.store";
   using Reply = StoreReply;
   HolderId target, owner;
   std::uint32_t slot = 0;
@@ -128,7 +132,7 @@
 };
 // Records of a hand-over that a seat lacks, under its epoch.
 struct Copies {
-  static constexpr View kind = "kept.copies";
+  static constexpr View kind = "store.copies";
   using Reply = StoreReply;
   HolderId target, owner;
   std::uint32_t slot = 0;
@@ -137,10 +141,10 @@
   std::vector<Record> records;
   MOTHWALK_FIELDS(target, owner, slot, epoch, roster, records)
 };
-// The whole content of a slot at its hand-over, by key and by when it was written. All of it goes over to the epoch, and
-// what is not named is dropped.
+// The whole content of a slot at its hand-over, by key and by when it was written. All of it goes over to the epoch,
+// and what is not named is dropped.
 struct Install {
-  static constexpr View kind = "kept.install";
+  static constexpr View kind = "store.install";
   using Reply = StoreReply;
   HolderId target, owner;
   std::uint32_t slot = 0;
@@ -150,7 +154,7 @@
   MOTHWALK_FIELDS(target, owner, slot, epoch, roster, content)
 };
 struct Confirm {
-  static constexpr View kind = "kept.confirm";
+  static constexpr View kind = "store.confirm";
   using Reply = StoreReply;
   HolderId target, owner;
   std::uint32_t slot = 0;
@@ -159,55 +163,57 @@
   MOTHWALK_FIELDS(target, owner, slot, epoch, roster)
 };
 struct RosterNews {
-  static constexpr View kind = "kept.roster";
+  static constexpr View kind = "store.roster";
   Roster roster;
-  std::string keeps;           // whose roster it is, as in Member
+  std::string keeps;  // whose roster it is, as in Member
   MOTHWALK_FIELDS(roster, keeps)
 };
 struct WhoReply {
   HolderId holder;
   Address address;
-  ZoneId hall;
+  ZoneId zone;
   Roster roster;
-  MOTHWALK_FIELDS(holder, address, hall, roster)
+  MOTHWALK_FIELDS(holder, address, zone, roster)
 };
 struct Who {
-  static constexpr View kind = "kept.who";
+  static constexpr View kind = "store.who";
   using Reply = WhoReply;
   bool ask = true;
   MOTHWALK_FIELDS(ask)
 };
 struct Found {
-  static constexpr View kind = "kept.found";
+  static constexpr View kind = "store.found";
   using Reply = WhoReply;
   Roster roster;
   MOTHWALK_FIELDS(roster)
 };
-// The slots that a holder owns under the roster, and for every slot what its copy is: the last whole hand-over and digest.
+// The slots that a holder owns under the roster, and for every slot what its copy is: the last whole hand-over and
+// digest.
 struct SettledReply {
   std::vector<std::uint32_t> slots;
-  std::vector<Epoch> epochs;               // of those
+  std::vector<Epoch> epochs;  // of those
   std::vector<Epoch> installed;
   std::vector<std::uint64_t> digests;
   MOTHWALK_FIELDS(slots, epochs, installed, digests)
 };
 struct Settled {
-  static constexpr View kind = "kept.settled";
+  static constexpr View kind = "store.settled";
   using Reply = SettledReply;
   Version roster;
   MOTHWALK_FIELDS(roster)
 };
-// How far the retirement of a holder is; asked of the owner of its roster's key. Complete: the roster in force is without
-// it, and every remaining seat has held all of every slot under that roster, so that another disk may go as well.
+// How far the retirement of a holder is; asked of the owner of its roster's key. Complete: the roster in force is
+// without it, and every remaining seat has held all of every slot under that roster, so that another disk may go as
+// well.
 struct RetirementReply {
   bool known = false, retired = false, seated = false, complete = false;
   MOTHWALK_FIELDS(known, retired, seated, complete)
 };
 struct Retirement {
-  static constexpr View kind = "kept.retirement";
+  static constexpr View kind = "store.retirement";
   using Reply = RetirementReply;
-  std::string roster;                      // the key: "roster" or "roster/lots"
-  Address holder;                          // empty where only its name is known
+  std::string roster;  // the key: "roster" or "roster/lots"
+  Address holder;      // empty where only its name is known
   std::string name{};
   MOTHWALK_FIELDS(roster, holder, name)
 };
@@ -216,7 +222,7 @@
   MOTHWALK_FIELDS(digests)
 };
 struct Digests {
-  static constexpr View kind = "kept.digests";
+  static constexpr View kind = "store.digests";
   using Reply = DigestsReply;
   bool ask = true;
   MOTHWALK_FIELDS(ask)
@@ -226,13 +232,13 @@
   MOTHWALK_FIELDS(stamps)
 };
 struct Range {
-  static constexpr View kind = "kept.range";
+  static constexpr View kind = "store.range";
   using Reply = RangeReply;
   std::uint32_t slot = 0;
   MOTHWALK_FIELDS(slot)
 };
 struct FetchRecords {
-  static constexpr View kind = "kept.fetch";
+  static constexpr View kind = "store.fetch";
   using Reply = RecordsReply;
   std::uint32_t slot = 0;
   std::vector<std::string> keys;
--- a/source/kept/record_file.cpp
+++ b/source/replication/record_file.cpp
@@ -1,5 +1,5 @@
 // Framing: a mark, the length, a CRC-32 over length and payload, then the payload.
-#include "kept/record_file.hpp"
+#include "replication/record_file.hpp"
 
 #include <boost/crc.hpp>
 
@@ -15,7 +15,8 @@
 
 std::uint32_t get_number(View bytes, std::size_t at) {
   std::uint32_t value = 0;
-  for (int index = 3; index >= 0; --index) value = (value << 8) | static_cast<unsigned char>(bytes[at + static_cast<std::size_t>(index)]);
+  for (int index = 3; index >= 0; --index)
+    value = (value << 8) | static_cast<unsigned char>(bytes[at + static_cast<std::size_t>(index)]);
   return value;
 }
 
@@ -60,7 +61,10 @@
   file.sound_bytes = at;
   file.torn = at < bytes.size();
   for (std::size_t next = bytes.find(mark, at + 1); file.torn && next != View::npos; next = bytes.find(mark, next + 1))
-    if (frame_at(bytes, next)) { file.damaged = true; break; }
+    if (frame_at(bytes, next)) {
+      file.damaged = true;
+      break;
+    }
   return file;
 }
 
--- a/source/kept/record_file.hpp
+++ b/source/replication/record_file.hpp
@@ -1,7 +1,7 @@
 // The holder's append-only file: framed records with checksums. Reading cuts a torn tail and tells damage in the middle
 // apart from it by looking for sound frames behind the broken one.
 #pragma once
-#include "kept/messages.hpp"
+#include "replication/messages.hpp"
 
 namespace mothwalk {
 
@@ -13,7 +13,7 @@
   Epoch epoch;
   Change change;
   std::vector<Record> records;
-  Address address;   // of the holder, with its identity
+  Address address;                   // of the holder, with its identity
   std::vector<RecordStamp> content;  // of a hand-over
   MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records, address, content)
 };
--- a/source/kept/kept.hpp
+++ b/source/replication/replicated_store.hpp
@@ -1,24 +1,28 @@
-// The kept state of a holder: of control state, of lots, or of both; each of these groups has a roster of its own. Keys hash into slots; a slot has one owner at a time, the first live seat in the slot's
-// order, which takes it over under a higher epoch promised by a majority, writes the newest records back, and then has
-// each change on a majority of disks before it answers. There is no common log and no leader for all.
+// The kept state of a holder: of control state, of lots, or of both; each of these groups has a roster of its own. Keys
+// hash into slots; a slot has one owner at a time, the first live seat in the slot's order, which takes it over under a
+// higher epoch promised by a majority, writes the newest records back, and then has each change on a majority of disks
+// before it answers. There is no common log and no leader for all.
 #pragma once
 #include <deque>
 
-#include "kept/founding.hpp"
-#include "kept/messages.hpp"
-#include "kept/record_file.hpp"
+#include "replication/founding.hpp"
+#include "replication/messages.hpp"
+#include "replication/record_file.hpp"
 
 namespace mothwalk {
 
-class Kept {
+class ReplicatedStore {
  public:
   struct Report {
-    std::function<void(View)> note = [](View) {};
-    std::function<void()> fatal = [] {};   // a sync failed: this holder must end
+    std::function<void(View)> note = [](View) {
+    };
+    std::function<void()> fatal = [] {
+    };  // a sync failed: this holder must end
   };
   // first_start: whether this is the first life of the whole fleet, as the host was told; absent where the host is told
   // nothing, and then the three seeds are holders that found among themselves.
-  Kept(Post& post, Board& board, Disk& disk, Chance& chance, Member self, std::vector<Address> seeds, Report report, std::optional<bool> first_start = std::nullopt);
+  ReplicatedStore(Messenger& messenger, SharedState& shared_state, Disk& disk, RandomSource& random, Member self,
+                  std::vector<Address> seeds, Report report, std::optional<bool> first_start = std::nullopt);
   // Reads the file; false with a fault where the data can't be used.
   Result<Done> load();
   HolderId identity() const { return identity_; }
@@ -29,7 +33,7 @@
 
  private:
   using Records = std::map<std::string, Record>;
-  struct Held {                 // what this holder keeps of a slot, as any copy does
+  struct Held {  // what this holder keeps of a slot, as any copy does
     Records records;
     Epoch promised, installed;
     HolderId promised_to;
@@ -45,13 +49,13 @@
     std::deque<Pending> pending;
     std::vector<Task> readers;  // reads that wait for the outstanding change
   };
-  struct Owned {                // what this holder does with a slot as its owner or as one who would be
+  struct Owned {  // what this holder does with a slot as its owner or as one who would be
     enum class State { none, taking, owned } state = State::none;
     Epoch epoch;
     Version roster;
     Moment not_before;
     std::map<std::string, Queue> queues;
-    std::set<HolderId> whole;   // the seats that hold the hand-over
+    std::set<HolderId> whole;  // the seats that hold the hand-over
     bool confirming = false;
     std::vector<std::function<void(bool)>> confirm_now, confirm_next;
   };
@@ -76,11 +80,11 @@
   void gather();
   void propose(Roster roster, std::size_t seed);
   void take(std::uint32_t slot);
-  struct Taking {               // what the promises of a majority brought
+  struct Taking {  // what the promises of a majority brought
     Epoch installed;
-    Records newer;              // than what this holder has
+    Records newer;                                                // than what this holder has
     std::map<std::string, std::pair<RecordStamp, Seat>> lacking;  // newer still, and who has it
-    std::map<std::string, Stamp> raised;  // of what this holder has the content of
+    std::map<std::string, Stamp> raised;                          // of what this holder has the content of
     std::vector<RecordStamp> content;
     std::size_t stored = 0, left = 0;
   };
@@ -105,12 +109,13 @@
   std::optional<Roster> next_roster(const std::string& key, const Roster& current, const std::string& keeps);
   void change_when_settled(const std::string& key, const Roster& current, Roster next);
   void change_roster(const std::string& key, Roster next);
-  template <class Message, class Then> void ask_seat(const Seat& seat, Message message, Span horizon, Then then);
+  template <class Message, class Then>
+  void ask_seat(const Seat& seat, Message message, Span timeout, Then then);
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   Disk& disk_;
-  Chance& chance_;
+  RandomSource& random_;
   Member self_;
   std::vector<Address> seeds_;
   Report report_;
@@ -124,45 +129,53 @@
   std::uint64_t syncs_ = 0, commits_ = 0, ticks_ = 0;
   std::optional<bool> first_start_;
   bool founding_ = false;
-  std::map<HolderId, Seat> candidates_;   // for the first roster, as the seeds told, and since when they are these
+  std::map<HolderId, Seat> candidates_;  // for the first roster, as the seeds told, and since when they are these
   Moment candidates_since_;
-  std::set<std::string> changing_;        // the keys of rosters whose change is under way
-  struct Watched {                        // what a roster's duty has seen of its holders, by identity
+  std::set<std::string> changing_;  // the keys of rosters whose change is under way
+  struct Watched {                  // what a roster's duty has seen of its holders, by identity
     std::map<HolderId, Moment> missing_since, first_seen;
   };
   std::map<std::string, Watched> watched_;
-  struct Copied {                         // the slots seen whole on every seat under a version of a roster
+  struct Copied {  // the slots seen whole on every seat under a version of a roster
     Version roster;
     std::set<std::uint32_t> slots;
   };
   std::map<std::string, Copied> copied_;
-  std::size_t newcomers_ = 0;             // holders of lots seen before their first roster, and since when so many
+  std::size_t newcomers_ = 0;  // holders of lots seen before their first roster, and since when so many
   Moment newcomers_since_;
 };
 
-// Asks the owner of a key's slot, wherever it is, again and again until the horizon.
-class KeptClient {
+// Asks the owner of a key's slot, wherever it is, again and again until the timeout.
+class StoreClient {
  public:
-  KeptClient(Post& post, Board& board) : post_(post), board_(board) {}
-  void write(Write write, Span horizon, Answer<WriteReply> answer);
-  void read(const std::string& key, Span horizon, Answer<ReadReply> answer);
-  template <class Message> void ask_owner(const std::string& key, Message message, Moment until, bool sent, Answer<typename Message::Reply> answer) {
+  StoreClient(Messenger& messenger, SharedState& shared_state) : messenger_(messenger), shared_state_(shared_state) {}
+  void write(Write write, Span timeout, Answer<WriteReply> answer);
+  void read(const std::string& key, Span timeout, Answer<ReadReply> answer);
+  template <class Message>
+  void ask_owner(const std::string& key, Message message, Moment until, bool sent,
+                 Answer<typename Message::Reply> answer) {
     using Reply = typename Message::Reply;
-    const Moment now = post_.schedule().now();
+    const Moment now = messenger_.timers().now();
     if (now >= until) {
-      if (sent) return answer(Fault{FaultKind::unknown, key, "no majority of holders answered in time; the outcome is not known", "send the same request again to settle it"});
-      return answer(Fault{FaultKind::refused, key, "no holder owns this key just now; nothing was done", "try again in a second"});
+      if (sent)
+        return answer(Fault{FaultKind::unknown, key,
+                            "no majority of holders answered in time; the outcome is not known",
+                            "send the same request again to settle it"});
+      return answer(Fault{FaultKind::refused, key, "no holder owns this key just now; nothing was done",
+                          "try again in a second"});
     }
-    const auto policy = board_.policy.get();
-    const Seat* seat = key_owner(*policy, *board_.members.get(), key);
+    const auto configuration = shared_state_.configuration.get();
+    const Seat* seat = key_owner(*configuration, *shared_state_.members.get(), key);
     auto again = [this, key, message, until, answer](bool was_sent) {
-      post_.schedule().after(std::chrono::milliseconds(100), [this, key, message, until, was_sent, answer] { ask_owner<Message>(key, message, until, was_sent, answer); });
+      messenger_.timers().after(std::chrono::milliseconds(100), [this, key, message, until, was_sent, answer] {
+        ask_owner<Message>(key, message, until, was_sent, answer);
+      });
     };
     if (seat == nullptr) return again(sent);
-    const Span horizon = std::min<Span>(until - now, std::chrono::milliseconds(2000));
+    const Span timeout = std::min<Span>(until - now, std::chrono::milliseconds(2000));
     auto over = std::make_shared<bool>(false);
     watch_owner(key, seat->address, over, again);
-    post_.ask(seat->address, message, horizon, [again, key, sent, answer, over](Result<Reply> result) {
+    messenger_.ask(seat->address, message, timeout, [again, key, sent, answer, over](Result<Reply> result) {
       if (std::exchange(*over, true)) return;
       auto fault = fault_of(result);
       if (fault != nullptr && fault->kind == FaultKind::busy) return again(sent);
@@ -170,26 +183,28 @@
       // A second sending that comes too late for its version may be the first one's own success.
       // Likewise a later refusal says nothing of an earlier sending.
       if (fault != nullptr && (fault->kind == FaultKind::stale || fault->kind == FaultKind::refused) && sent)
-        return answer(Fault{FaultKind::unknown, key, "an earlier sending may have taken effect and been changed since", "read the resource again"});
+        return answer(Fault{FaultKind::unknown, key, "an earlier sending may have taken effect and been changed since",
+                            "read the resource again"});
       answer(std::move(result));
     });
   }
 
  private:
   // An owner that is gone answers nobody: as soon as another comes to own the key, that one is asked.
-  void watch_owner(const std::string& key, const Address& asked, std::shared_ptr<bool> over, std::function<void(bool)> again) {
-    post_.schedule().after(std::chrono::milliseconds(100), [this, key, asked, over, again] {
+  void watch_owner(const std::string& key, const Address& asked, std::shared_ptr<bool> over,
+                   std::function<void(bool)> again) {
+    messenger_.timers().after(std::chrono::milliseconds(100), [this, key, asked, over, again] {
       if (*over) return;
-      const auto policy = board_.policy.get();
-      const Seat* seat = key_owner(*policy, *board_.members.get(), key);
+      const auto configuration = shared_state_.configuration.get();
+      const Seat* seat = key_owner(*configuration, *shared_state_.members.get(), key);
       if (seat == nullptr || seat->address == asked) return watch_owner(key, asked, over, again);
       *over = true;
       again(true);
     });
   }
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
 };
 
 }  // namespace mothwalk
--- a/source/routes/events.hpp
+++ b/source/routes/events.hpp
@@ -12,12 +12,12 @@
   // Puts the whole events among the bytes that came into `out`, unchanged; false where their ids do not go on.
   bool take(View bytes, Bytes& out);
   std::optional<std::uint64_t> last() const { return last_; }
-  const Bytes& rest() const { return held_; }   // begun, and not ended yet
+  const Bytes& rest() const { return held_; }  // begun, and not ended yet
 
  private:
   Bytes held_;
-  std::size_t line_ = 0;                         // where the line being read begins
-  std::optional<std::uint64_t> last_, id_;       // of the last whole event; of the one being read
+  std::size_t line_ = 0;                    // where the line being read begins
+  std::optional<std::uint64_t> last_, id_;  // of the last whole event; of the one being read
 };
 
 }  // namespace mothwalk
--- a/source/routes/entries.hpp
+++ b/source/routes/router.hpp
@@ -2,7 +2,7 @@
 // runner's answer as it was given, or "refused" (not run, and never will be), or "unknown"; each at once.
 #pragma once
 #include "routes/events.hpp"
-#include "routes/sights.hpp"
+#include "routes/runner_table.hpp"
 
 namespace mothwalk {
 
@@ -12,10 +12,10 @@
   virtual ~CallerSide() = default;
   virtual void head(int status, const std::vector<Header>& headers) = 0;
   virtual void piece(View piece) = 0;
-  virtual void flush() {}                     // what was given so far is to leave now
+  virtual void flush() {}  // what was given so far is to leave now
   virtual void end() = 0;
-  virtual void break_off() = 0;               // the stream ends visibly broken
-  virtual std::size_t backlog() const = 0;    // bytes that the caller has not taken yet
+  virtual void break_off() = 0;             // the stream ends visibly broken
+  virtual std::size_t backlog() const = 0;  // bytes that the caller has not taken yet
 };
 
 struct LiveRequest {
@@ -31,25 +31,28 @@
 };
 
 struct EntryCounts {
-  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0, retries = 0, resumed = 0, left_dark = 0, own_hall = 0, other_hall = 0;
+  std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0,
+                retries = 0, resumed = 0, left_dark = 0, own_zone = 0, other_zone = 0;
   std::map<std::string, std::uint64_t> refusals, unknowns, breaks;  // by reason
   std::map<std::string, AimCounts> aims;
-  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, resumed, left_dark, own_hall, other_hall, refusals, unknowns, breaks, aims)
+  MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, resumed, left_dark,
+                  own_zone, other_zone, refusals, unknowns, breaks, aims)
 };
 
-class Entries {
+class Router {
  public:
   using Id = std::uint64_t;
-  Entries(Post& post, Board& board, Exchange& exchange, Chance& chance, Member self, const Dialect& dialect = plain_dialect());
+  Router(Messenger& messenger, SharedState& shared_state, Exchange& exchange, RandomSource& random, Member self,
+         const Dialect& dialect = plain_dialect());
   void start();
   Id arrive(LiveRequest request, std::shared_ptr<CallerSide> caller);
-  void gone(Id id);                            // the caller left
+  void gone(Id id);  // the caller left
   std::size_t open() const { return table_.size(); }
   const EntryCounts& counts() const { return counts_; }
-  CallerLimits limits() const { return board_.policy.get()->limits; }
-  bool draining() const { return board_.draining; }
-  void even_over_all(bool even) { sights_.even_over_all = even; }  // bench only
-  bool serves_while_draining = false;          // requests over connections that are open still are served, not refused
+  CallerLimits limits() const { return shared_state_.configuration.get()->limits; }
+  bool draining() const { return shared_state_.draining; }
+  void even_over_all(bool even) { runner_table_.even_over_all = even; }  // bench only
+  bool serves_while_draining = false;  // requests over connections that are open still are served, not refused
 
  private:
   enum class State { waiting, sent, relaying, finished };
@@ -59,10 +62,10 @@
     LiveRequest request;
     RequestFacts facts;
     std::shared_ptr<CallerSide> caller;
-    std::shared_ptr<const PolicyView> policy;  // that its lane was found in
+    std::shared_ptr<const ConfigurationView> configuration;  // that its lane was found in
     std::string lane_name;
     Lane lane;
-    std::vector<std::string> kinds;            // the one whose share it is, then those that may stand in
+    std::vector<std::string> kinds;  // the one whose share it is, then those that may stand in
     Demand demand;
     bool repeatable = false;
     Moment arrived, waiting_since, deadline, sent;
@@ -71,11 +74,11 @@
     std::uint64_t attempt = 0;
     std::uint32_t attempts = 0;
     bool may_have_run = false, head_given = false, read = false;
-    std::optional<Moment> held_since;          // the runner is not read: the caller takes its pieces too slowly
+    std::optional<Moment> held_since;  // the runner is not read: the caller takes its pieces too slowly
     std::size_t backlog = 0;
-    std::optional<Span> first_piece;           // after its arrival
+    std::optional<Span> first_piece;  // after its arrival
     std::set<std::string> tried;
-    std::optional<EventReader> events;         // of an answer that may go on at another runner
+    std::optional<EventReader> events;  // of an answer that may go on at another runner
     std::optional<std::uint64_t> last_event;
     std::string version;
   };
@@ -101,7 +104,7 @@
   bool admit(Record& record);
   void share(Record& record);
   bool hopeless(const Record& record, Moment now) const;
-  void send(Record& record, const std::string& runner, const PolicyView& policy);
+  void send(Record& record, const std::string& runner, const ConfigurationView& configuration);
   bool attempts_left(const Record& record) const;
   void attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers);
   void attempt_piece(Id id, std::uint64_t attempt, View piece);
@@ -121,19 +124,19 @@
   Span come_back(const Record& record);
   std::size_t waiting_in(const std::string& lane) const;
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   Exchange& exchange_;
-  Chance& chance_;
+  RandomSource& random_;
   Member self_;
   const Dialect& dialect_;
-  Sights sights_;
+  RunnerTable runner_table_;
   std::unordered_map<Id, Record> table_;
   std::set<Place> waiting_;
   std::set<Id> held_;
   std::vector<Id> finished_;
   std::set<std::pair<Moment, Id>> deadlines_;
-  std::optional<std::pair<Moment, Schedule::Id>> deadline_timer_;
+  std::optional<std::pair<Moment, Timers::Id>> deadline_timer_;
   std::map<std::string, std::map<std::string, double>> credits_;  // of the kinds of a lane that has several
   EntryCounts counts_;
   Id last_id_ = 0;
--- /dev/null
+++ b/source/routes/runner_table.cpp
@@ -0,0 +1,327 @@
+// Able runners, their load by count and by tokens, and the way from load and prefix to one of them.
+#include "routes/runner_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr double bounded_load = 1.25;
+constexpr double near_load = 0.1;   // so much more load a runner of the own zone may have than the least loaded
+constexpr double cold_share = 0.6;  // of what a cold runner bears; the rest is for items of lots
+constexpr double memory_share = 0.95;
+constexpr double large_prompt = 6;    // times the mean: it holds up whatever else its runner does
+constexpr double apart_share = 0.45;  // of the members, for large prompts
+constexpr double apart_load = 0.75;   // of the others, above which they take everything
+}  // namespace
+
+RunnerTable::RunnerTable(Messenger& messenger, SharedState& shared_state, RandomSource& random, Member self)
+    : messenger_(messenger), shared_state_(shared_state), random_(random), self_(std::move(self)) {
+  messenger_.on_tell<LoadTotals>([this](const Address&, LoadTotals totals) {
+    const auto configuration = shared_state_.configuration.get();
+    for (const auto& [name, runner] : configuration->runners) {
+      if (runner.spec.kind.text != totals.runner_kind) continue;
+      RunnerState& runner_state = runner_table_[name];
+      auto found = totals.runners.find(name);
+      const RunnerTotal total = found == totals.runners.end() ? RunnerTotal{} : found->second;
+      runner_state.others = total.open > runner_state.open ? total.open - runner_state.open : 0;
+      runner_state.items = total.items;
+    }
+    shared_state_.take_totals(totals.runner_kind, KindTotals{messenger_.timers().now(), std::move(totals.runners)});
+  });
+}
+
+std::size_t RunnerTable::daemons() {
+  // A daemon that loses runner_state of the others must not take their share for its own.
+  return most_daemons_ = std::max(most_daemons_, shared_state_.members.get()->all.size());
+}
+
+// The list of runners tells how much longer a runner is cold; that counts from when it came here.
+void RunnerTable::follow(const ConfigurationView& configuration) {
+  if (configuration.listing == listing_) return;
+  listing_ = configuration.listing;
+  const Moment now = messenger_.timers().now();
+  for (const auto& [name, runner] : configuration.runners) {
+    if (runner.spec.cold == Span{} && !runner_table_.contains(name)) continue;
+    RunnerState& runner_state = runner_table_[name];
+    if (runner.spec.cold != runner_state.cold_told && runner.spec.cold > Span{}) {
+      const bool was_cold = now < runner_state.cold_until;
+      runner_state.cold_until = now + runner.spec.cold;
+      if (auto kind = configuration.kinds.find(runner.spec.kind.text);
+          !was_cold && kind != configuration.kinds.end() && kind->second.spec.cold_rate > 0) {
+        // The daemons begin at different moments, so that their first requests do not come together.
+        const auto gap =
+            static_cast<std::size_t>(1e6 * static_cast<double>(daemons()) / (kind->second.spec.cold_rate * cold_share));
+        runner_state.cold_next =
+            std::max(runner_state.cold_next, now + Span(static_cast<std::int64_t>(random_.below(gap))));
+      }
+    }
+    runner_state.cold_told = runner.spec.cold;
+  }
+}
+
+double RunnerTable::load(const RunnerState& runner_state, const Runner& runner, const Kind& kind) const {
+  const double by_count = static_cast<double>(runner_state.taken()) / runner.slots;
+  if (kind.engine.memory_tokens == 0) return by_count;
+  const double memory = static_cast<double>(kind.engine.memory_tokens);
+  return std::max(by_count, (static_cast<double>(runner_state.tokens) +
+                             mean_tokens_ * (runner_state.others + runner_state.items)) /
+                                memory) +
+         static_cast<double>(runner_state.unread) / memory;
+}
+
+bool RunnerTable::takes(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle,
+                        const Demand& demand, Moment now) {
+  const bool warm = circle == nullptr || circle->bears(name, runner.generation);
+  RunnerState& runner_state = runner_table_[name];
+  if (now < runner_state.not_before || (runner_state.failures > 0 && runner_state.open > 0)) return false;
+  if (kind.connections > 0 && runner_state.open >= std::max<std::size_t>(1, kind.connections / daemons())) return false;
+  if (kind.engine.memory_tokens > 0 && runner_state.taken() > 0) {
+    const double used = static_cast<double>(runner_state.tokens + demand.tokens) +
+                        mean_tokens_ * (runner_state.others + runner_state.items);
+    if (used > memory_share * static_cast<double>(kind.engine.memory_tokens)) return false;
+  }
+  const double limit = runner.slots * kind.overcommit;
+  if (warm && runner_state.came_back && now - *runner_state.ramp_since >= kind.circle.ramp)
+    runner_state.came_back = false;
+  if (warm && !runner_state.came_back) {
+    runner_state.ramp_since.reset();
+    return runner_state.taken() < limit;
+  }
+  if (circle != nullptr)
+    if (auto ramp = circle->ramps.find(name); ramp != circle->ramps.end() && ramp->second != runner_state.ramp) {
+      runner_state.ramp = ramp->second;
+      runner_state.ramp_since.reset();
+    }
+  // A warming or returning runner: its limit grows from a quarter over the ramp, and each daemon keeps within a share
+  // of it that does not depend on news of the others, so the sum over all daemons stays below the limit.
+  if (!runner_state.ramp_since) runner_state.ramp_since = now;
+  const double progress = std::min(1.0, static_cast<double>((now - *runner_state.ramp_since).count()) /
+                                            static_cast<double>(std::max<std::int64_t>(1, kind.circle.ramp.count())));
+  const std::size_t allowed =
+      static_cast<std::size_t>(std::max(1.0, std::floor(runner.slots * (0.25 + 0.75 * progress)) - runner_state.items));
+  const auto members = shared_state_.members.get();
+  const std::size_t all = std::max<std::size_t>(1, members->all.size());
+  const auto order = duty_order(*members, "warm/" + name, runner.zone);
+  std::size_t rank = 0;
+  while (rank < order.size() && order[rank]->address != messenger_.self()) ++rank;
+  return runner_state.open < allowed / all + (rank < allowed % all ? 1 : 0);
+}
+
+// An engine that reads a very long prompt gives no tokens to its other requests meanwhile. Such prompts go to a few
+// members that all daemons pick alike, in zones with more of them, and the rest of the requests to the others.
+const std::set<std::string>& RunnerTable::apart(const ConfigurationView& configuration, const std::string& kind,
+                                                const Named<Circle>& circle) {
+  auto& [stamp, names] = apart_[kind];
+  if (stamp == circle.stamp && stamp != Stamp{}) return names;
+  stamp = circle.stamp;
+  names.clear();
+  std::map<std::string, std::size_t> in_zone;
+  std::vector<std::pair<std::string, std::string>> members;  // zone, name
+  for (const auto& member : circle.spec.members)
+    if (auto runner = configuration.runners.find(member.text); runner != configuration.runners.end()) {
+      ++in_zone[runner->second.spec.zone.text];
+      members.emplace_back(runner->second.spec.zone.text, member.text);
+    }
+  // One alone would have them wait for each other.
+  const auto wanted = static_cast<std::size_t>(apart_share * static_cast<double>(members.size()));
+  for (std::size_t count = wanted < 2 ? 0 : wanted; count > 0; --count) {
+    auto most = std::min_element(members.begin(), members.end(), [&](const auto& left, const auto& right) {
+      return std::make_pair(-static_cast<std::int64_t>(in_zone[left.first]), hash_of(left.second)) <
+             std::make_pair(-static_cast<std::int64_t>(in_zone[right.first]), hash_of(right.second));
+    });
+    --in_zone[most->first];
+    names.insert(most->second);
+    members.erase(most);
+  }
+  return names;
+}
+
+std::optional<std::string> RunnerTable::choose(const ConfigurationView& configuration, const std::string& kind_name,
+                                               const Demand& demand, const std::set<std::string>& tried,
+                                               std::string* why) {
+  follow(configuration);
+  auto kind = configuration.kinds.find(kind_name);
+  auto circle = configuration.circles.find(kind_name);
+  *why = "circle";
+  if (kind == configuration.kinds.end() || (circle == configuration.circles.end() && !even_over_all))
+    return std::nullopt;
+  const Moment now = messenger_.timers().now();
+  std::vector<Choice> choices, colds;
+  static const std::set<std::string> none;
+  const auto& set_apart = kind->second.spec.engine.memory_tokens > 0 && !even_over_all
+                              ? apart(configuration, kind_name, circle->second)
+                              : none;
+  bool warm_able = false, cold_able = false;
+  auto consider = [&](const std::string& name, const Circle* circle) {
+    auto runner = configuration.runners.find(name);
+    if (runner == configuration.runners.end() || tried.contains(name)) return;
+    const Runner& spec = runner->second.spec;
+    if (spec.leaving || configuration.evacuated(spec.zone)) return;
+    const RunnerState& runner_state = runner_table_[name];
+    const bool is_cold = cold(runner_state, kind->second.spec, now);
+    if (now >= runner_state.not_before) (is_cold ? cold_able : warm_able) = true;
+    if (!takes(name, spec, kind->second.spec, circle, demand, now) || (is_cold && now < runner_state.cold_next)) return;
+    (is_cold ? colds : choices)
+        .push_back(Choice{&runner->first, &spec, load(runner_state, spec, kind->second.spec), spec.zone == self_.zone,
+                          set_apart.contains(name)});
+  };
+  if (even_over_all) {
+    for (const auto& [name, runner] : configuration.runners)
+      if (runner.spec.kind.text == kind_name) consider(name, nullptr);
+  } else {
+    for (const auto& member : circle->second.spec.members) consider(member.text, &circle->second.spec);
+  }
+  *why = warm_able || cold_able ? "busy" : "none";
+  // A cold runner falls over at little: it is asked where no warm one could be.
+  if (choices.empty() && !warm_able) choices = std::move(colds);
+  if (choices.empty()) return std::nullopt;
+  if (even_over_all) return *choices[turn_++ % choices.size()].name;
+  if (!set_apart.empty()) {
+    const bool large = demand.prompt_tokens > large_prompt * mean_prompt_;
+    const bool room = std::any_of(choices.begin(), choices.end(),
+                                  [&](const Choice& each) { return each.apart == large && each.load < apart_load; });
+    if (room) std::erase_if(choices, [&](const Choice& each) { return each.apart != large; });
+    // Where it is read soonest: behind the fewest others.
+    if (large && room)
+      return *std::min_element(choices.begin(), choices.end(), [&](const Choice& left, const Choice& right) {
+                return std::make_pair(runner_table_[*left.name].unread, left.load) <
+                       std::make_pair(runner_table_[*right.name].unread, right.load);
+              })->name;
+  }
+  double mean = 0;
+  for (const auto& each : choices) mean += each.load / static_cast<double>(choices.size());
+  if (demand.affinity != 0) {
+    std::sort(choices.begin(), choices.end(), [&](const Choice& left, const Choice& right) {
+      return hash_of(*left.name, demand.affinity) < hash_of(*right.name, demand.affinity);
+    });
+    for (const bool here : {true, false}) {
+      if (here && !demand.near) continue;
+      for (const auto& each : choices)
+        if ((each.here || !here) && each.load <= mean * bounded_load + 1.0 / each.runner->slots && each.load < 1.0)
+          return *each.name;
+    }
+  }
+  double least = choices.front().load;
+  for (const auto& each : choices) least = std::min(least, each.load);
+  std::vector<const Choice*> close, own;
+  for (const auto& each : choices) {
+    if (each.load > least + 1e-9 && !each.here) continue;
+    if (each.load > least + (each.load < 0.7 ? near_load : 0.0) + 1.0 / each.runner->slots + 1e-9) continue;
+    close.push_back(&each);
+    if (each.here) own.push_back(&each);
+  }
+  const auto& from = own.empty() ? close : own;
+  std::vector<const Choice*> best;
+  double best_load = from.front()->load;
+  for (const auto* each : from) best_load = std::min(best_load, each->load);
+  for (const auto* each : from)
+    if (each->load <= best_load + 1e-9) best.push_back(each);
+  return *best[random_.below(best.size())]->name;
+}
+
+void RunnerTable::sent(const std::string& runner, const Kind& kind, const Demand& demand) {
+  RunnerState& runner_state = runner_table_[runner];
+  const Moment now = messenger_.timers().now();
+  ++runner_state.open;
+  runner_state.tokens += demand.tokens;
+  runner_state.unread += demand.prompt_tokens;
+  runner_state.last_sent = now;
+  if (demand.tokens > 0) {
+    const double part = mean_tokens_ == 0 ? 1 : 1.0 / 64;
+    mean_tokens_ += (demand.tokens - mean_tokens_) * part;
+    mean_prompt_ += (demand.prompt_tokens - mean_prompt_) * part;
+  }
+  // Each daemon has its share of what a cold runner bears, evenly spaced: the sum holds whatever they know of each
+  // other.
+  if (cold(runner_state, kind, now))
+    runner_state.cold_next =
+        now + Span(static_cast<std::int64_t>(1e6 * static_cast<double>(daemons()) / (kind.cold_rate * cold_share)));
+}
+
+void RunnerTable::read(const std::string& runner, const Demand& demand, bool first) {
+  RunnerState& runner_state = runner_table_[runner];
+  if (first) runner_state.unread -= std::min<std::uint64_t>(runner_state.unread, demand.prompt_tokens);
+  runner_state.heard = messenger_.timers().now();
+}
+
+Moment RunnerTable::heard(const std::string& runner) const {
+  auto found = runner_table_.find(runner);
+  return found == runner_table_.end() ? Moment{} : found->second.heard;
+}
+
+void RunnerTable::ended(const std::string& runner, const Demand& demand, std::optional<bool> sound, bool was_read) {
+  RunnerState& runner_state = runner_table_[runner];
+  if (runner_state.open > 0) --runner_state.open;
+  runner_state.tokens -= std::min<std::uint64_t>(runner_state.tokens, demand.tokens);
+  if (!was_read) runner_state.unread -= std::min<std::uint64_t>(runner_state.unread, demand.prompt_tokens);
+  const Moment now = messenger_.timers().now();
+  if (!sound) return;
+  if (*sound) {
+    // It failed and answers again: it may have been started anew, with nothing cached.
+    if (runner_state.failures > 0) {
+      runner_state.came_back = true;
+      runner_state.ramp_since = runner_state.failed = now;
+      report_soon = true;
+    }
+    runner_state.failures = 0;
+  } else {
+    failed(runner_state, now);
+  }
+}
+
+void RunnerTable::failed(RunnerState& runner_state, Moment now) {
+  runner_state.failures = std::min(runner_state.failures + 1, 6u);
+  runner_state.failed = now;
+  report_soon = true;
+  runner_state.not_before = now + milliseconds(150 << runner_state.failures);
+}
+
+void RunnerTable::suspect(const std::string& runner) {
+  RunnerState& runner_state = runner_table_[runner];
+  const Moment now = messenger_.timers().now();
+  if (now >= runner_state.not_before) failed(runner_state, now);
+}
+
+void RunnerTable::rest(const std::string& runner, Span span) {
+  RunnerState& runner_state = runner_table_[runner];
+  runner_state.not_before = std::max(runner_state.not_before, messenger_.timers().now() + span);
+}
+
+void RunnerTable::told(const std::string& runner, const RunnerLoad& load) {
+  RunnerState& runner_state = runner_table_[runner];
+  const std::uint32_t all = load.running + load.waiting, beside = all > runner_state.open ? all - runner_state.open : 0;
+  runner_state.items = std::min(runner_state.items, beside);
+  runner_state.others = beside - runner_state.items;
+}
+
+std::map<std::string, ObservedLoad> RunnerTable::load(const ConfigurationView& configuration, const std::string& kind,
+                                                      const Kind& settings) {
+  const Moment now = messenger_.timers().now();
+  std::map<std::string, ObservedLoad> load;
+  for (const auto& [name, runner_state] : runner_table_) {
+    auto runner = configuration.runners.find(name);
+    if (runner == configuration.runners.end() || runner->second.spec.kind.text != kind) continue;
+    const bool tried =
+        now - runner_state.last_sent < std::chrono::seconds(10) && runner_state.last_sent.microseconds > 0;
+    // It counts as failing while it is left alone after a failure, and a moment longer for another try.
+    const bool failing = runner_state.failures > 0 && now < runner_state.not_before + std::chrono::seconds(1);
+    std::optional<Span> failed;
+    if (failing)
+      failed = Span{};
+    else if (runner_state.failed && now - *runner_state.failed < settings.circle.ramp)
+      failed = now - *runner_state.failed;
+    if (runner_state.open > 0 || tried || failed)
+      load[name] = ObservedLoad{runner_state.open, failing && runner_state.failures >= 2, tried, failed};
+  }
+  return load;
+}
+
+void RunnerTable::forget_gone(const ConfigurationView& configuration) {
+  std::erase_if(runner_table_,
+                [&](const auto& each) { return !configuration.runners.contains(each.first) && each.second.open == 0; });
+}
+
+}  // namespace mothwalk
--- a/source/scale/loopback.cpp
+++ b/source/scale/loopback.cpp
@@ -1,12 +1,12 @@
 // Starting, measuring and ending of real and hollow daemons.
 #include "scale/loopback.hpp"
 
-#include <csignal>
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <csignal>
 
 #include <algorithm>
 #include <filesystem>
@@ -17,9 +17,9 @@
 #include <thread>
 
 #include "host/tcp_wire.hpp"
-#include "kept/kept.hpp"
 #include "news/news.hpp"
-#include "routes/entries.hpp"
+#include "replication/replicated_store.hpp"
+#include "routes/router.hpp"
 #include "sessions/sessions.hpp"
 
 namespace mothwalk::scale {
@@ -36,8 +36,12 @@
   void hold(Id, bool) override {}
 };
 
-Address place(const LoopbackSize& size, std::size_t number, std::size_t side) { return Address("127.0.0.1:" + std::to_string(size.port + number * 3 + side)); }
-std::string zone(std::size_t number) { return "zone-" + std::to_string(number % 7); }
+Address place(const LoopbackSize& size, std::size_t number, std::size_t side) {
+  return Address("127.0.0.1:" + std::to_string(size.port + number * 3 + side));
+}
+std::string zone(std::size_t number) {
+  return "zone-" + std::to_string(number % 7);
+}
 
 // The hollow daemons share a few loops, each with a thread; a daemon on the platform has one loop too.
 class Loops {
@@ -49,36 +53,49 @@
   boost::asio::io_context& of(std::size_t number) { return contexts_[number % contexts_.size()]; }
   void stop() {
     for (auto& context : contexts_) context.stop();
-    for (auto& thread : threads_) if (thread.joinable()) thread.join();
+    for (auto& thread : threads_)
+      if (thread.joinable()) thread.join();
   }
 
  private:
   using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
   std::array<boost::asio::io_context, 3> contexts_;
-  std::array<Guard, 3> guards_{Guard(contexts_[0].get_executor()), Guard(contexts_[1].get_executor()), Guard(contexts_[2].get_executor())};
+  std::array<Guard, 3> guards_{Guard(contexts_[0].get_executor()), Guard(contexts_[1].get_executor()),
+                               Guard(contexts_[2].get_executor())};
   std::vector<std::thread> threads_;
 };
 
 class Hollow {
  public:
-  Hollow(const LoopbackSize& size, std::size_t number, std::vector<Address> seeds, boost::asio::io_context& loop) : thread_("hollow", &loop), wire_(place(size, number, 0), [](View) {}, &loop) {
+  Hollow(const LoopbackSize& size, std::size_t number, std::vector<Address> seeds, boost::asio::io_context& loop)
+      : thread_("hollow", &loop),
+        wire_(
+            place(size, number, 0), [](View) {}, &loop) {
     Member self;
     self.address = self.callers = self.control = place(size, number, 0);
-    self.hall = ZoneId(zone(number));
-    self.incarnation = new_incarnation(std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()), thread_.chance());
+    self.zone = ZoneId(zone(number));
+    self.incarnation = new_incarnation(
+        std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()), thread_.random());
     self.version = "hollow";
     for (const char* slice : {"sessions", "news", "routes", "scale"}) {
-      Post& post = *(posts_[slice] = std::make_unique<Post>(wire_, thread_.schedule(), self.address, self.incarnation, slice));
-      wire_.route(slice, [this, &post](Envelope envelope) { thread_.offer([&post, envelope = std::move(envelope)]() mutable { post.take(std::move(envelope)); }); });
+      Messenger& messenger = *(
+          posts_[slice] = std::make_unique<Messenger>(wire_, thread_.timers(), self.address, self.incarnation, slice));
+      wire_.route(slice, [this, &messenger](Envelope envelope) {
+        thread_.offer([&messenger, envelope = std::move(envelope)]() mutable { messenger.take(std::move(envelope)); });
+      });
     }
-    sessions_ = std::make_unique<Sessions>(*posts_["sessions"], board, self, std::move(seeds));
-    news_ = std::make_unique<News>(*posts_["news"], board, thread_.chance(), false);
-    entries_ = std::make_unique<Entries>(*posts_["routes"], board, exchange_, thread_.chance(), self);
-    client_ = std::make_unique<KeptClient>(*posts_["scale"], board);
+    sessions_ = std::make_unique<Sessions>(*posts_["sessions"], shared_state, self, std::move(seeds));
+    news_ = std::make_unique<News>(*posts_["news"], shared_state, thread_.random(), false);
+    entries_ = std::make_unique<Router>(*posts_["routes"], shared_state, exchange_, thread_.random(), self);
+    client_ = std::make_unique<StoreClient>(*posts_["scale"], shared_state);
   }
   Result<Done> start() {
     if (auto listening = wire_.listen(); fault_of(listening)) return listening;
-    thread_.offer([this] { sessions_->start(); news_->start(); entries_->start(); });
+    thread_.offer([this] {
+      sessions_->start();
+      news_->start();
+      entries_->start();
+    });
     return Done{};
   }
   void write(const std::string& key, const std::string& text, std::function<void(Result<WriteReply>)> then) {
@@ -89,21 +106,23 @@
   }
   void tell_runners(const RunnerListing& listing) {
     thread_.offer([this, listing] {
-      posts_["scale"]->tell(posts_["scale"]->self(), Spread{{NewsItem{std::string(listing_key), Stamp{Epoch{1}, Version{1}}, false, to_cbor(listing)}}});
+      posts_["scale"]->tell(
+          posts_["scale"]->self(),
+          Spread{{NewsItem{std::string(listing_key), Stamp{Epoch{1}, Version{1}}, false, to_cbor(listing)}}});
     });
   }
   const WireCounts& counts() const { return wire_.counts(); }
-  Board board;
+  SharedState shared_state;
 
  private:
   DutyThread thread_;
   TcpWire wire_;
   NoExchange exchange_;
-  std::map<std::string, std::unique_ptr<Post>> posts_;
+  std::map<std::string, std::unique_ptr<Messenger>> posts_;
   std::unique_ptr<Sessions> sessions_;
   std::unique_ptr<News> news_;
-  std::unique_ptr<Entries> entries_;
-  std::unique_ptr<KeptClient> client_;
+  std::unique_ptr<Router> entries_;
+  std::unique_ptr<StoreClient> client_;
 };
 
 struct Real {
@@ -137,10 +156,12 @@
   fields >> user >> system;
   for (int index = 0; index < 8; ++index) fields >> skipped;
   fields >> pages;
-  return {(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)), pages * static_cast<double>(::sysconf(_SC_PAGESIZE))};
+  return {(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)),
+          pages * static_cast<double>(::sysconf(_SC_PAGESIZE))};
 }
 
-template <class Condition> std::optional<std::int64_t> wait(Span most, Condition condition) {
+template <class Condition>
+std::optional<std::int64_t> wait(Span most, Condition condition) {
   const Moment began = steady_now();
   while (!condition()) {
     if (steady_now() - began > most) return std::nullopt;
@@ -152,19 +173,36 @@
 }  // namespace
 
 Result<Done> check_size(const LoopbackSize& size, std::uint64_t memory) {
-  auto wrong = [](const std::string& field, const std::string& message, const std::string& remedy) { return Fault{FaultKind::invalid, field, message, remedy}; };
-  if (size.control < 3 || size.real < size.control) return wrong("real", "the real daemons are fewer than those of control, or these are under 3", "give 3 or more of control and at least as many real ones");
+  auto wrong = [](const std::string& field, const std::string& message, const std::string& remedy) {
+    return Fault{FaultKind::invalid, field, message, remedy};
+  };
+  if (size.control < 3 || size.real < size.control)
+    return wrong("real", "the real daemons are fewer than those of control, or these are under 3",
+                 "give 3 or more of control and at least as many real ones");
   if (size.real > 100) return wrong("real", "more than 100 processes", "give fewer, and more hollow daemons");
-  if (size.hollow < 1 || size.hollow > 600) return wrong("hollow", "the hollow daemons are none or more than 600", "give 1 to 600");
-  if (size.kinds == 0 || size.lanes == 0) return wrong("kinds, lanes", "one of them is zero", "give one or more of each");
-  if (size.port + (size.real + size.hollow) * 3 > 32000) return wrong("port", "the ports reach into those that the system gives to connections", "give a lower port or fewer daemons");
+  if (size.hollow < 1 || size.hollow > 600)
+    return wrong("hollow", "the hollow daemons are none or more than 600", "give 1 to 600");
+  if (size.kinds == 0 || size.lanes == 0)
+    return wrong("kinds, lanes", "one of them is zero", "give one or more of each");
+  if (size.port + (size.real + size.hollow) * 3 > 32000)
+    return wrong("port", "the ports reach into those that the system gives to connections",
+                 "give a lower port or fewer daemons");
   rlimit files{};
   ::getrlimit(RLIMIT_NOFILE, &files);
   const std::uint64_t descriptors = size.hollow * (20 + 4 * size.control) + 100;
-  if (descriptors > files.rlim_max) return wrong("hollow", "about " + std::to_string(descriptors) + " files are needed and " + std::to_string(files.rlim_max) + " allowed", "give fewer hollow daemons");
+  if (descriptors > files.rlim_max)
+    return wrong(
+        "hollow",
+        "about " + std::to_string(descriptors) + " files are needed and " + std::to_string(files.rlim_max) + " allowed",
+        "give fewer hollow daemons");
   const std::uint64_t needed = size.real * (24ull << 20) + size.hollow * ((2ull << 20) + size.runners * 2048);
-  if (needed > memory / 2) return wrong("hollow", "the run may need " + std::to_string(needed >> 20) + " MB, over half of the machine's " + std::to_string(memory >> 20) + " MB", "give fewer daemons or runners");
-  if (::access(size.program.c_str(), X_OK) != 0) return wrong("program", "'" + size.program + "' can't be run", "name the mothwalk-daemon to measure");
+  if (needed > memory / 2)
+    return wrong("hollow",
+                 "the run may need " + std::to_string(needed >> 20) + " MB, over half of the machine's " +
+                     std::to_string(memory >> 20) + " MB",
+                 "give fewer daemons or runners");
+  if (::access(size.program.c_str(), X_OK) != 0)
+    return wrong("program", "'" + size.program + "' can't be run", "name the mothwalk-daemon to measure");
   return Done{};
 }
 
@@ -174,7 +212,8 @@
   ::getrlimit(RLIMIT_NOFILE, &files);
   files.rlim_cur = files.rlim_max;
   ::setrlimit(RLIMIT_NOFILE, &files);
-  const std::filesystem::path folder = std::filesystem::temp_directory_path() / ("mothwalk-scale-" + std::to_string(::getpid()));
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("mothwalk-scale-" + std::to_string(::getpid()));
   std::filesystem::create_directories(folder);
   std::vector<Address> seeds;
   std::string seed_list;
@@ -185,7 +224,19 @@
   std::vector<Real> reals;
   for (std::size_t index = 0; index < size.real; ++index) {
     const bool control = index < size.control;
-    std::vector<std::string> words{size.program, "--address", place(size, index, 0).text, "--callers", place(size, index, 1).text, "--control", place(size, index, 2).text, "--hall", zone(index), "--seeds", seed_list, "--log-level", "quiet"};
+    std::vector<std::string> words{size.program,
+                                   "--address",
+                                   place(size, index, 0).text,
+                                   "--callers",
+                                   place(size, index, 1).text,
+                                   "--control",
+                                   place(size, index, 2).text,
+                                   "--zone",
+                                   zone(index),
+                                   "--seeds",
+                                   seed_list,
+                                   "--log-level",
+                                   "quiet"};
     if (control) {
       const auto data = folder / std::to_string(index);
       std::filesystem::create_directories(data);
@@ -204,31 +255,53 @@
     auto good = std::make_shared<std::atomic<int>>(0);
     for (int attempt = 0; attempt < 6 && *good != 1; ++attempt) {
       *good = 0;
-      first.write(key, json::serialize(spec), [good](Result<WriteReply> result) { *good = fault_of(result) == nullptr ? 1 : 2; });
+      first.write(key, json::serialize(spec),
+                  [good](Result<WriteReply> result) { *good = fault_of(result) == nullptr ? 1 : 2; });
       wait(seconds(12), [&] { return *good != 0; });
     }
     if (*good != 1) broken.push_back(key + " was not taken");
     return *good == 1;
   };
-  auto all_hollow = [&](auto condition) { return std::all_of(hollows.begin(), hollows.end(), [&](const auto& hollow) { return condition(*hollow); }); };
+  auto all_hollow = [&](auto condition) {
+    return std::all_of(hollows.begin(), hollows.end(), [&](const auto& hollow) { return condition(*hollow); });
+  };
   const std::size_t whole = size.real + size.hollow;
-  bool good = wait(seconds(30), [&] { return first.board.permitted(steady_now()); }).has_value();
+  bool good = wait(seconds(30), [&] { return first.shared_state.has_lease(steady_now()); }).has_value();
   if (!good) broken.push_back("the fleet was not founded within 30 s");
-  for (std::size_t kind = 0; good && kind < size.kinds; ++kind) good = write("kind/model-" + std::to_string(kind), json::object{{"circle", json::object{{"all", true}, {"floor", 1}, {"reserve", 0}}}});
-  auto lane = [&](std::size_t number, std::size_t change) { return json::object{{"path", "/lane-" + std::to_string(number)}, {"kind", "model-0"}, {"first_piece", 5000 + change}}; };
-  for (std::size_t number = 0; good && number < size.lanes; ++number) good = write("lane/lane-" + std::to_string(number), lane(number, 0));
+  for (std::size_t kind = 0; good && kind < size.kinds; ++kind)
+    good = write("kind/model-" + std::to_string(kind),
+                 json::object{{"circle", json::object{{"all", true}, {"floor", 1}, {"reserve", 0}}}});
+  auto lane = [&](std::size_t number, std::size_t change) {
+    return json::object{
+        {"path", "/lane-" + std::to_string(number)}, {"kind", "model-0"}, {"first_piece", 5000 + change}};
+  };
+  for (std::size_t number = 0; good && number < size.lanes; ++number)
+    good = write("lane/lane-" + std::to_string(number), lane(number, 0));
   if (good) {
     RunnerListing listing;
-    for (std::size_t index = 0; index < size.runners; ++index) listing.runners["runner-" + std::to_string(index)] = Runner{KindId("model-" + std::to_string(index % size.kinds)), Address("10.0.0.1:" + std::to_string(8000 + index)), ZoneId(zone(index)), 8, false, 1, Span{}};
+    for (std::size_t index = 0; index < size.runners; ++index)
+      listing.runners["runner-" + std::to_string(index)] = Runner{KindId("model-" + std::to_string(index % size.kinds)),
+                                                                  Address("10.0.0.1:" + std::to_string(8000 + index)),
+                                                                  ZoneId(zone(index)),
+                                                                  8,
+                                                                  false,
+                                                                  1,
+                                                                  Span{}};
     first.tell_runners(listing);
-    const auto known = wait(seconds(30), [&] { return all_hollow([&](Hollow& hollow) { return hollow.board.members.get()->all.size() == whole && hollow.board.policy.get()->runners.size() == size.runners; }); });
+    const auto known = wait(seconds(30), [&] {
+      return all_hollow([&](Hollow& hollow) {
+        return hollow.shared_state.members.get()->all.size() == whole &&
+               hollow.shared_state.configuration.get()->runners.size() == size.runners;
+      });
+    });
     if (!known) broken.push_back("not every hollow daemon knew all daemons and runners after 30 s");
     std::this_thread::sleep_for(seconds(15));  // the circles warm
 
     auto own = [] {
       rusage usage{};
       ::getrusage(RUSAGE_SELF, &usage);
-      return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) + static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+      return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+             static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
     };
     auto counted = [&] {
       double bytes = 0;
@@ -241,8 +314,11 @@
     const Moment began = steady_now();
     std::this_thread::sleep_for(seconds(size.seconds));
     const double span = static_cast<double>((steady_now() - began).count()) / 1e6;
-    std::cout << std::fixed << std::setprecision(2) << "\nloopback, " << size.real << " real daemons (" << size.control << " of control), " << size.hollow << " hollow, " << size.runners << " runners\n"
-              << "  hollow: " << (own() - own_before) / span / static_cast<double>(size.hollow) * 100 << "% of a core, " << (counted() - bytes_before) / span / static_cast<double>(size.hollow) << " B/s out, " << spent(::getpid()).second / 1e6 / static_cast<double>(size.hollow) << " MB a daemon\n";
+    std::cout << std::fixed << std::setprecision(2) << "\nloopback, " << size.real << " real daemons (" << size.control
+              << " of control), " << size.hollow << " hollow, " << size.runners << " runners\n"
+              << "  hollow: " << (own() - own_before) / span / static_cast<double>(size.hollow) * 100 << "% of a core, "
+              << (counted() - bytes_before) / span / static_cast<double>(size.hollow) << " B/s out, "
+              << spent(::getpid()).second / 1e6 / static_cast<double>(size.hollow) << " MB a daemon\n";
     for (const bool control : {true, false}) {
       double processor = 0, memory = 0, count = 0;
       for (const auto& real : reals) {
@@ -252,7 +328,9 @@
         memory += bytes;
         ++count;
       }
-      if (count > 0) std::cout << "  real " << (control ? "control: " : "edge: ") << processor / count * 100 << "% of a core, " << memory / count / 1e6 << " MB a daemon\n";
+      if (count > 0)
+        std::cout << "  real " << (control ? "control: " : "edge: ") << processor / count * 100 << "% of a core, "
+                  << memory / count / 1e6 << " MB a daemon\n";
     }
 
     std::vector<std::int64_t> spans;
@@ -264,28 +342,38 @@
       for (const auto& hollow : hollows) lacking.push_back(hollow.get());
       wait(seconds(10), [&] {
         std::erase_if(lacking, [&](Hollow* hollow) {
-          const auto policy = hollow->board.policy.get();
-          auto found = policy->lanes.find("lane-" + std::to_string(number));
-          if (found == policy->lanes.end() || found->second.spec.first_piece != milliseconds(5000 + change)) return false;
+          const auto configuration = hollow->shared_state.configuration.get();
+          auto found = configuration->lanes.find("lane-" + std::to_string(number));
+          if (found == configuration->lanes.end() || found->second.spec.first_piece != milliseconds(5000 + change))
+            return false;
           spans.push_back((steady_now() - sent).count() / 1000);
           return true;
         });
         return lacking.empty();
       });
-      if (!lacking.empty()) broken.push_back(std::to_string(lacking.size()) + " hollow daemons lacked a change after 10 s");
+      if (!lacking.empty())
+        broken.push_back(std::to_string(lacking.size()) + " hollow daemons lacked a change after 10 s");
     }
     std::sort(spans.begin(), spans.end());
-    if (!spans.empty()) std::cout << "  change in force after its sending (median, 99 in 100, worst): " << spans[spans.size() / 2] << ", " << spans[spans.size() * 99 / 100] << ", " << spans.back() << " ms\n";
+    if (!spans.empty())
+      std::cout << "  change in force after its sending (median, 99 in 100, worst): " << spans[spans.size() / 2] << ", "
+                << spans[spans.size() * 99 / 100] << ", " << spans.back() << " ms\n";
 
     for (const auto& real : reals)
-      if (::waitpid(real.pid, nullptr, WNOHANG) != 0) broken.push_back("the daemon at " + real.address.text + " ended by itself");
+      if (::waitpid(real.pid, nullptr, WNOHANG) != 0)
+        broken.push_back("the daemon at " + real.address.text + " ended by itself");
     const Real lost = reals.back();
     ::kill(lost.pid, SIGKILL);
     ::waitpid(lost.pid, nullptr, 0);
     reals.pop_back();
-    const auto known_lost = wait(seconds(20), [&] { return all_hollow([&](Hollow& hollow) { return !hollow.board.members.get()->all.contains(lost.address); }); });
-    if (!known_lost) broken.push_back("a lost daemon was still a member after 20 s");
-    else std::cout << "  loss of a real " << (lost.control ? "control" : "edge") << " daemon known to all hollow ones after " << *known_lost << " ms\n";
+    const auto known_lost = wait(seconds(20), [&] {
+      return all_hollow([&](Hollow& hollow) { return !hollow.shared_state.members.get()->all.contains(lost.address); });
+    });
+    if (!known_lost)
+      broken.push_back("a lost daemon was still a member after 20 s");
+    else
+      std::cout << "  loss of a real " << (lost.control ? "control" : "edge")
+                << " daemon known to all hollow ones after " << *known_lost << " ms\n";
   }
   loops.stop();
   hollows.clear();
--- a/source/scale/loopback.hpp
+++ b/source/scale/loopback.hpp
@@ -8,7 +8,7 @@
 struct LoopbackSize {
   std::size_t control = 5, real = 5, hollow = 20;  // control: of the real ones, those with data folders
   std::size_t runners = 600, kinds = 4, lanes = 12, changes = 10, seconds = 10, port = 21000;
-  std::string program;                             // mothwalk-daemon
+  std::string program;  // mothwalk-daemon
 };
 
 Result<Done> check_size(const LoopbackSize& size, std::uint64_t memory);
--- a/source/scale/main.cpp
+++ b/source/scale/main.cpp
@@ -20,10 +20,13 @@
 
 int usage(const std::string& what) {
   std::cerr << "scale-run: " << what << "\n"
-            << "scale-run [--daemons 20,60,120] [--control 5] [--storage 6] [--zones 7] [--runners 600] [--kinds 4] [--lanes 12]\n"
+            << "scale-run [--daemons 20,60,120] [--control 5] [--storage 6] [--zones 7] [--runners 600] [--kinds 4] "
+               "[--lanes 12]\n"
             << "          [--requests 0] [--changes 10] [--seconds 10] [--seed 1] [--table FILE]\n"
-            << "scale-run --hollow 20,60,120 [--real 5] [--control 5] [--program target/mothwalk-daemon] [--runners 600] [--changes 10] [--seconds 10]\n"
-            << "The first runs on virtual time in one process; the second over loopback, with real daemons beside hollow ones.\n";
+            << "scale-run --hollow 20,60,120 [--real 5] [--control 5] [--program target/mothwalk-daemon] [--runners "
+               "600] [--changes 10] [--seconds 10]\n"
+            << "The first runs on virtual time in one process; the second over loopback, with real daemons beside "
+               "hollow ones.\n";
   return 2;
 }
 
@@ -34,38 +37,95 @@
 
 void print(const Figures& figures) {
   const double daemons = static_cast<double>(figures.size.daemons);
-  std::cout << std::fixed << std::setprecision(1) << "\n" << figures.size.daemons << " daemons (" << figures.size.control << " of control, " << figures.size.storage << " of storage), " << figures.size.runners << " runners, " << figures.requests_answered << " requests/s answered\n";
-  auto role = [](const char* name, const Role& each) { std::cout << "  " << name << ": " << each.processor / 1e4 << "% of a core, " << each.bytes_out << " B/s out, " << each.bytes_in << " B/s in, a daemon\n"; };
+  std::cout << std::fixed << std::setprecision(1) << "\n"
+            << figures.size.daemons << " daemons (" << figures.size.control << " of control, " << figures.size.storage
+            << " of storage), " << figures.size.runners << " runners, " << figures.requests_answered
+            << " requests/s answered\n";
+  auto role = [](const char* name, const Role& each) {
+    std::cout << "  " << name << ": " << each.processor / 1e4 << "% of a core, " << each.bytes_out << " B/s out, "
+              << each.bytes_in << " B/s in, a daemon\n";
+  };
   std::cout << std::setprecision(2);
   role("edge", figures.edge);
   role("control", figures.control);
   role("storage", figures.storage);
   std::cout << "  memory " << figures.memory / 1e6 << " MB a daemon\n";
-  std::cout << "  change in force after (median, 99 in 100, worst): " << figures.change.median << ", " << figures.change.most << ", " << figures.change.worst << " ms\n";
-  std::cout << "  loss known to all after: edge " << figures.lost_edge << " ms, control " << figures.lost_control << " ms\n";
+  std::cout << "  change in force after (median, 99 in 100, worst): " << figures.change.median << ", "
+            << figures.change.most << ", " << figures.change.worst << " ms\n";
+  std::cout << "  loss known to all after: edge " << figures.lost_edge << " ms, control " << figures.lost_control
+            << " ms\n";
   std::cout << "  messages a daemon and second, bytes a daemon and second:\n";
-  for (const auto& [name, carried] : figures.messages)
-    std::cout << "    " << std::left << std::setw(28) << name << std::right << std::setw(10) << static_cast<double>(carried.messages) / figures.seconds / daemons << std::setw(12) << static_cast<double>(carried.bytes) / figures.seconds / daemons << "\n";
+  for (const auto& [name, traffic] : figures.messages)
+    std::cout << "    " << std::left << std::setw(28) << name << std::right << std::setw(10)
+              << static_cast<double>(traffic.messages) / figures.seconds / daemons << std::setw(12)
+              << static_cast<double>(traffic.bytes) / figures.seconds / daemons << "\n";
   for (const auto& each : figures.broken) std::cout << "  FAILED: " << each << "\n";
 }
 
 const std::vector<std::pair<std::string, std::function<double(const Figures&)>>> columns{
-    {"daemons", [](const Figures& f) { return static_cast<double>(f.size.daemons); }},
-    {"runners", [](const Figures& f) { return static_cast<double>(f.size.runners); }},
-    {"edge_cpu_percent", [](const Figures& f) { return f.edge.processor / 1e4; }},
-    {"edge_out", [](const Figures& f) { return f.edge.bytes_out; }},
-    {"edge_in", [](const Figures& f) { return f.edge.bytes_in; }},
-    {"control_cpu_percent", [](const Figures& f) { return f.control.processor / 1e4; }},
-    {"control_out", [](const Figures& f) { return f.control.bytes_out; }},
-    {"control_in", [](const Figures& f) { return f.control.bytes_in; }},
-    {"storage_cpu_percent", [](const Figures& f) { return f.storage.processor / 1e4; }},
-    {"storage_out", [](const Figures& f) { return f.storage.bytes_out; }},
-    {"storage_in", [](const Figures& f) { return f.storage.bytes_in; }},
-    {"memory_mb", [](const Figures& f) { return f.memory / 1e6; }},
-    {"change_median_ms", [](const Figures& f) { return static_cast<double>(f.change.median); }},
-    {"change_worst_ms", [](const Figures& f) { return static_cast<double>(f.change.worst); }},
-    {"lost_edge_ms", [](const Figures& f) { return static_cast<double>(f.lost_edge); }},
-    {"lost_control_ms", [](const Figures& f) { return static_cast<double>(f.lost_control); }}};
+    {"daemons",
+     [](const Figures& f) {
+       return static_cast<double>(f.size.daemons);
+     }},
+    {"runners",
+     [](const Figures& f) {
+       return static_cast<double>(f.size.runners);
+     }},
+    {"edge_cpu_percent",
+     [](const Figures& f) {
+       return f.edge.processor / 1e4;
+     }},
+    {"edge_out",
+     [](const Figures& f) {
+       return f.edge.bytes_out;
+     }},
+    {"edge_in",
+     [](const Figures& f) {
+       return f.edge.bytes_in;
+     }},
+    {"control_cpu_percent",
+     [](const Figures& f) {
+       return f.control.processor / 1e4;
+     }},
+    {"control_out",
+     [](const Figures& f) {
+       return f.control.bytes_out;
+     }},
+    {"control_in",
+     [](const Figures& f) {
+       return f.control.bytes_in;
+     }},
+    {"storage_cpu_percent",
+     [](const Figures& f) {
+       return f.storage.processor / 1e4;
+     }},
+    {"storage_out",
+     [](const Figures& f) {
+       return f.storage.bytes_out;
+     }},
+    {"storage_in",
+     [](const Figures& f) {
+       return f.storage.bytes_in;
+     }},
+    {"memory_mb",
+     [](const Figures& f) {
+       return f.memory / 1e6;
+     }},
+    {"change_median_ms",
+     [](const Figures& f) {
+       return static_cast<double>(f.change.median);
+     }},
+    {"change_worst_ms",
+     [](const Figures& f) {
+       return static_cast<double>(f.change.worst);
+     }},
+    {"lost_edge_ms",
+     [](const Figures& f) {
+       return static_cast<double>(f.lost_edge);
+     }},
+    {"lost_control_ms", [](const Figures& f) {
+       return static_cast<double>(f.lost_control);
+     }}};
 
 // Each size runs in a process of its own, so that memory is its own too, and one that dies is named.
 std::vector<double> run_apart(const Size& size, bool& whole) {
@@ -85,12 +145,16 @@
   }
   ::close(ends[1]);
   std::vector<double> row(columns.size());
-  const bool told = ::read(ends[0], row.data(), row.size() * sizeof(double)) == static_cast<ssize_t>(row.size() * sizeof(double));
+  const bool told =
+      ::read(ends[0], row.data(), row.size() * sizeof(double)) == static_cast<ssize_t>(row.size() * sizeof(double));
   ::close(ends[0]);
   int status = 0;
   ::waitpid(child, &status, 0);
   whole = WIFEXITED(status) && WEXITSTATUS(status) == 0;
-  if (!told) std::cerr << "scale-run: the process of " << size.daemons << " daemons died" << (WIFSIGNALED(status) ? std::string(" by signal ") + std::to_string(WTERMSIG(status)) : std::string()) << "\n";
+  if (!told)
+    std::cerr << "scale-run: the process of " << size.daemons << " daemons died"
+              << (WIFSIGNALED(status) ? std::string(" by signal ") + std::to_string(WTERMSIG(status)) : std::string())
+              << "\n";
   return told ? row : std::vector<double>();
 }
 
@@ -103,12 +167,23 @@
   bool over_loopback = false;
   LoopbackSize loopback;
   loopback.program = "target/mothwalk-daemon";
-  const option options[] = {{"daemons", 1, nullptr, 'd'}, {"control", 1, nullptr, 'c'}, {"storage", 1, nullptr, 'o'}, {"zones", 1, nullptr, 'z'}, {"runners", 1, nullptr, 'r'}, {"kinds", 1, nullptr, 'k'}, {"lanes", 1, nullptr, 'l'}, {"requests", 1, nullptr, 'q'}, {"changes", 1, nullptr, 'n'}, {"seconds", 1, nullptr, 's'}, {"seed", 1, nullptr, 'e'}, {"table", 1, nullptr, 't'}, {"hollow", 1, nullptr, 'h'}, {"real", 1, nullptr, 'a'}, {"program", 1, nullptr, 'p'}, {nullptr, 0, nullptr, 0}};
+  const option options[] = {{"daemons", 1, nullptr, 'd'}, {"control", 1, nullptr, 'c'},  {"storage", 1, nullptr, 'o'},
+                            {"zones", 1, nullptr, 'z'},   {"runners", 1, nullptr, 'r'},  {"kinds", 1, nullptr, 'k'},
+                            {"lanes", 1, nullptr, 'l'},   {"requests", 1, nullptr, 'q'}, {"changes", 1, nullptr, 'n'},
+                            {"seconds", 1, nullptr, 's'}, {"seed", 1, nullptr, 'e'},     {"table", 1, nullptr, 't'},
+                            {"hollow", 1, nullptr, 'h'},  {"real", 1, nullptr, 'a'},     {"program", 1, nullptr, 'p'},
+                            {nullptr, 0, nullptr, 0}};
   for (int found; (found = getopt_long(count, words, "", options, nullptr)) != -1;) {
     if (found == '?') return usage("a flag is not known or lacks its value");
     const std::string text(optarg);
-    if (found == 't') { table = text; continue; }
-    if (found == 'p') { loopback.program = text; continue; }
+    if (found == 't') {
+      table = text;
+      continue;
+    }
+    if (found == 'p') {
+      loopback.program = text;
+      continue;
+    }
     if (found == 'd' || found == 'h') {
       over_loopback = found == 'h';
       daemons.clear();
@@ -134,13 +209,14 @@
     if (found == 'e') size.seed = *value;
   }
   if (optind < count) return usage(std::string("'") + words[optind] + "' is not a flag");
-  struct sysinfo machine{};
+  struct sysinfo machine {};
   ::sysinfo(&machine);
   const std::uint64_t memory = static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit;
   if (over_loopback) {
     for (const std::size_t each : daemons) {
       loopback.hollow = each;
-      if (auto result = check_size(loopback, memory); fault_of(result)) return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
+      if (auto result = check_size(loopback, memory); fault_of(result))
+        return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
     }
     bool sound = true;
     for (const std::size_t each : daemons) {
@@ -156,7 +232,8 @@
   for (const std::size_t each : daemons) {
     Size checked = size;
     checked.daemons = each;
-    if (auto result = check_size(checked, memory); fault_of(result)) return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
+    if (auto result = check_size(checked, memory); fault_of(result))
+      return usage(fault_of(result)->field + ": " + fault_of(result)->message + "; " + fault_of(result)->remedy);
   }
   std::vector<std::vector<double>> all;
   bool good = true;
@@ -168,9 +245,11 @@
     if (all.back().empty()) return 1;
   }
   if (all.size() > 1) {
-    std::cout << "\nslopes for each further daemon, from " << daemons.front() << " to " << daemons.back() << ":\n" << std::fixed << std::setprecision(3);
+    std::cout << "\nslopes for each further daemon, from " << daemons.front() << " to " << daemons.back() << ":\n"
+              << std::fixed << std::setprecision(3);
     for (std::size_t index = 2; index < columns.size(); ++index)
-      std::cout << "  " << columns[index].first << ": " << (all.back()[index] - all.front()[index]) / (all.back()[0] - all.front()[0]) << "\n";
+      std::cout << "  " << columns[index].first << ": "
+                << (all.back()[index] - all.front()[index]) / (all.back()[0] - all.front()[0]) << "\n";
   }
   if (!table.empty()) {
     std::ofstream file(table);
--- a/source/seams/dialect.hpp
+++ b/source/seams/dialect.hpp
@@ -6,7 +6,8 @@
 
 namespace mothwalk {
 
-// One part of a prompt, in order; parts with equal ids are equal text, so a runner that keeps one need not read it again.
+// One part of a prompt, in order; parts with equal ids are equal text, so a runner that keeps one need not read it
+// again.
 struct PromptPart {
   std::string id;
   std::uint32_t tokens = 0;
@@ -15,10 +16,10 @@
 
 // What a caller says of a request, in the product's terms. Fields that it does not give stay empty.
 struct RequestFacts {
-  std::string host;                          // lower case, without a port
-  std::string id;                            // of this try of the caller
-  std::optional<Span> budget;                // how long the caller waits
-  std::optional<std::uint64_t> last_event;   // the stream goes on after this event
+  std::string host;                         // lower case, without a port
+  std::string id;                           // of this try of the caller
+  std::optional<Span> budget;               // how long the caller waits
+  std::optional<std::uint64_t> last_event;  // the stream goes on after this event
   std::string model;
   std::vector<PromptPart> parts;
   std::uint32_t prompt_tokens = 0, output_tokens = 0;
@@ -26,8 +27,8 @@
 };
 
 struct AttemptFacts {
-  std::string runner;                        // the instance that it is meant for, and no other
-  Span left{};                               // of the caller's budget
+  std::string runner;  // the instance that it is meant for, and no other
+  Span left{};         // of the caller's budget
   std::optional<std::uint64_t> last_event;
 };
 
@@ -36,12 +37,12 @@
 };
 
 struct AnswerFacts {
-  bool not_run = false;                      // the runner promises that it did not run the request
-  bool other_instance = false;               // another instance answers at this address
-  bool foreign = false;                      // the answer belongs to another request
-  bool closing = false;                      // the runner closes the connection after it
-  std::optional<Span> idle;                  // how long the runner keeps an idle connection
-  std::string version;                       // of the weights that answer: a stream goes on under the same alone
+  bool not_run = false;         // the runner promises that it did not run the request
+  bool other_instance = false;  // another instance answers at this address
+  bool foreign = false;         // the answer belongs to another request
+  bool closing = false;         // the runner closes the connection after it
+  std::optional<Span> idle;     // how long the runner keeps an idle connection
+  std::string version;          // of the weights that answer: a stream goes on under the same alone
   std::optional<RunnerLoad> load;
 };
 
@@ -56,7 +57,8 @@
   virtual std::string retry_after(Span span) const = 0;
 };
 
-// The product's own: nothing is read from the caller's headers but the host, and runners' statuses speak for themselves.
+// The product's own: nothing is read from the caller's headers but the host, and runners' statuses speak for
+// themselves.
 class PlainDialect : public Dialect {
  public:
   RequestFacts read_request(const std::vector<Header>& headers) const override;
@@ -66,7 +68,7 @@
 };
 
 const Dialect& plain_dialect();
-bool same_name(View left, View right);       // header names, in any case
+bool same_name(View left, View right);  // header names, in any case
 const std::string* header_of(const std::vector<Header>& headers, View name);
 
 }  // namespace mothwalk
--- a/source/seams/seams.hpp
+++ b/source/seams/seams.hpp
@@ -1,6 +1,6 @@
-// The seams between duties and the world: Schedule (steady time), Wire (envelopes to peers), Disk (one append-only
-// file), Exchange (HTTP attempts to runners) and Chance (seeded numbers). A duty reaches nothing else, so the daemon and
-// the simulator run the same duty objects.
+// The seams between duties and the world: Timers (steady time), Wire (envelopes to peers), Disk (one append-only
+// file), Exchange (HTTP attempts to runners) and RandomSource (seeded numbers). A duty reaches nothing else, so the
+// daemon and the simulator run the same duty objects.
 #pragma once
 #include "coding/fields.hpp"
 
@@ -8,10 +8,10 @@
 
 using Task = std::function<void()>;
 
-class Schedule {
+class Timers {
  public:
   using Id = std::uint64_t;
-  virtual ~Schedule() = default;
+  virtual ~Timers() = default;
   virtual Moment now() const = 0;
   virtual Id after(Span span, Task task) = 0;
   virtual void cancel(Id id) = 0;
@@ -19,7 +19,7 @@
 
 // An envelope goes to one slice of one daemon; its kind begins with the slice it is for. Replies go back to the
 // sender's slice under the call's number.
-inline constexpr std::uint32_t protocol_number = 1;
+inline constexpr std::uint32_t protocol_number = 2;
 
 struct Envelope {
   Address from;
@@ -48,9 +48,9 @@
   virtual void rewrite(Bytes bytes, std::function<void(bool)> done) = 0;
 };
 
-class Chance {
+class RandomSource {
  public:
-  virtual ~Chance() = default;
+  virtual ~RandomSource() = default;
   virtual std::uint64_t next() = 0;
   std::size_t below(std::size_t bound) { return bound == 0 ? 0 : next() % bound; }
 };
@@ -66,9 +66,9 @@
   std::vector<Header> headers;
   std::shared_ptr<const Bytes> body;
   Span connecting{}, first_piece{}, between_pieces{};
-  std::string runner;                // a kept connection is used again for the same runner alone
-  bool repeatable = false;           // may go over a kept connection that could be closing, and again if it was
-  std::uint32_t connections = 0;     // kept and in use, that this runner takes from this daemon; 0: no bound
+  std::string runner;             // a kept connection is used again for the same runner alone
+  bool repeatable = false;        // may go over a kept connection that could be closing, and again if it was
+  std::uint32_t connections = 0;  // kept and in use, that this runner takes from this daemon; 0: no bound
 };
 
 enum class AttemptEnd { whole, not_sent, broken, late };  // not_sent: no byte can have reached the runner
@@ -78,7 +78,7 @@
   virtual ~AttemptWatcher() = default;
   virtual void on_head(int status, const std::vector<Header>& headers) = 0;
   virtual void on_piece(View piece) = 0;
-  virtual void on_pause() {}         // all that came for now was given
+  virtual void on_pause() {}  // all that came for now was given
   virtual void on_end(AttemptEnd end) = 0;
 };
 
--- a/source/sessions/post.hpp
+++ b/source/sessions/messenger.hpp
@@ -1,4 +1,4 @@
-// Each duty's way to speak with other duties, near or far: tell (no answer), ask (one answer or a fault by a horizon)
+// Each duty's way to speak with other duties, near or far: tell (no answer), ask (one answer or a fault by a timeout)
 // and answer. Message types carry their kind ("slice.verb") and the type of their reply, so both ends agree on form.
 #pragma once
 #include "coding/cbor.hpp"
@@ -12,22 +12,27 @@
   MOTHWALK_FIELDS(kind, field, message, remedy)
 };
 
-template <class Reply> using Answer = std::function<void(Result<Reply>)>;
+template <class Reply>
+using Answer = std::function<void(Result<Reply>)>;
 
-class Post {
+class Messenger {
  public:
-  Post(Wire& wire, Schedule& schedule, Address self, std::uint64_t incarnation, std::string slice)
-      : wire_(wire), schedule_(schedule), self_(std::move(self)), incarnation_(incarnation), slice_(std::move(slice)) {}
+  Messenger(Wire& wire, Timers& timers, Address self, std::uint64_t incarnation, std::string slice)
+      : wire_(wire), timers_(timers), self_(std::move(self)), incarnation_(incarnation), slice_(std::move(slice)) {}
   const Address& self() const { return self_; }
   std::uint64_t incarnation() const { return incarnation_; }
   const std::string& slice() const { return slice_; }
-  Schedule& schedule() const { return schedule_; }
+  Timers& timers() const { return timers_; }
 
   void take(Envelope envelope);
 
-  template <class Message> void tell(const Address& to, const Message& message) { send(to, Message::kind, 0, to_cbor(message)); }
+  template <class Message>
+  void tell(const Address& to, const Message& message) {
+    send(to, Message::kind, 0, to_cbor(message));
+  }
 
-  template <class Message, class Then> void ask(const Address& to, const Message& message, Span horizon, Then then) {
+  template <class Message, class Then>
+  void ask(const Address& to, const Message& message, Span timeout, Then then) {
     using Reply = typename Message::Reply;
     const std::uint64_t call = ++last_call_;
     Waiting& waiting = waiting_[call];
@@ -35,30 +40,40 @@
     waiting.then = [then](Result<Bytes> bytes) {
       if (auto fault = fault_of(bytes)) return then(Result<Reply>(*fault));
       auto reply = from_cbor<Reply>(std::get<Bytes>(bytes));
-      if (!reply) return then(Result<Reply>(Fault{FaultKind::damaged, "reply", "a peer's reply could not be read", "run daemons of versions that agree"}));
+      if (!reply)
+        return then(Result<Reply>(Fault{FaultKind::damaged, "reply", "a peer's reply could not be read",
+                                        "run daemons of versions that agree"}));
       then(Result<Reply>(std::move(*reply)));
     };
-    waiting.schedule = schedule_.after(horizon, [this, call] {
+    waiting.timer = timers_.after(timeout, [this, call] {
       finish(call, Fault{FaultKind::lost, "peer", "no answer came in time", "ask again; the outcome is not known"});
     });
     send(to, Message::kind, call, to_cbor(message));
   }
 
-  template <class Message, class Handler> void on_tell(Handler handler) {
+  template <class Message, class Handler>
+  void on_tell(Handler handler) {
     handlers_[std::string(Message::kind)] = [handler](const Envelope& envelope) {
       if (auto message = from_cbor<Message>(envelope.body)) handler(envelope.from, std::move(*message));
     };
   }
 
-  template <class Message, class Handler> void on_ask(Handler handler) {
+  template <class Message, class Handler>
+  void on_ask(Handler handler) {
     using Reply = typename Message::Reply;
     handlers_[std::string(Message::kind)] = [this, handler](const Envelope& envelope) {
-      Answer<Reply> answer = [this, to = envelope.from, slice = envelope.sender, call = envelope.call](Result<Reply> result) {
-        if (auto fault = fault_of(result)) return reply(to, slice, call, "fault", to_cbor(WireFault{static_cast<std::int32_t>(fault->kind), fault->field, fault->message, fault->remedy}));
+      Answer<Reply> answer = [this, to = envelope.from, slice = envelope.sender,
+                              call = envelope.call](Result<Reply> result) {
+        if (auto fault = fault_of(result))
+          return reply(
+              to, slice, call, "fault",
+              to_cbor(WireFault{static_cast<std::int32_t>(fault->kind), fault->field, fault->message, fault->remedy}));
         reply(to, slice, call, "reply", to_cbor(std::get<Reply>(result)));
       };
       auto message = from_cbor<Message>(envelope.body);
-      if (!message) return answer(Fault{FaultKind::invalid, "message", "the message could not be read", "run daemons of versions that agree"});
+      if (!message)
+        return answer(Fault{FaultKind::invalid, "message", "the message could not be read",
+                            "run daemons of versions that agree"});
       handler(envelope.from, std::move(*message), answer);
     };
   }
@@ -67,14 +82,14 @@
   struct Waiting {
     Address to;
     std::function<void(Result<Bytes>)> then;
-    Schedule::Id schedule = 0;
+    Timers::Id timer = 0;
   };
   void send(const Address& to, View kind, std::uint64_t call, Bytes body);
   void reply(const Address& to, const std::string& slice, std::uint64_t call, View kind, Bytes body);
   void finish(std::uint64_t call, Result<Bytes> result);
 
   Wire& wire_;
-  Schedule& schedule_;
+  Timers& timers_;
   Address self_;
   std::uint64_t incarnation_;
   std::string slice_;
