--- a/source/sessions/sessions.cpp
+++ b/source/sessions/sessions.cpp
@@ -5,56 +5,62 @@
 
 namespace mothwalk {
 
-Sessions::Sessions(Post& post, Board& board, Member self, std::vector<Address> seeds)
-    : post_(post), board_(board), self_(std::move(self)), seeds_(std::move(seeds)) {
-  post_.on_ask<Beat>([this](const Address& from, Beat beat, Answer<BeatReply> answer) {
-    if (beat.member.address != from) return answer(Fault{FaultKind::invalid, "member.address", "the beat comes from another address than it names", "give each daemon the address that it is reached by"});
+Sessions::Sessions(Messenger& messenger, SharedState& shared_state, Member self, std::vector<Address> seeds)
+    : messenger_(messenger), shared_state_(shared_state), self_(std::move(self)), seeds_(std::move(seeds)) {
+  messenger_.on_ask<Beat>([this](const Address& from, Beat beat, Answer<BeatReply> answer) {
+    if (beat.member.address != from)
+      return answer(Fault{FaultKind::invalid, "member.address", "the beat comes from another address than it names",
+                          "give each daemon the address that it is reached by"});
     BeatReply reply;
     if (control()) {
       Session& session = sessions_[from];
       const bool fresh = session.member != beat.member;
-      session = Session{std::move(beat.member), post_.schedule().now()};
+      session = Session{std::move(beat.member), messenger_.timers().now()};
       if (fresh) rebuild();
       reply.accepted = true;
     }
     reply.changed = beat.digest != digest_;
-    if (!reply.accepted) reply.members = known_control();
+    if (!reply.accepted)
+      reply.members = known_control();
     else if (reply.changed)
-      for (const auto& [address, member] : board_.members.get()->all) reply.members.push_back(member);
+      for (const auto& [address, member] : shared_state_.members.get()->all) reply.members.push_back(member);
     answer(std::move(reply));
   });
-  post_.on_tell<Share>([this](const Address& from, Share share) {
+  messenger_.on_tell<Share>([this](const Address& from, Share share) {
     if (!share.member.keeps_control() || share.member.address != from || from == self_.address) return;
     // Who is new here is told of the others; one that keeps no control state only passes the word on.
     if (!control() || !peers_.contains(from)) {
       Introduction introduction{known_control()};
       std::erase_if(introduction.members, [&](const Member& each) { return each.address == from; });
-      if (!introduction.members.empty()) post_.tell(from, introduction);
+      if (!introduction.members.empty()) messenger_.tell(from, introduction);
     }
     if (!control()) return void(remember(share.member));
     Peer& peer = peers_[from];
     if (peer.member.incarnation > share.member.incarnation) return;
-    peer = Peer{std::move(share.member), post_.schedule().now(), std::move(share.sessions)};
+    peer = Peer{std::move(share.member), messenger_.timers().now(), std::move(share.sessions)};
     rebuild();
   });
-  post_.on_tell<Introduction>([this](const Address&, Introduction introduction) {
+  messenger_.on_tell<Introduction>([this](const Address&, Introduction introduction) {
     for (const auto& member : introduction.members) remember(member);
   });
 }
 
-void Sessions::start() { tick(); }
+void Sessions::start() {
+  tick();
+}
 
 bool Sessions::remember(const Member& member) {
   if (!member.keeps_control() || member.address == self_.address) return false;
   const bool fresh = !heard_.contains(member.address);
   Session& place = heard_[member.address];
-  if (place.member.incarnation <= member.incarnation) place = Session{member, post_.schedule().now()};
+  if (place.member.incarnation <= member.incarnation) place = Session{member, messenger_.timers().now()};
   return fresh;
 }
 
 std::vector<Member> Sessions::known_control() const {
   std::map<Address, Member> known;
-  for (const auto& [address, member] : board_.members.get()->all) if (member.keeps_control()) known[address] = member;
+  for (const auto& [address, member] : shared_state_.members.get()->all)
+    if (member.keeps_control()) known[address] = member;
   for (const auto& [address, heard] : heard_) known.try_emplace(address, heard.member);
   std::vector<Member> list;
   for (auto& [address, member] : known) list.push_back(std::move(member));
@@ -66,11 +72,13 @@
   auto add = [&](const Address& address) {
     if (address != self_.address && std::find(list.begin(), list.end(), address) == list.end()) list.push_back(address);
   };
-  const auto members = board_.members.get();
-  for (const auto& [address, member] : members->all) if (member.keeps_control() && member.hall == self_.hall) add(address);
-  for (const auto& [address, member] : members->all) if (member.keeps_control()) add(address);
-  for (const auto& seat : board_.policy.get()->roster.seats) add(seat.address);
-  for (const auto& address : *board_.control_seats.get()) add(address);
+  const auto members = shared_state_.members.get();
+  for (const auto& [address, member] : members->all)
+    if (member.keeps_control() && member.zone == self_.zone) add(address);
+  for (const auto& [address, member] : members->all)
+    if (member.keeps_control()) add(address);
+  for (const auto& seat : shared_state_.configuration.get()->roster.seats) add(seat.address);
+  for (const auto& address : *shared_state_.control_seats.get()) add(address);
   for (const auto& [address, heard] : heard_) add(address);
   // A control daemon in touch with others goes back to the seeds now and then, so that no two parts stay apart.
   if (!control() || peers_.size() < 2 || ticks_ % ticks_to_seeds == 0)
@@ -79,28 +87,36 @@
 }
 
 void Sessions::tick() {
-  self_.stalled = board_.stalled.load();
-  self_.roster = board_.policy.get()->roster.version;
+  self_.stalled = shared_state_.stalled.load();
+  self_.roster = shared_state_.configuration.get()->roster.version;
   ++ticks_;
-  std::erase_if(heard_, [now = post_.schedule().now()](const auto& each) { return now - each.second.heard > remembered_span; });
-  if (control()) { share(); rebuild(); }
-  else beat();
-  post_.schedule().after(beat_span, [this] { tick(); });
+  std::erase_if(heard_, [now = messenger_.timers().now()](const auto& each) {
+    return now - each.second.heard > remembered_span;
+  });
+  if (control()) {
+    share();
+    rebuild();
+  } else
+    beat();
+  messenger_.timers().after(beat_span, [this] { tick(); });
 }
 
 void Sessions::share() {
-  const Moment now = post_.schedule().now();
+  const Moment now = messenger_.timers().now();
   Share share{self_, {}};
   for (auto entry = sessions_.begin(); entry != sessions_.end();) {
-    if (now - entry->second.heard > stand_span) { entry = sessions_.erase(entry); continue; }
+    if (now - entry->second.heard > stand_span) {
+      entry = sessions_.erase(entry);
+      continue;
+    }
     share.sessions.push_back(SessionShare{entry->second.member, now - entry->second.heard});
     ++entry;
   }
-  for (const Address& address : candidates()) post_.tell(address, share);
+  for (const Address& address : candidates()) messenger_.tell(address, share);
 }
 
 void Sessions::rebuild() {
-  const Moment now = post_.schedule().now();
+  const Moment now = messenger_.timers().now();
   Members members;
   members.home = self_.address;
   members.all[self_.address] = self_;
@@ -112,7 +128,10 @@
   for (const auto& [address, session] : sessions_)
     if (now - session.heard <= stand_span) add(session.member);
   for (auto entry = peers_.begin(); entry != peers_.end();) {
-    if (now - entry->second.heard > stand_span) { entry = peers_.erase(entry); continue; }
+    if (now - entry->second.heard > stand_span) {
+      entry = peers_.erase(entry);
+      continue;
+    }
     const Span since = now - entry->second.heard;
     add(entry->second.member);
     ++members.control_daemons;
@@ -127,19 +146,19 @@
   Bytes text;
   for (const auto& [address, member] : members.all) text += to_cbor(member);
   const std::uint64_t digest = hash_of(text);
-  if (digest == digest_ && members.home == board_.members.get()->home) return;
+  if (digest == digest_ && members.home == shared_state_.members.get()->home) return;
   digest_ = digest;
-  board_.members.set(std::move(members));
+  shared_state_.members.set(std::move(members));
 }
 
 void Sessions::beat() {
   if (asking_) return;
   const auto list = candidates();
   if (list.empty()) return;
-  const bool standing = !home_.empty() && post_.schedule().now() - home_heard_ < stand_span;
+  const bool standing = !home_.empty() && messenger_.timers().now() - home_heard_ < stand_span;
   const Address to = standing ? home_ : list[turn_++ % list.size()];
   asking_ = true;
-  post_.ask(to, Beat{self_, digest_}, std::chrono::milliseconds(300), [this, to](Result<BeatReply> result) {
+  messenger_.ask(to, Beat{self_, digest_}, std::chrono::milliseconds(300), [this, to](Result<BeatReply> result) {
     asking_ = false;
     auto* reply = std::get_if<BeatReply>(&result);
     if (reply == nullptr) {
@@ -165,11 +184,11 @@
     }
     if (home_ != to) turn_ = 0;
     home_ = to;
-    home_heard_ = post_.schedule().now();
-    if (board_.members.get()->home != to) {
-      Members members = *board_.members.get();
+    home_heard_ = messenger_.timers().now();
+    if (shared_state_.members.get()->home != to) {
+      Members members = *shared_state_.members.get();
       members.home = to;
-      board_.members.set(std::move(members));
+      shared_state_.members.set(std::move(members));
     }
   });
 }
--- a/source/sessions/sessions.hpp
+++ b/source/sessions/sessions.hpp
@@ -1,9 +1,10 @@
 // Membership: a daemon is a member while its session with a control daemon (one that keeps control state) stands. A
 // member beats to its home control daemon; control daemons share their sessions with each other, and so all know all.
-// Any other daemon remembers the control daemons that it heard of and names them to who asks, so that the seeds may be any.
+// Any other daemon remembers the control daemons that it heard of and names them to who asks, so that the seeds may be
+// any.
 #pragma once
-#include "sessions/board.hpp"
-#include "sessions/post.hpp"
+#include "sessions/messenger.hpp"
+#include "sessions/shared_state.hpp"
 
 namespace mothwalk {
 
@@ -40,7 +41,7 @@
 
 class Sessions {
  public:
-  Sessions(Post& post, Board& board, Member self, std::vector<Address> seeds);
+  Sessions(Messenger& messenger, SharedState& shared_state, Member self, std::vector<Address> seeds);
   void start();
 
  private:
@@ -67,13 +68,13 @@
   void publish(Members members);
   std::vector<Address> candidates() const;
 
-  Post& post_;
-  Board& board_;
+  Messenger& messenger_;
+  SharedState& shared_state_;
   Member self_;
   std::vector<Address> seeds_;
   std::map<Address, Session> sessions_;
   std::map<Address, Peer> peers_;
-  std::map<Address, Session> heard_;     // control daemons that this one was told of
+  std::map<Address, Session> heard_;  // control daemons that this one was told of
   Address home_;
   Moment home_heard_;
   std::size_t turn_ = 0;
--- a/source/sessions/board.cpp
+++ b/source/sessions/shared_state.cpp
@@ -1,5 +1,5 @@
 // The agreed orders: rendezvous hashing of slots over the roster's seats and of single duties over members.
-#include "sessions/board.hpp"
+#include "sessions/shared_state.hpp"
 
 #include <algorithm>
 
@@ -11,16 +11,20 @@
   return nullptr;
 }
 
-std::uint64_t new_incarnation(Span wall, Chance& chance) {
-  return static_cast<std::uint64_t>(wall.count() / 1000) << 20 | (chance.next() & 0xfffff);
+std::uint64_t new_incarnation(Span wall, RandomSource& random) {
+  return static_cast<std::uint64_t>(wall.count() / 1000) << 20 | (random.next() & 0xfffff);
 }
 
-std::uint32_t slot_of(View key) { return static_cast<std::uint32_t>(hash_of(key) % slot_count); }
+std::uint32_t slot_of(View key) {
+  return static_cast<std::uint32_t>(hash_of(key) % slot_count);
+}
 
 std::vector<const Seat*> slot_order(const Roster& roster, std::uint32_t slot) {
   std::vector<const Seat*> order;
   for (const auto& seat : roster.seats) order.push_back(&seat);
-  std::sort(order.begin(), order.end(), [&](const Seat* left, const Seat* right) { return hash_of(left->holder.text, slot + 1) > hash_of(right->holder.text, slot + 1); });
+  std::sort(order.begin(), order.end(), [&](const Seat* left, const Seat* right) {
+    return hash_of(left->holder.text, slot + 1) > hash_of(right->holder.text, slot + 1);
+  });
   return order;
 }
 
@@ -32,17 +36,17 @@
   return nullptr;
 }
 
-const Seat* key_owner(const PolicyView& policy, const Members& members, View key) {
-  const Seat* seat = slot_owner(policy.roster_of(key), members, slot_of(key));
+const Seat* key_owner(const ConfigurationView& configuration, const Members& members, View key) {
+  const Seat* seat = slot_owner(configuration.roster_of(key), members, slot_of(key));
   const Member* member = seat == nullptr ? nullptr : members.holder(seat->holder);
   return member != nullptr && (lot_key(key) ? member->keeps_lots() : member->keeps_control()) ? seat : nullptr;
 }
 
-std::vector<const Member*> duty_order(const Members& members, View duty, const ZoneId& hall) {
+std::vector<const Member*> duty_order(const Members& members, View duty, const ZoneId& zone) {
   std::vector<const Member*> order;
   for (const auto& [address, member] : members.all) order.push_back(&member);
   std::sort(order.begin(), order.end(), [&](const Member* left, const Member* right) {
-    const bool left_here = left->hall == hall, right_here = right->hall == hall;
+    const bool left_here = left->zone == zone, right_here = right->zone == zone;
     if (left_here != right_here) return left_here;
     return hash_of(left->address.text, hash_of(duty)) > hash_of(right->address.text, hash_of(duty));
   });
--- a/source/sessions/board.hpp
+++ b/source/sessions/shared_state.hpp
@@ -1,15 +1,16 @@
-// What the duties of one daemon share, each piece behind a short lock: who the members are, the policy in force, which
-// slots this daemon owns, and how fresh its news is. Readers take an unchanging snapshot.
+// What the duties of one daemon share, each piece behind a short lock: who the members are, the configuration in force,
+// which slots this daemon owns, and how fresh its news is. Readers take an unchanging snapshot.
 #pragma once
 #include <atomic>
 #include <mutex>
 
-#include "policy/resources.hpp"
+#include "configuration/resources.hpp"
 #include "seams/seams.hpp"
 
 namespace mothwalk {
 
-template <class T> class Shared {
+template <class T>
+class Shared {
  public:
   Shared() : value_(std::make_shared<const T>()) {}
   std::shared_ptr<const T> get() const {
@@ -28,25 +29,25 @@
 };
 
 struct Member {
-  Address address;            // peer side
-  ZoneId hall;
-  Address callers, control;   // HTTP sides
+  Address address;  // peer side
+  ZoneId zone;
+  Address callers, control;  // HTTP sides
   std::uint64_t incarnation = 0;
-  HolderId holder;            // empty where the daemon has no data folder
-  bool stalled = false;       // its disk does not answer, so it can own nothing
-  Version roster;             // the roster version it knows; zero for none
-  std::string version;        // of the program
-  std::string keeps;          // what its folder holds: empty for control state and lots, or "control" or "lots" alone
-  std::string name;           // of the machine, where operators name one
+  HolderId holder;       // empty where the daemon has no data folder
+  bool stalled = false;  // its disk does not answer, so it can own nothing
+  Version roster;        // the roster version it knows; zero for none
+  std::string version;   // of the program
+  std::string keeps;     // what its folder holds: empty for control state and lots, or "control" or "lots" alone
+  std::string name;      // of the machine, where operators name one
   bool keeps_control() const { return !holder.empty() && keeps != "lots"; }
   bool keeps_lots() const { return !holder.empty() && keeps != "control"; }
   auto operator<=>(const Member&) const = default;
-  MOTHWALK_FIELDS(address, hall, callers, control, incarnation, holder, stalled, roster, version, keeps, name)
+  MOTHWALK_FIELDS(address, zone, callers, control, incarnation, holder, stalled, roster, version, keeps, name)
 };
 
 struct Members {
   std::map<Address, Member> all;
-  Address home;               // the control daemon that this daemon's session stands with
+  Address home;  // the control daemon that this daemon's session stands with
   std::size_t control_daemons = 0;
   const Member* holder(const HolderId& id) const;
 };
@@ -66,33 +67,33 @@
   std::map<std::string, RunnerTotal> runners;
 };
 
-struct Board {
-  Shared<std::vector<Address>> control_seats;       // those that this daemon's folder knows, before any news comes
+struct SharedState {
+  Shared<std::vector<Address>> control_seats;  // those that this daemon's folder knows, before any news comes
   Shared<Members> members;
-  Shared<PolicyView> policy;
+  Shared<ConfigurationView> configuration;
   Shared<Ownership> owned;
-  Shared<std::map<std::string, KindTotals>> usage;  // by kind
-  std::atomic<std::int64_t> permit_until{-1};  // Moment; news was known whole with a majority's control daemon
-  std::atomic<std::int64_t> permit_sought{-1}; // since when a lapsed permit is being sought
-  std::atomic<std::int64_t> news_tick{-1};     // when news last ran: after a freeze this is old
+  Shared<std::map<std::string, KindTotals>> load;  // by kind
+  std::atomic<std::int64_t> lease_until{-1};       // Moment; news was known whole with a majority's control daemon
+  std::atomic<std::int64_t> lease_sought{-1};      // since when a lapsed lease is being sought
+  std::atomic<std::int64_t> news_tick{-1};         // when news last ran: after a freeze this is old
   std::atomic<bool> stalled{false};
   std::atomic<bool> draining{false};
-  bool permitted(Moment now) const { return permit_until.load() >= now.microseconds; }
-  // A lapsed lease was sought in vain for so long that the newest policy known stays in force.
+  bool has_lease(Moment now) const { return lease_until.load() >= now.microseconds; }
+  // A lapsed lease was sought in vain for so long that the newest configuration known stays in force.
   bool stands_alone(Moment now) const {
-    const std::int64_t sought = permit_sought.load();
+    const std::int64_t sought = lease_sought.load();
     return sought >= 0 && now - Moment{sought} > std::chrono::milliseconds(1000);
   }
   void take_totals(const std::string& kind, KindTotals totals) {
-    auto all = *usage.get();
+    auto all = *load.get();
     all[kind] = std::move(totals);
-    usage.set(std::move(all));
+    load.set(std::move(all));
   }
 };
 
-// The number of a process's life: of the wall clock, so that later lives mostly have higher ones, and of chance, so that a
-// clock set back never makes two lives look the same.
-std::uint64_t new_incarnation(Span wall, Chance& chance);
+// The number of a process's life: of the wall clock, so that later lives mostly have higher ones, and of random, so
+// that a clock set back never makes two lives look the same.
+std::uint64_t new_incarnation(Span wall, RandomSource& random);
 
 inline constexpr std::uint32_t slot_count = 32;
 std::uint32_t slot_of(View key);
@@ -101,9 +102,11 @@
 // The first live seat in that order, or none.
 const Seat* slot_owner(const Roster& roster, const Members& members, std::uint32_t slot);
 // The seat that owns a key, of the roster whose holders keep it; none while that one is not known.
-const Seat* key_owner(const PolicyView& policy, const Members& members, View key);
-inline bool lot_key(View key) { return key.starts_with("lot/"); }
-// All live members in the agreed order for a single duty; those of the given hall first.
-std::vector<const Member*> duty_order(const Members& members, View duty, const ZoneId& hall);
+const Seat* key_owner(const ConfigurationView& configuration, const Members& members, View key);
+inline bool lot_key(View key) {
+  return key.starts_with("lot/");
+}
+// All live members in the agreed order for a single duty; those of the given zone first.
+std::vector<const Member*> duty_order(const Members& members, View duty, const ZoneId& zone);
 
 }  // namespace mothwalk
--- a/source/simulate/benches.hpp
+++ b/source/simulate/benches.hpp
@@ -1,7 +1,7 @@
-// Measurements in the simulator: the circle against plain round-robin, the runner's usage against the offered rate, and
+// Measurements in the simulator: the circle against plain round-robin, the runner's load against the offered rate, and
 // what membership costs. They print figures and judge nothing.
 #pragma once
-#include "simulate/town.hpp"
+#include "simulate/cluster.hpp"
 
 namespace mothwalk::simulate {
 
--- a/source/simulate/town.hpp
+++ b/source/simulate/cluster.hpp
@@ -1,31 +1,31 @@
-// A town: machines, runners and callers in the simulated world, built from the same shapes as the real fleets.
+// A cluster: machines, runners and callers in the simulated world, built from the same shapes as the real fleets.
 #pragma once
 #include "circle/circle.hpp"
 #include "control/control.hpp"
 #include "lots/lots.hpp"
 #include "lots/placing.hpp"
 #include "news/news.hpp"
-#include "routes/entries.hpp"
+#include "routes/router.hpp"
 #include "sessions/sessions.hpp"
 #include "simulate/world.hpp"
 #include "stand_ins/shapes.hpp"
 
 namespace mothwalk::simulate {
 
-class Town;
+class SimulatedCluster;
 
 struct RunnerModel {
-  std::string name, kind, hall;
+  std::string name, kind, zone;
   Address address;
   std::uint32_t slots = 4;
-  bool down = false, leaving = false;    // leaving: a scenario plays with it, and no other one may
-  std::string mode = "sound";            // sound, dark, slow, truncate, nonsense
+  bool down = false, leaving = false;  // leaving: a scenario plays with it, and no other one may
+  std::string mode = "sound";          // sound, dark, slow, truncate, nonsense
   Moment cold_until;
   std::uint64_t life = 1, runs = 0;
   std::uint32_t active = 0;
   std::deque<Task> waiting;
-  std::map<std::string, Task> on_crash;   // by run: the stream that breaks
-  std::uint32_t items = 0, most_items = 0;  // of lots, taken and not ended
+  std::map<std::string, Task> on_crash;                 // by run: the stream that breaks
+  std::uint32_t items = 0, most_items = 0;              // of lots, taken and not ended
   std::uint32_t most_offered_cold = 0, most_mixed = 0;  // mixed: with an item among them
   std::string worst_cold, worst_mixed;
   std::deque<std::uint64_t> prefixes;
@@ -34,7 +34,8 @@
 
 class SimulatedExchange : public Exchange {
  public:
-  SimulatedExchange(Town& town, std::string place, std::string hall, LifePointer life) : town_(town), place_(std::move(place)), hall_(std::move(hall)), life_(std::move(life)) {}
+  SimulatedExchange(SimulatedCluster& cluster, std::string place, std::string zone, LifePointer life)
+      : cluster_(cluster), place_(std::move(place)), zone_(std::move(zone)), life_(std::move(life)) {}
   ~SimulatedExchange() override;
   Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) override;
   void cancel(Id id) override;
@@ -49,29 +50,29 @@
     std::string id, run;
     std::uint32_t pieces = 0, given = 0;
     bool began = false, ended = false, any_piece = false, item = false, held = false;
-    std::deque<Task> kept;               // what has come while the attempt was held
-    std::uint64_t beat = 0;              // grows with every sign of life, for the budgets
+    std::deque<Task> kept;   // what has come while the attempt was held
+    std::uint64_t beat = 0;  // grows with every sign of life, for the budgets
   };
-  using LegPointer = std::shared_ptr<Attempt>;
-  void arrive(Id id, const LegPointer& attempt, const LifePointer& life);
-  static void enter(Town& town, const LegPointer& attempt);
-  void begin(Id id, const LegPointer& attempt);
-  void step(Id id, const LegPointer& attempt);
-  void give(Id id, const LegPointer& attempt, std::function<void()> what);
-  void finish(Id id, const LegPointer& attempt, AttemptEnd end);
-  static void free(Town& town, const LegPointer& attempt, const std::string& how);
-  void guard(Id id, const LegPointer& attempt, Span budget);
-
-  Town& town_;
-  std::string place_, hall_;
+  using AttemptPointer = std::shared_ptr<Attempt>;
+  void arrive(Id id, const AttemptPointer& attempt, const LifePointer& life);
+  static void enter(SimulatedCluster& cluster, const AttemptPointer& attempt);
+  void begin(Id id, const AttemptPointer& attempt);
+  void step(Id id, const AttemptPointer& attempt);
+  void give(Id id, const AttemptPointer& attempt, std::function<void()> what);
+  void finish(Id id, const AttemptPointer& attempt, AttemptEnd end);
+  static void free(SimulatedCluster& cluster, const AttemptPointer& attempt, const std::string& how);
+  void guard(Id id, const AttemptPointer& attempt, Span budget);
+
+  SimulatedCluster& cluster_;
+  std::string place_, zone_;
   LifePointer life_;
-  std::map<Id, LegPointer> attempts_;
+  std::map<Id, AttemptPointer> attempts_;
   Id last_ = 0;
 };
 
 class Machine : public Wire {
  public:
-  Machine(Town& town, std::string name, std::string hall, bool disk, std::string keeps, Address address);
+  Machine(SimulatedCluster& cluster, std::string name, std::string zone, bool disk, std::string keeps, Address address);
   void send(const Address& to, Envelope envelope) override;
   void take(Envelope envelope);
   void start();
@@ -85,50 +86,50 @@
   void joined();
   void wake();
 
-  const std::string name, hall;
+  const std::string name, zone;
   const bool has_disk;
-  const std::string keeps;               // as in Member
+  const std::string keeps;                         // as in Member
   bool serves() const { return keeps != "lots"; }  // callers and operators
   const Address address;
-  Board& board() { return *board_; }
+  SharedState& shared_state() { return *shared_state_; }
   SimulatedDisk& disk() { return disk_; }
   LifePointer life() { return life_; }
-  Entries* entries() { return duties_ ? duties_->entries.get() : nullptr; }
-  KeptClient* client() { return duties_ ? duties_->client.get() : nullptr; }
+  Router* entries() { return duties_ ? duties_->entries.get() : nullptr; }
+  StoreClient* client() { return duties_ ? duties_->client.get() : nullptr; }
   Control* control() { return duties_ ? duties_->control.get() : nullptr; }
-  Kept* kept() { return duties_ ? duties_->kept.get() : nullptr; }
+  ReplicatedStore* kept() { return duties_ ? duties_->kept.get() : nullptr; }
   std::uint64_t frames = 0, bytes = 0, bytes_in = 0;  // sent; what was taken while the world measures
-  Span clock{};                          // how far its wall clock is off
-  bool keeps_disk = false;               // its disk is full, not broken: it ends and returns with its records
-  Moment undisturbed_since;              // since when nothing was done to it
+  Span clock{};                                       // how far its wall clock is off
+  bool keeps_disk = false;   // its disk is full, not broken: it ends and returns with its records
+  Moment undisturbed_since;  // since when nothing was done to it
 
  private:
   struct Duties {
-    std::map<std::string, std::unique_ptr<Post>> posts;
+    std::map<std::string, std::unique_ptr<Messenger>> posts;
     std::unique_ptr<SimulatedExchange> live_exchange, lot_exchange;
     std::unique_ptr<Sessions> sessions;
     std::unique_ptr<News> news;
     std::unique_ptr<Founding> founding;
-    std::unique_ptr<Kept> kept;
+    std::unique_ptr<ReplicatedStore> kept;
     std::unique_ptr<CircleDuty> circle;
     std::unique_ptr<Lots> lots;
     std::unique_ptr<Placing> placing;
-    std::unique_ptr<Entries> entries;
+    std::unique_ptr<Router> entries;
     std::unique_ptr<Control> control;
-    std::unique_ptr<KeptClient> client;
+    std::unique_ptr<StoreClient> client;
   };
-  Town& town_;
+  SimulatedCluster& cluster_;
   LifePointer life_;
-  std::unique_ptr<Board> board_ = std::make_unique<Board>();
-  std::unique_ptr<SimulatedSchedule> schedule_;
+  std::unique_ptr<SharedState> shared_state_ = std::make_unique<SharedState>();
+  std::unique_ptr<SimulatedTimers> timers_;
   SimulatedDisk disk_;
   std::unique_ptr<Duties> duties_;
   std::uint64_t incarnation_ = 0;
 };
 
-class Town {
+class SimulatedCluster {
  public:
-  Town(World& given, Shape given_shape);
+  SimulatedCluster(World& given, Shape given_shape);
   World& world;
   Shape shape;
   std::vector<std::unique_ptr<Machine>> machines;
@@ -138,25 +139,27 @@
   RunnerModel* runner_at(const Address& address);
   std::vector<Machine*> holders();
   Machine& any_alive();
-  Machine& add_machine(const std::string& hall, const std::string& keeps = {});   // with an empty disk, at a new address
+  Machine& add_machine(const std::string& zone, const std::string& keeps = {});  // with an empty disk, at a new address
 
-  void start();                                    // all machines, then the policy
-  void load(Span length);                          // callers, from now on
-  void control(Machine& machine, const std::string& method, const std::string& target, const std::string& body, std::function<void(int, const std::string&)> then, bool callers = false);
+  void start();            // all machines, then the configuration
+  void load(Span length);  // callers, from now on
+  void control(Machine& machine, const std::string& method, const std::string& target, const std::string& body,
+               std::function<void(int, const std::string&)> then, bool callers = false);
   // Applies a document, again and again until acknowledged; tells the stamp's version.
   void apply(const std::string& key, const std::string& document, std::function<void(Stamp)> then);
-  void operator_change(const std::string& key, const std::string& document, std::function<void(Stamp)> then = [](Stamp) {});
+  void operator_change(
+      const std::string& key, const std::string& document, std::function<void(Stamp)> then = [](Stamp) {});
   void crash_runner(RunnerModel& runner);
-  std::size_t slow_callers = 0;                    // one in so many takes its pieces slowly, one in five times so many never
+  std::size_t slow_callers = 0;  // one in so many takes its pieces slowly, one in five times so many never
   std::size_t longest_backlog = 0;
-  std::size_t longest_message = 0;                 // between machines
+  std::size_t longest_message = 0;  // between machines
   // How far a holder's retirement is, as an operator is told by any daemon.
   void retirement(const std::string& roster, const Address& holder, std::function<void(RetirementReply)> then);
   void return_runner(RunnerModel& runner, Span cold);
   bool ready() const { return ready_; }
-  bool first_start = false;                        // of the whole fleet, while it lasts
+  bool first_start = false;  // of the whole fleet, while it lasts
   std::vector<Address> seeds;
-  void gone(Machine& machine);                     // its callers' streams break
+  void gone(Machine& machine);  // its callers' streams break
 
   struct Acknowledged {
     std::string key;
@@ -164,8 +167,8 @@
     Moment when;
   };
   std::vector<Acknowledged> acknowledged;
-  std::vector<std::string> broken;                 // rules that the town itself watches
-  bool watched = true;                             // whether it does
+  std::vector<std::string> broken;  // rules that the cluster itself watches
+  bool watched = true;              // whether it does
   void watch_rules();
 
  private:
--- a/source/simulate/main.cpp
+++ b/source/simulate/main.cpp
@@ -1,5 +1,5 @@
-// simulate: runs scenarios by seed, exactly the same every time, and says for each failure its seed, the broken rule and
-// the history that led to it.
+// simulate: runs scenarios by seed, exactly the same every time, and says for each failure its seed, the broken rule
+// and the history that led to it.
 #include <getopt.h>
 
 #include <algorithm>
@@ -22,9 +22,10 @@
   return std::stoull(std::string(view));
 }
 
-int usage(const std::string& what) {
+int load(const std::string& what) {
   std::cerr << "simulate: " << what << "\n"
-            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform] [--threads N] [--history] [--closing] [--list]\n"
+            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform] "
+               "[--threads N] [--history] [--closing] [--list]\n"
             << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
             << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
             << "Seeds go from 1 to 999999999; give a scenario that --list shows.\n";
@@ -38,31 +39,42 @@
   std::uint64_t each_point = 0;
   std::uint64_t seed = 1, seeds = 1, threads = std::max(1u, std::thread::hardware_concurrency());
   bool history = false, closing = false;
-  const option flags[] = {{"scenario", 1, nullptr, 's'}, {"seed", 1, nullptr, 'n'}, {"seeds", 1, nullptr, 'c'}, {"shape", 1, nullptr, 'f'}, {"threads", 1, nullptr, 't'}, {"bench", 1, nullptr, 'b'}, {"history", 0, nullptr, 'h'}, {"list", 0, nullptr, 'l'}, {"closing", 0, nullptr, 'e'}, {"strikes", 1, nullptr, 'p'}, {nullptr, 0, nullptr, 0}};
+  const option flags[] = {{"scenario", 1, nullptr, 's'}, {"seed", 1, nullptr, 'n'},    {"seeds", 1, nullptr, 'c'},
+                          {"shape", 1, nullptr, 'f'},    {"threads", 1, nullptr, 't'}, {"bench", 1, nullptr, 'b'},
+                          {"history", 0, nullptr, 'h'},  {"list", 0, nullptr, 'l'},    {"closing", 0, nullptr, 'e'},
+                          {"strikes", 1, nullptr, 'p'},  {nullptr, 0, nullptr, 0}};
   for (int found = 0; (found = getopt_long(count, words, "", flags, nullptr)) != -1;) {
-    if (found == 's') scenario = optarg;
-    else if (found == 'f') shape = optarg;
-    else if (found == 'b') bench = optarg;
-    else if (found == 'h') history = true;
-    else if (found == 'e') closing = true;
+    if (found == 's')
+      scenario = optarg;
+    else if (found == 'f')
+      shape = optarg;
+    else if (found == 'b')
+      bench = optarg;
+    else if (found == 'h')
+      history = true;
+    else if (found == 'e')
+      closing = true;
     else if (found == 'l') {
       for (const auto& each : scenarios()) std::cout << each.name << ": " << each.about << "\n";
       return 0;
     } else if (found == 'n' || found == 'c' || found == 't' || found == 'p') {
       const auto given = number(optarg);
-      if (!given || *given < 1) return usage("'" + std::string(optarg) + "' is out of range");
+      if (!given || *given < 1) return load("'" + std::string(optarg) + "' is out of range");
       (found == 'n' ? seed : found == 'c' ? seeds : found == 'p' ? each_point : threads) = *given;
-    } else return usage("a flag is not known");
+    } else
+      return load("a flag is not known");
   }
-  if (shape != "small" && shape != "altiplano" && shape != "sestavna" && shape != "platform") return usage("the shape '" + shape + "' is not known");
+  if (shape != "small" && shape != "altiplano" && shape != "sestavna" && shape != "platform")
+    return load("the shape '" + shape + "' is not known");
   if (bench == "circle") return bench_circle(shape, seed), 0;
   if (bench == "model") return bench_model(seed), 0;
   if (bench == "costs") return bench_costs(seed), 0;
-  if (!bench.empty()) return usage("the bench '" + bench + "' is not known");
-  if (each_point > 0 && !scenario.empty()) return usage("strikes have a scenario of their own");
+  if (!bench.empty()) return load("the bench '" + bench + "' is not known");
+  if (each_point > 0 && !scenario.empty()) return load("strikes have a scenario of their own");
   if (each_point > 0) scenario = "points";
-  if (scenario.empty()) return usage("no scenario is given");
-  if (scenario != "all" && find_scenario(scenario) == nullptr) return usage("the scenario '" + scenario + "' is not known");
+  if (scenario.empty()) return load("no scenario is given");
+  if (scenario != "all" && find_scenario(scenario) == nullptr)
+    return load("the scenario '" + scenario + "' is not known");
   struct Job {
     const Scenario* scenario;
     std::uint64_t seed;
@@ -70,7 +82,8 @@
   };
   std::vector<Job> jobs;
   if (each_point > 0)
-    for (auto& strike : strikes(seed, shape, each_point)) jobs.push_back(Job{find_scenario("points"), seed, std::move(strike)});
+    for (auto& strike : strikes(seed, shape, each_point))
+      jobs.push_back(Job{find_scenario("points"), seed, std::move(strike)});
   else
     for (const auto& each : scenarios())
       if (scenario == "all" || scenario == each.name)
@@ -80,7 +93,8 @@
   std::vector<std::thread> workers;
   for (std::uint64_t index = 0; index < std::min<std::uint64_t>(threads, jobs.size()); ++index)
     workers.emplace_back([&] {
-      for (std::size_t job = next++; job < jobs.size(); job = next++) outcomes[job] = run(*jobs[job].scenario, jobs[job].seed, shape, jobs[job].strike, closing);
+      for (std::size_t job = next++; job < jobs.size(); job = next++)
+        outcomes[job] = run(*jobs[job].scenario, jobs[job].seed, shape, jobs[job].strike, closing);
     });
   for (auto& worker : workers) worker.join();
   std::size_t failed = 0;
@@ -102,16 +116,23 @@
     requests["broken or unknown"] += broken;
     const bool good = outcome->verdict.broken.empty();
     failed += !good;
-    std::cout << (good ? "ok      " : "FAILED  ") << outcome->scenario << " seed " << outcome->seed << ": " << answered << " answered, " << refused << " refused, " << broken << " broken or unknown, " << outcome->events << " events\n";
+    std::cout << (good ? "ok      " : "FAILED  ") << outcome->scenario << " seed " << outcome->seed << ": " << answered
+              << " answered, " << refused << " refused, " << broken << " broken or unknown, " << outcome->events
+              << " events\n";
     if (!good) {
-      for (std::size_t index = 0; index < std::min<std::size_t>(outcome->verdict.broken.size(), 8); ++index) std::cout << "        BROKEN " << outcome->verdict.broken[index] << "\n";
-      std::cout << "        replay: simulate --scenario " << outcome->scenario << " --seed " << outcome->seed << " --shape " << shape << (closing ? " --closing" : "") << " --history\n";
+      for (std::size_t index = 0; index < std::min<std::size_t>(outcome->verdict.broken.size(), 8); ++index)
+        std::cout << "        BROKEN " << outcome->verdict.broken[index] << "\n";
+      std::cout << "        replay: simulate --scenario " << outcome->scenario << " --seed " << outcome->seed
+                << " --shape " << shape << (closing ? " --closing" : "") << " --history\n";
     }
     if (history || !good) {
       const std::size_t shown = history ? outcome->story.size() : std::min<std::size_t>(outcome->story.size(), 25);
       for (std::size_t index = 0; index < shown; ++index) std::cout << "        " << outcome->story[index] << "\n";
-      if (history) for (const auto& line : outcome->final_state) std::cout << "        " << line << "\n";
-      if (history) for (const auto& [name, times] : outcome->verdict.counts) std::cout << "        " << name << ": " << times << "\n";
+      if (history)
+        for (const auto& line : outcome->final_state) std::cout << "        " << line << "\n";
+      if (history)
+        for (const auto& [name, times] : outcome->verdict.counts)
+          std::cout << "        " << name << ": " << times << "\n";
     }
   }
   struct Share {
@@ -122,14 +143,18 @@
     Share& share = shares[outcome->scenario.substr(0, outcome->scenario.find(" "))];
     share.refused += outcome->verdict.refused;
     share.proper += outcome->verdict.proper;
-    if (auto lags = outcome->verdict.took.find("result listed after its run's end"); lags != outcome->verdict.took.end())
+    if (auto lags = outcome->verdict.took.find("result listed after its run's end");
+        lags != outcome->verdict.took.end())
       for (const auto lag : lags->second) share.lag = std::max(share.lag, lag);
   }
   for (const auto& [name, share] : shares)
-    std::cout << name << ": " << share.refused << " of " << share.proper << " live requests refused; results listed within " << share.lag << " ms of their run's end\n";
+    std::cout << name << ": " << share.refused << " of " << share.proper
+              << " live requests refused; results listed within " << share.lag << " ms of their run's end\n";
   for (auto& [name, times] : worst) {
     std::sort(times.begin(), times.end());
-    if (!times.empty()) std::cout << name << ": median " << times[times.size() / 2] << " ms, worst " << times.back() << " ms, of " << times.size() << "\n";
+    if (!times.empty())
+      std::cout << name << ": median " << times[times.size() / 2] << " ms, worst " << times.back() << " ms, of "
+                << times.size() << "\n";
   }
   for (const auto& [name, times] : requests) std::cout << name << ": " << times << "\n";
   std::cout << jobs.size() - failed << " passed, " << failed << " failed (" << hours << " virtual hours)\n";
--- a/source/simulate/scenarios.hpp
+++ b/source/simulate/scenarios.hpp
@@ -1,6 +1,6 @@
 // The scenarios: each brings one kind of failure about, alone or mixed, and is replayed exactly by its seed.
 #pragma once
-#include "simulate/town.hpp"
+#include "simulate/cluster.hpp"
 #include "stand_ins/judge.hpp"
 
 namespace mothwalk::simulate {
@@ -8,7 +8,7 @@
 struct Outcome {
   std::string scenario;
   std::uint64_t seed = 0;
-  Verdict verdict;                     // the judge's and the town's findings together
+  Verdict verdict;  // the judge's and the cluster's findings together
   std::vector<std::string> story;
   double virtual_seconds = 0;
   std::uint64_t events = 0, frames = 0, bytes = 0;
@@ -19,19 +19,20 @@
 
 struct Scenario {
   std::string name, about;
-  std::function<void(Town&)> faults;   // called when the load begins
+  std::function<void(SimulatedCluster&)> faults;  // called when the load begins
   Span load = std::chrono::seconds(20), settle = std::chrono::seconds(35);
-  Limits limits{1000, 0};              // what the judge allows a run
+  Limits limits{1000, 0};  // what the judge allows a run
 };
 
 const std::vector<Scenario>& scenarios();
 const Scenario* find_scenario(const std::string& name);
 // One numbered point of a kind, and what is done there to the machine that passes it.
 struct Strike {
-  std::string kind, action;            // kill, wipe, freeze
+  std::string kind, action;  // kill, wipe, freeze
   std::uint64_t number = 0;
 };
-Outcome run(const Scenario& scenario, std::uint64_t seed, const std::string& shape, const Strike& strike = {}, bool closing = false);
+Outcome run(const Scenario& scenario, std::uint64_t seed, const std::string& shape, const Strike& strike = {},
+            bool closing = false);
 // Every kind of point that a quiet run passes, each action, `times` numbers each.
 std::vector<Strike> strikes(std::uint64_t seed, const std::string& shape, std::uint64_t times);
 
--- a/source/simulate/world.cpp
+++ b/source/simulate/world.cpp
@@ -1,4 +1,4 @@
-// The loop of events, the network's delays and cuts, schedules and disks.
+// The loop of events, the network's delays and cuts, timers and disks.
 #include "simulate/world.hpp"
 
 #include <ctime>
@@ -16,7 +16,8 @@
 }  // namespace
 
 void World::at(Span span, LifePointer life, Task task) {
-  queue_.push(Event{now_ + std::max(span, Span{0}), ++order_, std::move(life), std::make_shared<Task>(std::move(task))});
+  queue_.push(
+      Event{now_ + std::max(span, Span{0}), ++order_, std::move(life), std::make_shared<Task>(std::move(task))});
 }
 
 void World::run_until(Moment end) {
@@ -47,17 +48,18 @@
   for (auto& [order, task] : tasks) at(Span{0}, life, std::move(task));
 }
 
-Span World::delay(const std::string& from_hall, const std::string& to_hall) {
-  const std::int64_t base = from_hall == to_hall ? 80 : 900;
+Span World::delay(const std::string& from_zone, const std::string& to_zone) {
+  const std::int64_t base = from_zone == to_zone ? 80 : 900;
   // Now and then a packet is sent again.
-  const std::int64_t slow = chance.below(400) == 0 ? 20000 : 0;
-  return Span(base + static_cast<std::int64_t>(chance.below(static_cast<std::size_t>(base))) + slow);
+  const std::int64_t slow = random.below(400) == 0 ? 20000 : 0;
+  return Span(base + static_cast<std::int64_t>(random.below(static_cast<std::size_t>(base))) + slow);
 }
 
-bool World::is_cut(const std::string& from, const std::string& from_hall, const std::string& to, const std::string& to_hall) const {
+bool World::is_cut(const std::string& from, const std::string& from_zone, const std::string& to,
+                   const std::string& to_zone) const {
   if (cuts_.empty()) return false;
-  for (const auto& sender : {from, from_hall, std::string("*")})
-    for (const auto& taker : {to, to_hall, std::string("*")})
+  for (const auto& sender : {from, from_zone, std::string("*")})
+    for (const auto& taker : {to, to_zone, std::string("*")})
       if (cuts_.contains({sender, taker})) return true;
   return false;
 }
@@ -78,7 +80,7 @@
   after(Span{0}, [this, place] { strike(place); });
 }
 
-Schedule::Id SimulatedSchedule::after(Span span, Task task) {
+Timers::Id SimulatedTimers::after(Span span, Task task) {
   const Id id = ++last_;
   live_->insert(id);
   world_.at(span, life_, [live = live_, id, task = std::move(task)] {
@@ -97,7 +99,9 @@
 void SimulatedDisk::begin() {
   busy_ = true;
   syncing_.swap(orders_);
-  world_.at(Span(sync_time.count() / 2 + static_cast<std::int64_t>(world_.chance.below(static_cast<std::size_t>(sync_time.count())))), life_, [this] { complete(); });
+  world_.at(Span(sync_time.count() / 2 +
+                 static_cast<std::int64_t>(world_.random.below(static_cast<std::size_t>(sync_time.count())))),
+            life_, [this] { complete(); });
 }
 
 void SimulatedDisk::complete() {
@@ -116,19 +120,22 @@
 }
 
 void SimulatedDisk::put(const Order& order) {
-  if (order.whole) synced_ = order.bytes;
-  else synced_ += order.bytes;
+  if (order.whole)
+    synced_ = order.bytes;
+  else
+    synced_ += order.bytes;
 }
 
-// A process dies: of the sync under way some orders may have reached the disk, the next one in part; a rewrite reaches it
-// whole or not at all, by its rename.
+// A process dies: of the sync under way some orders may have reached the disk, the next one in part; a rewrite reaches
+// it whole or not at all, by its rename.
 void SimulatedDisk::tear() {
-  if (syncing_.empty() || world_.chance.uniform() > torn) return;
-  for (std::size_t reached = world_.chance.below(syncing_.size() + 1); reached > 0; --reached) {
+  if (syncing_.empty() || world_.random.uniform() > torn) return;
+  for (std::size_t reached = world_.random.below(syncing_.size() + 1); reached > 0; --reached) {
     put(syncing_.front());
     syncing_.pop_front();
   }
-  if (!syncing_.empty() && !syncing_.front().whole && !syncing_.front().bytes.empty()) synced_ += syncing_.front().bytes.substr(0, world_.chance.below(syncing_.front().bytes.size()));
+  if (!syncing_.empty() && !syncing_.front().whole && !syncing_.front().bytes.empty())
+    synced_ += syncing_.front().bytes.substr(0, world_.random.below(syncing_.front().bytes.size()));
 }
 
 void SimulatedDisk::damage() {
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -12,14 +12,14 @@
 // One life of a process: what belongs to it happens only while it lives, and not while it is frozen.
 struct Life {
   bool alive = true, frozen = false;
-  std::uint64_t processor = 0;     // nanoseconds of real processor time, while the world measures
+  std::uint64_t processor = 0;  // nanoseconds of real processor time, while the world measures
   std::vector<std::pair<std::uint64_t, Task>> deferred;
 };
 using LifePointer = std::shared_ptr<Life>;
 
-class SeededChance : public Chance {
+class SeededRandom : public RandomSource {
  public:
-  explicit SeededChance(std::uint64_t seed) : state_(seed) {}
+  explicit SeededRandom(std::uint64_t seed) : state_(seed) {}
   std::uint64_t next() override {
     state_ += 0x9E3779B97F4A7C15ULL;
     std::uint64_t mixed = state_;
@@ -35,7 +35,7 @@
 
 class World {
  public:
-  explicit World(std::uint64_t seed) : chance(seed) {}
+  explicit World(std::uint64_t seed) : random(seed) {}
   Moment now() const { return now_; }
   std::int64_t milliseconds() const { return now_.microseconds / 1000; }
   void at(Span span, LifePointer life, Task task);
@@ -44,33 +44,34 @@
   void freeze(const LifePointer& life) { life->frozen = true; }
   void wake(const LifePointer& life);
 
-  // The network. Places are machines and runners; a cut names groups of halls or single places, one way or both.
-  Span delay(const std::string& from_hall, const std::string& to_hall);
+  // The network. Places are machines and runners; a cut names groups of zones or single places, one way or both.
+  Span delay(const std::string& from_zone, const std::string& to_zone);
   void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void mend() { cuts_.clear(); }
-  bool is_cut(const std::string& from, const std::string& from_hall, const std::string& to, const std::string& to_hall) const;
+  bool is_cut(const std::string& from, const std::string& from_zone, const std::string& to,
+              const std::string& to_zone) const;
   // What was sent between machines, by message, and whether each life's processor time is counted.
-  struct Carried {
+  struct Traffic {
     std::uint64_t messages = 0, bytes = 0;
   };
-  std::map<std::string, Carried> carried;
+  std::map<std::string, Traffic> traffic;
   bool measuring = false;
-  double loss = 0;                 // share of messages between machines that vanish
+  double loss = 0;  // share of messages between machines that vanish
 
   void write(json::object line);
   const std::vector<json::object>& ledger() const { return ledger_; }
   void history(const std::string& line);
   const std::vector<std::string>& story() const { return story_; }
 
-  // Numbered points of each kind: messages sent and taken, appends, syncs, rewrites, attempts. The armed number of the armed
-  // kind strikes.
+  // Numbered points of each kind: messages sent and taken, appends, syncs, rewrites, attempts. The armed number of the
+  // armed kind strikes.
   void point(const std::string& kind, const std::string& place);
   std::map<std::string, std::uint64_t> points;
   std::string armed_kind;
   std::uint64_t armed = 0;
   std::function<void(const std::string&)> strike;
 
-  SeededChance chance;
+  SeededRandom random;
   std::uint64_t events = 0;
   std::vector<std::shared_ptr<void>> graveyard;  // what died inside its own event; cleared between events
 
@@ -90,9 +91,9 @@
   std::vector<std::string> story_;
 };
 
-class SimulatedSchedule : public Schedule {
+class SimulatedTimers : public Timers {
  public:
-  SimulatedSchedule(World& world, LifePointer life) : world_(world), life_(std::move(life)) {}
+  SimulatedTimers(World& world, LifePointer life) : world_(world), life_(std::move(life)) {}
   Moment now() const override { return world_.now(); }
   Id after(Span span, Task task) override;
   void cancel(Id id) override { live_->erase(id); }
@@ -108,7 +109,12 @@
 class SimulatedDisk : public Disk {
  public:
   SimulatedDisk(World& world, std::string place) : world_(world), place_(std::move(place)) {}
-  void own(LifePointer life) { life_ = std::move(life); busy_ = false; orders_.clear(); syncing_.clear(); }
+  void own(LifePointer life) {
+    life_ = std::move(life);
+    busy_ = false;
+    orders_.clear();
+    syncing_.clear();
+  }
   Result<Bytes> read_all() override {
     if (unreadable > 0) return Fault{FaultKind::damaged, "data_folder", "the records can't be read", "check the disk"};
     return synced_;
@@ -119,7 +125,7 @@
   void damage();
   Span sync_time = std::chrono::microseconds(400);
   bool stalled = false, failing = false;
-  int unreadable = 0;                    // so many starts find a disk that can't be read
+  int unreadable = 0;  // so many starts find a disk that can't be read
   double torn = 0.3;
   void tear();
   std::size_t size() const { return synced_.size(); }
@@ -139,7 +145,7 @@
   LifePointer life_;
   Bytes synced_;
   bool busy_ = false;
-  std::deque<Order> orders_, syncing_;   // waiting, and in the sync under way
+  std::deque<Order> orders_, syncing_;  // waiting, and in the sync under way
 };
 
 }  // namespace mothwalk::simulate
--- a/source/stand_ins/caller.cpp
+++ b/source/stand_ins/caller.cpp
@@ -23,7 +23,7 @@
   std::vector<Address> targets;
   std::string ledger;
   Span length = std::chrono::seconds(10), settle = std::chrono::seconds(15);
-  std::uint32_t most = 0;   // stop after so many of each load; zero for no such limit
+  std::uint32_t most = 0;  // stop after so many of each load; zero for no such limit
   std::vector<StreamLoad> streams;
   std::vector<LotLoad> lots;
   MOTHWALK_FIELDS(targets, ledger, length, settle, most, streams, lots)
@@ -39,7 +39,8 @@
   Call(boost::asio::io_context& context, const Address& to) : stream_(context), to_(to) {}
   http::request<http::string_body> request;
   std::optional<http::response_parser<http::buffer_body>> parser;
-  Piece piece = [](View) {};
+  Piece piece = [](View) {
+  };
   Over over;
 
   void start(Span limit) {
@@ -55,11 +56,12 @@
         if (failed) return self->finish(false);
         self->parser.emplace();
         self->parser->body_limit(boost::none);
-        http::async_read_header(self->stream_, self->buffer_, *self->parser, [self](const beast::error_code& ended, std::size_t) {
-          if (ended) return self->finish(false);
-          if (self->parser->is_done()) return self->finish(true);
-          self->read();
-        });
+        http::async_read_header(self->stream_, self->buffer_, *self->parser,
+                                [self](const beast::error_code& ended, std::size_t) {
+                                  if (ended) return self->finish(false);
+                                  if (self->parser->is_done()) return self->finish(true);
+                                  self->read();
+                                });
       });
     });
   }
@@ -80,7 +82,8 @@
   void finish(bool whole) {
     if (over) over(whole, connected_);
     over = nullptr;
-    piece = [](View) {};
+    piece = [](View) {
+    };
   }
   beast::tcp_stream stream_;
   Address to_;
@@ -91,11 +94,16 @@
 
 class Client {
  public:
-  Client(boost::asio::io_context& context, Plan plan) : context_(context), plan_(std::move(plan)), ledger_(plan_.ledger), state_(1 + static_cast<std::uint64_t>(::getpid())) {}
+  Client(boost::asio::io_context& context, Plan plan)
+      : context_(context),
+        plan_(std::move(plan)),
+        ledger_(plan_.ledger),
+        state_(1 + static_cast<std::uint64_t>(::getpid())) {}
 
   void start() {
     end_ = Ledger::milliseconds_now() + plan_.length.count() / 1000;
-    for (const auto& load : plan_.streams) pace(load.rate, [this, &load](std::uint64_t number) { send_stream(load, number); });
+    for (const auto& load : plan_.streams)
+      pace(load.rate, [this, &load](std::uint64_t number) { send_stream(load, number); });
     for (const auto& load : plan_.lots) pace(load.rate, [this, &load](std::uint64_t number) { hand_in(load, number); });
   }
 
@@ -105,7 +113,7 @@
     const LotLoad* load;
     std::string body;
     bool acknowledged = false, cancelled = false;
-    std::vector<std::string> seen;   // results by position, as first read
+    std::vector<std::string> seen;  // results by position, as first read
     std::int64_t handed_in = 0, give_up = 0, acknowledged_at = 0;
     std::uint32_t tries = 0;
   };
@@ -116,9 +124,13 @@
     state_ ^= state_ << 17;
     return static_cast<double>(state_ >> 11) / 9007199254740992.0;
   }
-  const Address& target() { return plan_.targets[static_cast<std::size_t>(uniform() * static_cast<double>(plan_.targets.size())) % plan_.targets.size()]; }
+  const Address& target() {
+    return plan_.targets[static_cast<std::size_t>(uniform() * static_cast<double>(plan_.targets.size())) %
+                         plan_.targets.size()];
+  }
   void later(double milliseconds, std::function<void()> then) {
-    auto timer = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1000)));
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        context_, std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1000)));
     timer->async_wait([timer, then](const boost::system::error_code&) { then(); });
   }
   // Open loop: the next arrival does not wait for the last answer.
@@ -140,7 +152,8 @@
     if (load.pieces > 0) call->request.set("X-Pieces", std::to_string(load.pieces));
     std::string body;
     if (load.prefix_bytes > 0) {
-      const std::string word = load.name + "-prefix-" + std::to_string(static_cast<std::uint32_t>(uniform() * load.prefixes)) + " ";
+      const std::string word =
+          load.name + "-prefix-" + std::to_string(static_cast<std::uint32_t>(uniform() * load.prefixes)) + " ";
       while (body.size() < load.prefix_bytes) body += word;
       body.resize(load.prefix_bytes);
     }
@@ -155,7 +168,13 @@
     };
     call->over = [this, &load, id, sent, text, first, weak = std::weak_ptr(call)](bool whole, bool connected) {
       auto done = weak.lock();
-      json::object line{{"what", "request"}, {"id", id}, {"load", load.name}, {"repeatable", load.repeatable}, {"sent", sent}, {"first", *first == 0 ? 0 : *first - sent}, {"took", Ledger::milliseconds_now() - sent}};
+      json::object line{{"what", "request"},
+                        {"id", id},
+                        {"load", load.name},
+                        {"repeatable", load.repeatable},
+                        {"sent", sent},
+                        {"first", *first == 0 ? 0 : *first - sent},
+                        {"took", Ledger::milliseconds_now() - sent}};
       std::string outcome = connected ? "broken" : "unreachable", fault, run;
       if (done && done->parser && done->parser->is_header_done()) {
         const auto& head = done->parser->get();
@@ -168,7 +187,10 @@
         } else if (whole && given == "answer") {
           outcome = "answer";
         }
-        if (given == "answer" && head.result_int() == 200) fault = load.pieces > 0 ? check_pieces(id, load.pieces, *text, whole, run) : whole ? check_plain(id, *text, run) : "";
+        if (given == "answer" && head.result_int() == 200)
+          fault = load.pieces > 0 ? check_pieces(id, load.pieces, *text, whole, run)
+                  : whole         ? check_plain(id, *text, run)
+                                  : "";
       }
       line["outcome"] = outcome;
       line["fault"] = fault;
@@ -179,7 +201,8 @@
   }
 
   // Each line is "id run index count"; the lines of one answer come from one run, in order, and all where it is whole.
-  static std::string check_pieces(const std::string& id, std::uint32_t pieces, const std::string& text, bool whole, std::string& run) {
+  static std::string check_pieces(const std::string& id, std::uint32_t pieces, const std::string& text, bool whole,
+                                  std::string& run) {
     std::istringstream lines(text);
     std::string line;
     std::uint32_t next = 0;
@@ -195,25 +218,30 @@
       if (index != next) return index < next ? "repeated piece" : "lost piece";
       ++next;
     }
-    if (whole && next != pieces) return "a partial answer looks whole: " + std::to_string(next) + " of " + std::to_string(pieces);
+    if (whole && next != pieces)
+      return "a partial answer looks whole: " + std::to_string(next) + " of " + std::to_string(pieces);
     return "";
   }
   static std::string check_plain(const std::string& id, const std::string& text, std::string& run) {
     auto parsed = parse_json(text);
     if (fault_of(parsed)) return "garbled answer";
     const auto& value = std::get<json::value>(parsed);
-    if (!value.is_object() || !value.as_object().contains("id") || value.at("id").as_string() != id) return "another's answer: " + text;
+    if (!value.is_object() || !value.as_object().contains("id") || value.at("id").as_string() != id)
+      return "another's answer: " + text;
     run = std::string(value.at("run").as_string());
     return "";
   }
 
-  void simple(const std::string& method, const std::string& target_path, const std::string& body, std::function<void(int, std::string)> then) {
+  void simple(const std::string& method, const std::string& target_path, const std::string& body,
+              std::function<void(int, std::string)> then) {
     auto call = std::make_shared<Call>(context_, target());
     call->request.method_string(method);
     call->request.target(target_path);
     call->request.body() = body;
     auto text = std::make_shared<std::string>();
-    call->piece = [text](View piece) { text->append(piece); };
+    call->piece = [text](View piece) {
+      text->append(piece);
+    };
     call->over = [text, then, weak = std::weak_ptr(call)](bool whole, bool) {
       auto done = weak.lock();
       then(whole && done && done->parser ? static_cast<int>(done->parser->get().result_int()) : 0, *text);
@@ -226,12 +254,16 @@
     lot->id = load.name + "-" + std::to_string(::getpid()) + "-" + std::to_string(number);
     lot->load = &load;
     json::array items;
-    for (std::uint32_t item = 0; item < load.items; ++item) items.push_back(json::value(json::string(lot->id + "/" + std::to_string(item) + " " + std::string(load.item_bytes, 'x'))));
-    lot->body = json::serialize(json::object{{"lane", load.lane}, {"horizon", load.horizon.count() / 1000}, {"items", items}});
+    for (std::uint32_t item = 0; item < load.items; ++item)
+      items.push_back(
+          json::value(json::string(lot->id + "/" + std::to_string(item) + " " + std::string(load.item_bytes, 'x'))));
+    lot->body = json::serialize(
+        json::object{{"lane", load.lane}, {"deadline", load.deadline.count() / 1000}, {"items", items}});
     lot->handed_in = Ledger::milliseconds_now();
     lot->give_up = end_ + plan_.settle.count() / 1000;
     submit(lot);
-    if (load.cancel_every > 0 && number % load.cancel_every == load.cancel_every - 1) later(300, [this, lot] { cancel(lot); });
+    if (load.cancel_every > 0 && number % load.cancel_every == load.cancel_every - 1)
+      later(300, [this, lot] { cancel(lot); });
   }
 
   void submit(std::shared_ptr<LotState> lot) {
@@ -239,12 +271,18 @@
       if (status == 200) {
         lot->acknowledged = true;
         lot->acknowledged_at = Ledger::milliseconds_now();
-        ledger_.write({{"what", "lot"}, {"id", lot->id}, {"items", lot->load->items}, {"repeatable", lot->load->repeatable}, {"took", lot->acknowledged_at - lot->handed_in}, {"tries", lot->tries}});
+        ledger_.write({{"what", "lot"},
+                       {"id", lot->id},
+                       {"items", lot->load->items},
+                       {"repeatable", lot->load->repeatable},
+                       {"took", lot->acknowledged_at - lot->handed_in},
+                       {"tries", lot->tries}});
         return poll(lot);
       }
       ledger_.write({{"what", "lot_try"}, {"id", lot->id}, {"status", status}, {"reason", text}});
       // Refused, unknown or unreachable: the same id and body again settles it.
-      if (Ledger::milliseconds_now() < lot->give_up && ++lot->tries < 200) return later(300, [this, lot] { submit(lot); });
+      if (Ledger::milliseconds_now() < lot->give_up && ++lot->tries < 200)
+        return later(300, [this, lot] { submit(lot); });
       ledger_.write({{"what", "lot_given_up"}, {"id", lot->id}});
     });
   }
@@ -252,22 +290,28 @@
   void cancel(std::shared_ptr<LotState> lot) {
     if (!lot->acknowledged) return;
     simple("DELETE", "/lots/" + lot->id, "", [this, lot](int status, std::string) {
-      if (status == 200) ledger_.write({{"what", "cancelled"}, {"id", lot->id}});
-      else if (Ledger::milliseconds_now() < lot->give_up) later(300, [this, lot] { cancel(lot); });
+      if (status == 200)
+        ledger_.write({{"what", "cancelled"}, {"id", lot->id}});
+      else if (Ledger::milliseconds_now() < lot->give_up)
+        later(300, [this, lot] { cancel(lot); });
     });
   }
 
   void poll(std::shared_ptr<LotState> lot) {
-    simple("GET", "/lots/" + lot->id + "/results?after=" + std::to_string(lot->seen.size()) + "&limit=500", "", [this, lot](int status, std::string text) {
-      if (status == 404) ledger_.write({{"what", "lot_vanished"}, {"id", lot->id}});
-      if (status == 200) take(lot, text, lot->seen.size());
-      if (status == 200 && lot->seen.size() >= lot->load->items) return check_again(lot);
-      if (Ledger::milliseconds_now() >= lot->give_up) {
-        ledger_.write({{"what", "lot_unfinished"}, {"id", lot->id}, {"results", lot->seen.size()}, {"items", lot->load->items}});
-        return;
-      }
-      later(250, [this, lot] { poll(lot); });
-    });
+    simple("GET", "/lots/" + lot->id + "/results?after=" + std::to_string(lot->seen.size()) + "&limit=500", "",
+           [this, lot](int status, std::string text) {
+             if (status == 404) ledger_.write({{"what", "lot_vanished"}, {"id", lot->id}});
+             if (status == 200) take(lot, text, lot->seen.size());
+             if (status == 200 && lot->seen.size() >= lot->load->items) return check_again(lot);
+             if (Ledger::milliseconds_now() >= lot->give_up) {
+               ledger_.write({{"what", "lot_unfinished"},
+                              {"id", lot->id},
+                              {"results", lot->seen.size()},
+                              {"items", lot->load->items}});
+               return;
+             }
+             later(250, [this, lot] { poll(lot); });
+           });
   }
 
   void take(std::shared_ptr<LotState> lot, const std::string& text, std::size_t from) {
@@ -277,16 +321,28 @@
       const std::size_t position = value.at("position").to_number<std::size_t>();
       const std::string whole = json::serialize(value);
       if (position < lot->seen.size()) {
-        if (lot->seen[position] != whole) ledger_.write({{"what", "result_moved"}, {"id", lot->id}, {"before", lot->seen[position]}, {"after", whole}});
+        if (lot->seen[position] != whole)
+          ledger_.write({{"what", "result_moved"}, {"id", lot->id}, {"before", lot->seen[position]}, {"after", whole}});
         continue;
       }
-      if (position != lot->seen.size()) { ledger_.write({{"what", "result_moved"}, {"id", lot->id}, {"before", from}, {"after", whole}}); return; }
+      if (position != lot->seen.size()) {
+        ledger_.write({{"what", "result_moved"}, {"id", lot->id}, {"before", from}, {"after", whole}});
+        return;
+      }
       lot->seen.push_back(whole);
       const std::string item = lot->id + "/" + std::to_string(value.at("item").to_number<std::size_t>());
       std::string run, fault;
       const std::string outcome(value.at("outcome").as_string());
-      if (outcome == "answer" && value.at("status").as_int64() == 200) fault = check_plain(item, std::string(value.at("body").as_string()), run);
-      ledger_.write({{"what", "result"}, {"id", item}, {"lot", lot->id}, {"repeatable", lot->load->repeatable}, {"outcome", outcome}, {"run", run}, {"fault", fault}, {"after", Ledger::milliseconds_now() - lot->handed_in}});
+      if (outcome == "answer" && value.at("status").as_int64() == 200)
+        fault = check_plain(item, std::string(value.at("body").as_string()), run);
+      ledger_.write({{"what", "result"},
+                     {"id", item},
+                     {"lot", lot->id},
+                     {"repeatable", lot->load->repeatable},
+                     {"outcome", outcome},
+                     {"run", run},
+                     {"fault", fault},
+                     {"after", Ledger::milliseconds_now() - lot->handed_in}});
     }
   }
 
@@ -319,7 +375,8 @@
   std::ifstream stream(words[1]);
   const std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
   auto plan = from_json<Plan>(text);
-  if (auto fault = fault_of(plan)) return std::cerr << "stand-in-caller: " << fault->field << ": " << fault->message << "\n", 2;
+  if (auto fault = fault_of(plan))
+    return std::cerr << "stand-in-caller: " << fault->field << ": " << fault->message << "\n", 2;
   if (std::get<Plan>(plan).targets.empty()) return std::cerr << "stand-in-caller: the plan has no targets\n", 2;
   boost::asio::io_context context(1);
   Client client(context, std::move(std::get<Plan>(plan)));
--- a/source/stand_ins/fleet.cpp
+++ b/source/stand_ins/fleet.cpp
@@ -29,11 +29,14 @@
   return ports;
 }
 
-Address local(int port) { return Address("127.0.0.1:" + std::to_string(port)); }
+Address local(int port) {
+  return Address("127.0.0.1:" + std::to_string(port));
+}
 
 }  // namespace
 
-Fleet::Fleet(Shape given, std::string programs, std::string place) : shape(std::move(given)), folder(std::move(place)), programs_(std::move(programs)) {
+Fleet::Fleet(Shape given, std::string programs, std::string place)
+    : shape(std::move(given)), folder(std::move(place)), programs_(std::move(programs)) {
   std::filesystem::create_directories(folder);
   const auto ports = free_ports(shape.machines.size() * 3 + shape.runners.size());
   std::size_t next = 0;
@@ -76,8 +79,23 @@
 void Fleet::start_machine(std::size_t index) {
   MachineShape& machine = shape.machines[index];
   // The first three machines with disks are the seeds.
-  const std::string seeds = shape.machines[0].address.text + "," + shape.machines[1].address.text + "," + shape.machines[2].address.text;
-  std::vector<std::string> words{"mothwalk-daemon", "--address", machine.address.text, "--callers", machine.callers.text, "--control", machine.control.text, "--hall", machine.hall, "--seeds", seeds, "--log-file", folder + "/daemon-" + std::to_string(index) + ".log", "--drain", "5000"};
+  const std::string seeds =
+      shape.machines[0].address.text + "," + shape.machines[1].address.text + "," + shape.machines[2].address.text;
+  std::vector<std::string> words{"mothwalk-daemon",
+                                 "--address",
+                                 machine.address.text,
+                                 "--callers",
+                                 machine.callers.text,
+                                 "--control",
+                                 machine.control.text,
+                                 "--zone",
+                                 machine.zone,
+                                 "--seeds",
+                                 seeds,
+                                 "--log-file",
+                                 folder + "/daemon-" + std::to_string(index) + ".log",
+                                 "--drain",
+                                 "5000"};
   if (machine.disk) {
     words.push_back("--data-folder");
     words.push_back(machine.folder);
@@ -87,7 +105,8 @@
 
 void Fleet::start_runner(std::size_t index, double cold) {
   RunnerShape& runner = shape.runners[index];
-  runner.pid = start({"stand-in-runner", "--address", runner.address.text, "--name", runner.name, "--slots", std::to_string(runner.slots), "--ledger", runner_ledger(), "--cold", std::to_string(cold)});
+  runner.pid = start({"stand-in-runner", "--address", runner.address.text, "--name", runner.name, "--slots",
+                      std::to_string(runner.slots), "--ledger", runner_ledger(), "--cold", std::to_string(cold)});
 }
 
 void Fleet::start_all() {
@@ -123,7 +142,9 @@
   return code;
 }
 
-void Fleet::wipe(std::size_t index) { std::filesystem::remove_all(shape.machines[index].folder); }
+void Fleet::wipe(std::size_t index) {
+  std::filesystem::remove_all(shape.machines[index].folder);
+}
 
 bool Fleet::until(std::function<bool()> holds, Span limit) {
   const Moment end = steady_now() + limit;
@@ -154,13 +175,14 @@
   } else if (std::get<HttpAnswer>(current).status != 404) {
     return false;
   }
-  auto answer = http_call(shape.machines[machine].control, "PUT", path + "?version=" + std::to_string(version), json::serialize(spec), std::chrono::seconds(8));
+  auto answer = http_call(shape.machines[machine].control, "PUT", path + "?version=" + std::to_string(version),
+                          json::serialize(spec), std::chrono::seconds(8));
   return !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200;
 }
 
 bool Fleet::serving(std::size_t machine) {
-  auto soundness = get(machine, "/v1/soundness");
-  return soundness && soundness->at("state").as_string() == "serving" && soundness->at("seats").to_number<int>() > 0;
+  auto health = get(machine, "/v1/health");
+  return health && health->at("state").as_string() == "serving" && health->at("seats").to_number<int>() > 0;
 }
 
 bool Fleet::all_serving() {
@@ -171,7 +193,8 @@
 
 bool Fleet::taken_by_all(std::size_t machine, const std::string& type, const std::string& name) {
   auto shown = get(machine, "/v1/resources/" + type + "/" + name);
-  return shown && shown->at("status").at("taken") == shown->at("status").at("members") && shown->at("status").at("waiting").as_array().empty();
+  return shown && shown->at("status").at("taken") == shown->at("status").at("members") &&
+         shown->at("status").at("waiting").as_array().empty();
 }
 
 std::optional<Circle> Fleet::circle(std::size_t machine, const std::string& kind) {
@@ -182,7 +205,7 @@
   return circle;
 }
 
-bool Fleet::apply_policy() {
+bool Fleet::apply_configuration() {
   std::size_t machine = 0;
   auto apply_at_any = [&](const std::string& type, const std::string& name, const json::object& spec) {
     // Each call goes to another daemon: any of them takes it.
@@ -193,14 +216,25 @@
     if (!apply_at_any(key.substr(0, slash), key.substr(slash + 1), spec)) return false;
   }
   for (const auto& runner : shape.runners)
-    if (!apply_at_any("runner", runner.name, json::object{{"kind", runner.kind}, {"address", runner.address.text}, {"hall", runner.hall}, {"slots", runner.slots}})) return false;
+    if (!apply_at_any("runner", runner.name,
+                      json::object{{"kind", runner.kind},
+                                   {"address", runner.address.text},
+                                   {"zone", runner.zone},
+                                   {"slots", runner.slots}}))
+      return false;
   return true;
 }
 
 std::string Fleet::write_plan(Span length, Span settle, std::uint32_t most) {
   json::array targets;
   for (const auto& machine : shape.machines) targets.push_back(json::value(json::string(machine.callers.text)));
-  const json::object plan{{"targets", targets}, {"ledger", caller_ledger()}, {"length", length.count() / 1000}, {"settle", settle.count() / 1000}, {"most", most}, {"streams", to_json(shape.streams)}, {"lots", to_json(shape.lots)}};
+  const json::object plan{{"targets", targets},
+                          {"ledger", caller_ledger()},
+                          {"length", length.count() / 1000},
+                          {"settle", settle.count() / 1000},
+                          {"most", most},
+                          {"streams", to_json(shape.streams)},
+                          {"lots", to_json(shape.lots)}};
   const std::string path = folder + "/plan.json";
   std::ofstream(path) << json::serialize(plan);
   return path;
--- a/source/stand_ins/fleet.hpp
+++ b/source/stand_ins/fleet.hpp
@@ -4,8 +4,8 @@
 #include <sys/types.h>
 
 #include "coding/json.hpp"
+#include "configuration/resources.hpp"
 #include "host/http_client.hpp"
-#include "policy/resources.hpp"
 #include "stand_ins/ledger.hpp"
 #include "stand_ins/shapes.hpp"
 
@@ -21,11 +21,11 @@
   void start_all();
   void start_machine(std::size_t index);
   void start_runner(std::size_t index, double cold);
-  void end_machine(std::size_t index, int signal);         // and waits for it
+  void end_machine(std::size_t index, int signal);  // and waits for it
   void end_runner(std::size_t index, int signal);
   void wipe(std::size_t index);
   void signal_machine(std::size_t index, int signal);
-  int end_politely(std::size_t index);                     // SIGTERM; gives the exit code
+  int end_politely(std::size_t index);  // SIGTERM; gives the exit code
   pid_t start(const std::vector<std::string>& words);
   int wait_for(pid_t pid);
 
@@ -42,7 +42,7 @@
   std::string platform_ledger() const { return folder + "/platform.ledger"; }
   std::string caller_ledger() const { return folder + "/callers.ledger"; }
   std::string write_plan(Span length, Span settle, std::uint32_t most);
-  bool apply_policy();
+  bool apply_configuration();
 
  private:
   std::string programs_;
--- a/source/stand_ins/judge.cpp
+++ b/source/stand_ins/judge.cpp
@@ -17,10 +17,14 @@
     for (auto& [name, list] : *table) {
       if (list.empty()) continue;
       std::sort(list.begin(), list.end());
-      std::cout << (table == &verdict.first ? "first piece, " : "time, ") << name << ": median " << list[list.size() / 2] << " ms, 99% " << list[list.size() * 99 / 100] << " ms, worst " << list.back() << " ms\n";
+      std::cout << (table == &verdict.first ? "first piece, " : "time, ") << name << ": median "
+                << list[list.size() / 2] << " ms, 99% " << list[list.size() * 99 / 100] << " ms, worst " << list.back()
+                << " ms\n";
     }
   const std::size_t shown = std::min<std::size_t>(verdict.broken.size(), 40);
   for (std::size_t index = 0; index < shown; ++index) std::cout << "BROKEN " << verdict.broken[index] << "\n";
-  std::cout << (verdict.broken.empty() ? "No never-rule is broken." : std::to_string(verdict.broken.size()) + " breaches.") << "\n";
+  std::cout << (verdict.broken.empty() ? "No never-rule is broken."
+                                       : std::to_string(verdict.broken.size()) + " breaches.")
+            << "\n";
   return verdict.broken.empty() ? 0 : 1;
 }
--- a/source/stand_ins/judge.hpp
+++ b/source/stand_ins/judge.hpp
@@ -7,9 +7,9 @@
 struct Verdict {
   std::vector<std::string> broken;
   std::map<std::string, std::uint64_t> counts;
-  std::map<std::string, std::vector<std::int64_t>> took;   // milliseconds, by load
+  std::map<std::string, std::vector<std::int64_t>> took;  // milliseconds, by load
   std::map<std::string, std::vector<std::int64_t>> first;
-  std::int64_t proper = 0, refused = 0;   // live requests
+  std::int64_t proper = 0, refused = 0;  // live requests
 };
 
 // What a run may show at most; the rules without a number here allow none.
--- a/source/stand_ins/judge_rules.cpp
+++ b/source/stand_ins/judge_rules.cpp
@@ -13,7 +13,8 @@
   while (std::getline(stream, line)) {
     auto parsed = parse_json(line);
     // A killed writer may leave half a line; every other line is whole.
-    if (!fault_of(parsed) && std::get<json::value>(parsed).is_object()) lines.push_back(std::get<json::value>(parsed).as_object());
+    if (!fault_of(parsed) && std::get<json::value>(parsed).is_object())
+      lines.push_back(std::get<json::value>(parsed).as_object());
   }
   return lines;
 }
@@ -39,10 +40,15 @@
   std::map<std::string, std::vector<const json::object*>> runs;
   std::map<std::string, const json::object*> whole_runs, all_runs;
   for (const auto& line : lines) {
-    if (text(line, "what") == "run") { runs[text(line, "id")].push_back(&line); all_runs[text(line, "run")] = &line; }
+    if (text(line, "what") == "run") {
+      runs[text(line, "id")].push_back(&line);
+      all_runs[text(line, "run")] = &line;
+    }
     if (text(line, "what") == "end" && text(line, "how") == "whole") whole_runs[text(line, "run")] = &line;
   }
-  auto broken = [&](const std::string& rule, const std::string& evidence) { verdict.broken.push_back(rule + ": " + evidence); };
+  auto broken = [&](const std::string& rule, const std::string& evidence) {
+    verdict.broken.push_back(rule + ": " + evidence);
+  };
   std::set<std::string> acknowledged, done;
   for (const auto& line : lines) {
     const std::string what = text(line, "what"), id = text(line, "id");
@@ -50,23 +56,34 @@
       const std::string outcome = text(line, "outcome"), fault = text(line, "fault"), run = text(line, "run");
       const std::string load = what == "request" ? text(line, "load") : "items";
       ++verdict.counts[load + " " + outcome];
-      if (what == "request" && outcome == "answer") { verdict.took[load].push_back(number(line, "took")); verdict.first[load].push_back(number(line, "first")); }
+      if (what == "request" && outcome == "answer") {
+        verdict.took[load].push_back(number(line, "took"));
+        verdict.first[load].push_back(number(line, "first"));
+      }
       if (what == "result") verdict.took["items"].push_back(number(line, "after"));
       if (!fault.empty()) broken("wrong answer", id + ": " + fault);
       const std::size_t times = runs.contains(id) ? runs[id].size() : 0;
-      if (!flag(line, "repeatable") && times > 1) broken("unrepeatable request run twice", id + " ran " + std::to_string(times) + " times");
-      if ((outcome == "refused" || outcome == "expired" || outcome == "cancelled") && times > 0 && (what == "request" || !flag(line, "repeatable"))) broken("refusal of work that runs", id + " was " + outcome + " and ran");
+      if (!flag(line, "repeatable") && times > 1)
+        broken("unrepeatable request run twice", id + " ran " + std::to_string(times) + " times");
+      if ((outcome == "refused" || outcome == "expired" || outcome == "cancelled") && times > 0 &&
+          (what == "request" || !flag(line, "repeatable")))
+        broken("refusal of work that runs", id + " was " + outcome + " and ran");
       if (what == "result" && outcome == "answer" && whole_runs.contains(run)) {
         const std::int64_t lag = number(line, "at") - number(*whole_runs.at(run), "at");
         verdict.took["result listed after its run's end"].push_back(lag);
-        if (lag > limits.result_lag) broken("a new result was not readable in time", id + " after " + std::to_string(lag) + " ms, over " + std::to_string(limits.result_lag) + " ms");
+        if (lag > limits.result_lag)
+          broken("a new result was not readable in time",
+                 id + " after " + std::to_string(lag) + " ms, over " + std::to_string(limits.result_lag) + " ms");
       }
       if (what == "request") {
         ++verdict.proper;
         verdict.refused += outcome == "refused";
       }
-      if (outcome == "answer" && (what == "result" || number(line, "status") == 200) && !whole_runs.contains(run)) broken("false success", id + " has no whole run '" + run + "'");
-      if (what == "request" && outcome == "refused" && number(line, "status") == 503 && text(line, "retry_after").empty()) broken("refusal without Retry-After", id);
+      if (outcome == "answer" && (what == "result" || number(line, "status") == 200) && !whole_runs.contains(run))
+        broken("false success", id + " has no whole run '" + run + "'");
+      if (what == "request" && outcome == "refused" && number(line, "status") == 503 &&
+          text(line, "retry_after").empty())
+        broken("refusal without Retry-After", id);
     } else if (what == "lot") {
       acknowledged.insert(id);
       ++verdict.counts["lots acknowledged"];
@@ -80,7 +97,8 @@
     } else if (what == "result_moved") {
       broken("listed result moved", json::serialize(line));
     } else if (what == "lot_unfinished") {
-      broken("lot never finished", id + " has " + std::to_string(number(line, "results")) + " of " + std::to_string(number(line, "items")));
+      broken("lot never finished",
+             id + " has " + std::to_string(number(line, "results")) + " of " + std::to_string(number(line, "items")));
     } else if (what == "lot_given_up" || what == "lot_try") {
       ++verdict.counts[what];
     } else if (what == "cancelled") {
@@ -99,16 +117,23 @@
         const std::int64_t late = number(*run, "at") - number(line, "acknowledged");
         if (!meant || (until != nullptr && number(*run, "at") > until->to_number<std::int64_t>())) continue;
         last = std::max(last, late);
-        if (late > limit) broken(what == "leaving" ? "work to a leaving runner" : "work to an evacuated hall", run_id + " after " + std::to_string(late) + " ms");
+        if (late > limit)
+          broken(what == "leaving" ? "work to a leaving runner" : "work to an evacuated zone",
+                 run_id + " after " + std::to_string(late) + " ms");
       }
       verdict.took[what + ": last work sent after"].push_back(last);
     } else if (what == "observed") {
       verdict.took[text(line, "name")].push_back(number(line, "took"));
       const auto* limit = line.if_contains("limit");
-      if (limit != nullptr && number(line, "took") > limit->to_number<std::int64_t>()) broken(text(line, "name"), std::to_string(number(line, "took")) + " ms, over " + std::to_string(limit->to_number<std::int64_t>()) + " ms");
+      if (limit != nullptr && number(line, "took") > limit->to_number<std::int64_t>())
+        broken(text(line, "name"), std::to_string(number(line, "took")) + " ms, over " +
+                                       std::to_string(limit->to_number<std::int64_t>()) + " ms");
     }
   }
-  if (verdict.refused * 1000 > verdict.proper * limits.refused_per_thousand) broken("proper requests turned away", std::to_string(verdict.refused) + " of " + std::to_string(verdict.proper) + ", over " + std::to_string(limits.refused_per_thousand) + " in a thousand");
+  if (verdict.refused * 1000 > verdict.proper * limits.refused_per_thousand)
+    broken("proper requests turned away", std::to_string(verdict.refused) + " of " + std::to_string(verdict.proper) +
+                                              ", over " + std::to_string(limits.refused_per_thousand) +
+                                              " in a thousand");
   for (const auto& id : acknowledged)
     if (!done.contains(id)) ++verdict.counts["lots not read to the end"];
   for (const auto& [run, line] : all_runs) (void)line, ++verdict.counts["runs"];
--- a/source/stand_ins/ledger.hpp
+++ b/source/stand_ins/ledger.hpp
@@ -11,8 +11,11 @@
 
 class Ledger {
  public:
-  explicit Ledger(const std::string& path) : file_(path.empty() ? -1 : ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600)) {}
-  ~Ledger() { if (file_ >= 0) ::close(file_); }
+  explicit Ledger(const std::string& path)
+      : file_(path.empty() ? -1 : ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600)) {}
+  ~Ledger() {
+    if (file_ >= 0) ::close(file_);
+  }
   void write(json::object line) {
     if (file_ < 0) return;
     line["at"] = milliseconds_now();
--- a/source/stand_ins/platform.cpp
+++ b/source/stand_ins/platform.cpp
@@ -62,76 +62,109 @@
   raw_exchange(machine.address, std::string("\0\0\0\x05hello", 9));
   raw_exchange(machine.address, std::string("\0\0\x01\0truncated", 13));
   raw_exchange(machine.address, "GET / HTTP/1.1\r\n\r\n");
-  check(raw_exchange(machine.callers, "this is no HTTP\r\n\r\n").find("400") != std::string::npos, "what is no HTTP is answered 400");
-  check(raw_exchange(machine.callers, "POST /audits HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n").find("413") != std::string::npos, "a body that is too long is refused before it is read");
-  check(raw_exchange(machine.callers, "GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n").find("431") != std::string::npos, "headers that are too long are refused");
+  check(raw_exchange(machine.callers, "this is no HTTP\r\n\r\n").find("400") != std::string::npos,
+        "what is no HTTP is answered 400");
+  check(raw_exchange(machine.callers, "POST /audits HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
+                .find("413") != std::string::npos,
+        "a body that is too long is refused before it is read");
+  check(raw_exchange(machine.callers, "GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n").find("431") !=
+            std::string::npos,
+        "headers that are too long are refused");
   check(status(machine.callers, "POST", "/nowhere", "x") == 404, "a path without a lane is answered 404");
   check(status(machine.callers, "PUT", "/lots/bad", "{\"lane\":") == 400, "a malformed lot is refused");
-  check(status(machine.callers, "PUT", "/lots/bad", R"({"lane":"nobody","items":[1]})") == 400, "a lot for no lane is refused");
-  check(status(machine.callers, "PUT", "/lots/lines-x", R"({"lane":"lines","items":["a"]})") == 200 && status(machine.callers, "PUT", "/lots/lines-x", R"({"lane":"lines","items":["b"]})") == 409, "another body under a lot's id is a conflict");
+  check(status(machine.callers, "PUT", "/lots/bad", R"({"lane":"nobody","items":[1]})") == 400,
+        "a lot for no lane is refused");
+  check(status(machine.callers, "PUT", "/lots/lines-x", R"({"lane":"lines","items":["a"]})") == 200 &&
+            status(machine.callers, "PUT", "/lots/lines-x", R"({"lane":"lines","items":["b"]})") == 409,
+        "another body under a lot's id is a conflict");
   check(status(machine.callers, "GET", "/lots/unknown", "") == 404, "a lot that is not there is answered 404");
-  check(status(machine.callers, "GET", "/v1/members", "") == 404, "operators' calls are not taken on the callers' side");
-  check(status(machine.control, "DELETE", "/v1/resources/kind/model?version=1", "") == 409, "a kind that lanes lead to can't be removed");
+  check(status(machine.callers, "GET", "/v1/members", "") == 404,
+        "operators' calls are not taken on the callers' side");
+  check(status(machine.control, "DELETE", "/v1/resources/kind/model?version=1", "") == 409,
+        "a kind that lanes lead to can't be removed");
   check(status(machine.control, "PUT", "/v1/resources/teapot/x", "{}") == 404, "an unknown type is refused");
   // Runners that answer nonsense: unknown for the caller, never a success.
   for (const auto& runner : fleet.shape.runners) status(runner.address, "POST", "/stand-in/mode/nonsense", "");
   auto nonsense = http_call(machine.callers, "POST", "/audits", "x", std::chrono::seconds(30));
-  check(!fault_of(nonsense) && std::get<HttpAnswer>(nonsense).status == 502 && std::get<HttpAnswer>(nonsense).headers["x-mothwalk-outcome"] == "unknown", "a runner's nonsense is a bad gateway, marked unknown");
+  check(!fault_of(nonsense) && std::get<HttpAnswer>(nonsense).status == 502 &&
+            std::get<HttpAnswer>(nonsense).headers["x-mothwalk-outcome"] == "unknown",
+        "a runner's nonsense is a bad gateway, marked unknown");
   for (const auto& runner : fleet.shape.runners) status(runner.address, "POST", "/stand-in/mode/sound", "");
-  check(Fleet::until([&] { return status(machine.callers, "POST", "/audits", "x") == 200; }), "and the path is back when the runners are sound");
+  check(Fleet::until([&] { return status(machine.callers, "POST", "/audits", "x") == 200; }),
+        "and the path is back when the runners are sound");
   check(Fleet::until([&] { return fleet.all_serving(); }), "all daemons serve after the bad input");
 }
 
 // The thin path, by events alone: every step waits for what it needs and nothing depends on speed.
 void thin(Fleet& fleet) {
   fleet.start_all();
-  check(Fleet::until([&] { return fleet.all_serving(); }), "four daemons in two halls found each other and hold permits");
-  check(fleet.apply_policy(), "kinds, lanes and runners were taken, each at another daemon");
-  for (const auto& name : {"audits", "lines"}) check(Fleet::until([&] { return fleet.taken_by_all(3, "lane", name); }), std::string("lane ") + name + " reached every member");
+  check(Fleet::until([&] { return fleet.all_serving(); }),
+        "four daemons in two zones found each other and hold leases");
+  check(fleet.apply_configuration(), "kinds, lanes and runners were taken, each at another daemon");
+  for (const auto& name : {"audits", "lines"})
+    check(Fleet::until([&] { return fleet.taken_by_all(3, "lane", name); }),
+          std::string("lane ") + name + " reached every member");
   check(Fleet::until([&] {
           auto circle = fleet.circle(1, "model");
-          return circle && circle->members.size() >= 2 && circle->members.size() <= 3 && circle->warm.size() == circle->members.size();
-        }), "the circle stands, with the floor inside and the reserve outside");
+          return circle && circle->members.size() >= 2 && circle->members.size() <= 3 &&
+                 circle->warm.size() == circle->members.size();
+        }),
+        "the circle stands, with the floor inside and the reserve outside");
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) {
     // The platform's own client is a caller through each single daemon.
-    auto answer = http_call(fleet.shape.machines[machine].callers, "POST", "/audits", "a receipt", std::chrono::seconds(30));
-    const bool good = !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200 && std::get<HttpAnswer>(answer).headers["x-mothwalk-outcome"] == "answer";
+    auto answer =
+        http_call(fleet.shape.machines[machine].callers, "POST", "/audits", "a receipt", std::chrono::seconds(30));
+    const bool good = !fault_of(answer) && std::get<HttpAnswer>(answer).status == 200 &&
+                      std::get<HttpAnswer>(answer).headers["x-mothwalk-outcome"] == "answer";
     check(good, "daemon " + std::to_string(machine) + " carried a request to a runner");
   }
-  const pid_t caller = fleet.start({"stand-in-caller", fleet.write_plan(std::chrono::seconds(60), std::chrono::seconds(60), 3)});
+  const pid_t caller =
+      fleet.start({"stand-in-caller", fleet.write_plan(std::chrono::seconds(60), std::chrono::seconds(60), 3)});
   check(fleet.wait_for(caller) == 0, "the callers streamed and handed in lots");
   const auto lines = all_ledgers(fleet);
   Verdict verdict = judge(lines);
   for (const auto& each : verdict.broken) check(false, each);
   check(verdict.broken.empty(), "the judge finds nothing");
   check(verdict.counts["audits answer"] == 3, "three streams were answered whole");
-  check(verdict.counts["lots done"] == 3 && verdict.counts["items answer"] == 30, "three lots of ten items were worked off and read");
+  check(verdict.counts["lots done"] == 3 && verdict.counts["items answer"] == 30,
+        "three lots of ten items were worked off and read");
   std::set<std::string> lot_runners;
   for (const auto& line : lines)
-    if (const auto* what = line.if_contains("what"); what != nullptr && what->as_string() == "run" && std::string(line.at("id").as_string()).starts_with("lines-")) lot_runners.insert(std::string(line.at("runner").as_string()));
+    if (const auto* what = line.if_contains("what");
+        what != nullptr && what->as_string() == "run" && std::string(line.at("id").as_string()).starts_with("lines-"))
+      lot_runners.insert(std::string(line.at("runner").as_string()));
   auto circle = fleet.circle(0, "model");
   bool outside = circle.has_value() && !lot_runners.empty();
-  for (const auto& name : lot_runners) outside = outside && std::find(circle->members.begin(), circle->members.end(), RunnerId(name)) == circle->members.end();
+  for (const auto& name : lot_runners)
+    outside =
+        outside && std::find(circle->members.begin(), circle->members.end(), RunnerId(name)) == circle->members.end();
   check(outside, "the items ran on runners outside the circle alone");
   // An operator's stale version and a faulty document change nothing.
   const std::string path = "/v1/resources/lane/audits";
-  auto stale = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=0", R"({"path":"/audits","kind":"model"})", std::chrono::seconds(10));
+  auto stale = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=0",
+                         R"({"path":"/audits","kind":"model"})", std::chrono::seconds(10));
   check(!fault_of(stale) && std::get<HttpAnswer>(stale).status == 412, "a stale version is refused");
-  auto faulty = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=1", R"({"path":"/audits","kind":"model","retires":2})", std::chrono::seconds(10));
-  check(!fault_of(faulty) && std::get<HttpAnswer>(faulty).status == 400 && std::get<HttpAnswer>(faulty).body.find("retires") != std::string::npos, "an unknown field is refused by its name");
+  auto faulty = http_call(fleet.shape.machines[2].control, "PUT", path + "?version=1",
+                          R"({"path":"/audits","kind":"model","retires":2})", std::chrono::seconds(10));
+  check(!fault_of(faulty) && std::get<HttpAnswer>(faulty).status == 400 &&
+            std::get<HttpAnswer>(faulty).body.find("retires") != std::string::npos,
+        "an unknown field is refused by its name");
   bad_input(fleet);
   // Everything down at once and back.
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.end_machine(machine, SIGKILL);
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.start_machine(machine);
-  check(Fleet::until([&] { return fleet.all_serving() && fleet.taken_by_all(0, "lane", "audits"); }), "after a total loss the policy is back");
+  check(Fleet::until([&] { return fleet.all_serving() && fleet.taken_by_all(0, "lane", "audits"); }),
+        "after a total loss the configuration is back");
   check(Fleet::until([&] {
           auto answer = http_call(fleet.shape.machines[3].callers, "GET", "/lots", "", std::chrono::seconds(10));
           if (fault_of(answer)) return false;
           auto parsed = parse_json(std::get<HttpAnswer>(answer).body);
           if (fault_of(parsed) || !std::get<json::value>(parsed).as_object().contains("lots")) return false;
           return std::get<json::value>(parsed).at("lots").as_array().size() == 4;
-        }), "after a total loss the lots are back");
-  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) check(fleet.end_politely(machine) == 0, "daemon " + std::to_string(machine) + " drained and ended with 0");
+        }),
+        "after a total loss the lots are back");
+  for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine)
+    check(fleet.end_politely(machine) == 0, "daemon " + std::to_string(machine) + " drained and ended with 0");
 }
 
 void observe(Ledger& ledger, const std::string& name, std::int64_t took, std::optional<std::int64_t> limit) {
@@ -149,7 +182,8 @@
 
 std::size_t live_machine(const Fleet& fleet, std::size_t from) {
   for (std::size_t step = 0; step < fleet.shape.machines.size(); ++step)
-    if (const std::size_t index = (from + step) % fleet.shape.machines.size(); fleet.shape.machines[index].pid > 0) return index;
+    if (const std::size_t index = (from + step) % fleet.shape.machines.size(); fleet.shape.machines[index].pid > 0)
+      return index;
   return 0;
 }
 
@@ -160,13 +194,15 @@
     auto list = fleet.get(index, "/v1/resources/" + type);
     bool seen = false;
     if (list)
-      for (const auto& each : list->at("resources").as_array()) seen = seen || (each.at("name").as_string() == name && each.at("version").to_number<std::uint64_t>() >= version);
+      for (const auto& each : list->at("resources").as_array())
+        seen =
+            seen || (each.at("name").as_string() == name && each.at("version").to_number<std::uint64_t>() >= version);
     if (!seen) return false;
   }
   return true;
 }
 
-void policy_change(Fleet& fleet, Ledger& ledger, int round) {
+void configuration_change(Fleet& fleet, Ledger& ledger, int round) {
   json::object spec;
   for (const auto& [key, given] : fleet.shape.resources)
     if (key.starts_with("lane/")) spec = given;
@@ -175,17 +211,20 @@
   if (!Fleet::until([&] { return fleet.apply(machine, "lane", "changing", spec); }, std::chrono::seconds(20))) return;
   auto shown = fleet.get(machine, "/v1/resources/lane/changing");
   const std::uint64_t version = shown ? shown->at("version").to_number<std::uint64_t>() : 1;
-  observe(ledger, "policy change everywhere", timed([&] { return seen_everywhere(fleet, "lane", "changing", version); }), 2000);
+  observe(ledger, "configuration change everywhere",
+          timed([&] { return seen_everywhere(fleet, "lane", "changing", version); }), 2000);
 }
 
 void run_fault(Fleet& fleet, Ledger& ledger, const std::string& fault, int round) {
   std::cout << "fault   " << fault << std::endl;
-  const std::size_t holders = static_cast<std::size_t>(std::count_if(fleet.shape.machines.begin(), fleet.shape.machines.end(), [](const MachineShape& machine) { return machine.disk; }));
+  const std::size_t holders =
+      static_cast<std::size_t>(std::count_if(fleet.shape.machines.begin(), fleet.shape.machines.end(),
+                                             [](const MachineShape& machine) { return machine.disk; }));
   const std::size_t holder = static_cast<std::size_t>(round) % holders;
   if (fault == "kill" || fault == "wipe") {
     fleet.end_machine(holder, SIGKILL);
     if (fault == "wipe") fleet.wipe(holder);
-    policy_change(fleet, ledger, round);
+    configuration_change(fleet, ledger, round);
     fleet.start_machine(holder);
     observe(ledger, "killed daemon serves again", timed([&] { return fleet.serving(holder); }), std::nullopt);
   } else if (fault == "freeze") {
@@ -193,8 +232,8 @@
     std::this_thread::sleep_for(std::chrono::seconds(4));
     fleet.signal_machine(holder, SIGCONT);
     observe(ledger, "frozen daemon serves again", timed([&] { return fleet.serving(holder); }), std::nullopt);
-  } else if (fault == "policy") {
-    policy_change(fleet, ledger, round);
+  } else if (fault == "configuration") {
+    configuration_change(fleet, ledger, round);
   } else if (fault == "runner-crash") {
     const std::size_t runner = static_cast<std::size_t>(round) % 12;
     fleet.end_runner(runner, SIGKILL);
@@ -202,19 +241,37 @@
     fleet.start_runner(runner, 2000);
   } else if (fault == "leaving" || fault == "evacuate") {
     json::array names;
-    const std::string hall = fleet.shape.runners[static_cast<std::size_t>(round) % 3].hall;
+    const std::string zone = fleet.shape.runners[static_cast<std::size_t>(round) % 3].zone;
     const RunnerShape leaver = fleet.shape.runners[static_cast<std::size_t>(round + 5) % 12];
     const std::size_t machine = live_machine(fleet, static_cast<std::size_t>(round) * 3);
-    json::object runner_spec{{"kind", leaver.kind}, {"address", leaver.address.text}, {"hall", leaver.hall}, {"slots", leaver.slots}, {"leaving", true}};
+    json::object runner_spec{{"kind", leaver.kind},
+                             {"address", leaver.address.text},
+                             {"zone", leaver.zone},
+                             {"slots", leaver.slots},
+                             {"leaving", true}};
     const bool evacuation = fault == "evacuate";
-    Fleet::until([&] { return evacuation ? fleet.apply(machine, "hall", hall, json::object{{"evacuated", true}}) : fleet.apply(machine, "runner", leaver.name, runner_spec); }, std::chrono::seconds(20));
+    Fleet::until(
+        [&] {
+          return evacuation ? fleet.apply(machine, "zone", zone, json::object{{"evacuated", true}})
+                            : fleet.apply(machine, "runner", leaver.name, runner_spec);
+        },
+        std::chrono::seconds(20));
     const std::int64_t acknowledged = Ledger::milliseconds_now();
     std::this_thread::sleep_for(std::chrono::seconds(7));
     for (const auto& each : fleet.shape.runners)
-      if (evacuation ? each.hall == hall : each.name == leaver.name) names.push_back(json::value(json::string(each.name)));
-    ledger.write({{"what", evacuation ? "evacuated" : "leaving"}, {"runners", names}, {"acknowledged", acknowledged}, {"until", Ledger::milliseconds_now()}});
+      if (evacuation ? each.zone == zone : each.name == leaver.name)
+        names.push_back(json::value(json::string(each.name)));
+    ledger.write({{"what", evacuation ? "evacuated" : "leaving"},
+                  {"runners", names},
+                  {"acknowledged", acknowledged},
+                  {"until", Ledger::milliseconds_now()}});
     runner_spec["leaving"] = false;
-    Fleet::until([&] { return evacuation ? fleet.apply(machine, "hall", hall, json::object{{"evacuated", false}}) : fleet.apply(machine, "runner", leaver.name, runner_spec); }, std::chrono::seconds(20));
+    Fleet::until(
+        [&] {
+          return evacuation ? fleet.apply(machine, "zone", zone, json::object{{"evacuated", false}})
+                            : fleet.apply(machine, "runner", leaver.name, runner_spec);
+        },
+        std::chrono::seconds(20));
   } else if (fault == "total-loss") {
     for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.end_machine(machine, SIGKILL);
     for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) fleet.start_machine(machine);
@@ -225,25 +282,30 @@
                 if (fault_of(answer) || std::get<HttpAnswer>(answer).status != 200) return false;
               }
               return true;
-            }), 12000);
+            }),
+            12000);
   } else {
-    check(false, "the fault '" + fault + "' is not known; use kill, wipe, freeze, policy, runner-crash, leaving, evacuate, total-loss");
+    check(false,
+          "the fault '" + fault +
+              "' is not known; use kill, wipe, freeze, configuration, runner-crash, leaving, evacuate, total-loss");
   }
 }
 
 void loaded(Fleet& fleet, const Options& options) {
   fleet.start_all();
   if (!check(Fleet::until([&] { return fleet.all_serving(); }), "all daemons serve")) return;
-  if (!check(fleet.apply_policy(), "the policy was taken")) return;
+  if (!check(fleet.apply_configuration(), "the configuration was taken")) return;
   check(Fleet::until([&] {
           for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine) {
             auto circle = fleet.circle(machine, "model");
             if (!circle || circle->members.empty() || circle->warm.size() < circle->members.size()) return false;
           }
           return true;
-        }), "the circle is warm");
+        }),
+        "the circle is warm");
   Ledger ledger(fleet.platform_ledger());
-  const pid_t caller = fleet.start({"stand-in-caller", fleet.write_plan(std::chrono::seconds(options.seconds), std::chrono::seconds(30), 0)});
+  const pid_t caller = fleet.start(
+      {"stand-in-caller", fleet.write_plan(std::chrono::seconds(options.seconds), std::chrono::seconds(30), 0)});
   const std::int64_t end = Ledger::milliseconds_now() + options.seconds * 1000;
   std::vector<std::string> faults;
   std::string rest = options.faults;
@@ -260,13 +322,18 @@
   json::object totals;
   std::uint64_t own = 0, other = 0;
   for (std::size_t machine = 0; machine < fleet.shape.machines.size(); ++machine)
-    if (auto usage = fleet.get(machine, "/v1/usage")) {
-      own += usage->at("entries").at("own_hall").to_number<std::uint64_t>();
-      other += usage->at("entries").at("other_hall").to_number<std::uint64_t>();
-      for (const auto& each : usage->at("entries").at("refusals").as_object()) totals[each.key()] = (totals.contains(each.key()) ? totals[each.key()].as_uint64() : 0) + each.value().to_number<std::uint64_t>();
+    if (auto load = fleet.get(machine, "/v1/load")) {
+      own += load->at("entries").at("own_zone").to_number<std::uint64_t>();
+      other += load->at("entries").at("other_zone").to_number<std::uint64_t>();
+      for (const auto& each : load->at("entries").at("refusals").as_object())
+        totals[each.key()] = (totals.contains(each.key()) ? totals[each.key()].as_uint64() : 0) +
+                             each.value().to_number<std::uint64_t>();
     }
-  std::cout << "refusals by reason: " << json::serialize(totals) << "\nlegs in the own hall: " << own << ", in other halls: " << other << "\n";
-  if (auto circle = fleet.circle(live_machine(fleet, 0), "model")) std::cout << "circle: " << circle->members.size() << " members, usage " << circle->usage << ", " << circle->cycle << " cycles\n";
+  std::cout << "refusals by reason: " << json::serialize(totals) << "\nattempts in the own zone: " << own
+            << ", in other zones: " << other << "\n";
+  if (auto circle = fleet.circle(live_machine(fleet, 0), "model"))
+    std::cout << "circle: " << circle->members.size() << " members, load " << circle->load << ", " << circle->cycle
+              << " cycles\n";
 }
 
 }  // namespace
@@ -274,32 +341,49 @@
 int main(int count, char** words) {
   std::signal(SIGPIPE, SIG_IGN);
   Options options;
-  const option flags[] = {{"fleet", 1, nullptr, 'f'}, {"programs", 1, nullptr, 'p'}, {"folder", 1, nullptr, 'd'}, {"faults", 1, nullptr, 'x'}, {"seconds", 1, nullptr, 's'}, {"share", 1, nullptr, 'r'}, {"keep", 0, nullptr, 'k'}, {nullptr, 0, nullptr, 0}};
+  const option flags[] = {{"fleet", 1, nullptr, 'f'},  {"programs", 1, nullptr, 'p'}, {"folder", 1, nullptr, 'd'},
+                          {"faults", 1, nullptr, 'x'}, {"seconds", 1, nullptr, 's'},  {"share", 1, nullptr, 'r'},
+                          {"keep", 0, nullptr, 'k'},   {nullptr, 0, nullptr, 0}};
   for (int found = 0; (found = getopt_long(count, words, "", flags, nullptr)) != -1;) {
-    if (found == 'f') options.fleet = optarg;
-    else if (found == 'p') options.programs = optarg;
-    else if (found == 'd') options.folder = optarg;
-    else if (found == 'x') options.faults = optarg;
-    else if (found == 's') options.seconds = std::stoi(optarg);
-    else if (found == 'r') options.share = std::stod(optarg);
-    else if (found == 'k') options.keep = true;
-    else return std::cerr << "stand-in-platform --fleet thin|altiplano|sestavna [--programs FOLDER] [--folder FOLDER] [--seconds N] [--share X] [--faults a,b,c] [--keep]\n", 2;
+    if (found == 'f')
+      options.fleet = optarg;
+    else if (found == 'p')
+      options.programs = optarg;
+    else if (found == 'd')
+      options.folder = optarg;
+    else if (found == 'x')
+      options.faults = optarg;
+    else if (found == 's')
+      options.seconds = std::stoi(optarg);
+    else if (found == 'r')
+      options.share = std::stod(optarg);
+    else if (found == 'k')
+      options.keep = true;
+    else
+      return std::cerr << "stand-in-platform --fleet thin|altiplano|sestavna [--programs FOLDER] [--folder FOLDER] "
+                          "[--seconds N] [--share X] [--faults a,b,c] [--keep]\n",
+             2;
   }
   if (options.programs.empty()) options.programs = std::filesystem::path(words[0]).parent_path().string();
-  if (options.folder.empty()) options.folder = (std::filesystem::temp_directory_path() / ("mothwalk-" + std::to_string(::getpid()))).string();
-  if (options.fleet != "thin" && options.fleet != "altiplano" && options.fleet != "sestavna") return std::cerr << "stand-in-platform: the fleet is thin, altiplano or sestavna\n", 2;
+  if (options.folder.empty())
+    options.folder = (std::filesystem::temp_directory_path() / ("mothwalk-" + std::to_string(::getpid()))).string();
+  if (options.fleet != "thin" && options.fleet != "altiplano" && options.fleet != "sestavna")
+    return std::cerr << "stand-in-platform: the fleet is thin, altiplano or sestavna\n", 2;
   {
     Fleet fleet(shape_named(options.fleet, options.share), options.programs, options.folder);
     if (options.fleet == "thin") {
       thin(fleet);
     } else {
       loaded(fleet, options);
-      const pid_t judging = fleet.start({"judge", fleet.runner_ledger(), fleet.caller_ledger(), fleet.platform_ledger()});
+      const pid_t judging =
+          fleet.start({"judge", fleet.runner_ledger(), fleet.caller_ledger(), fleet.platform_ledger()});
       check(fleet.wait_for(judging) == 0, "the judge finds nothing");
     }
   }
-  if (!options.keep && failed_checks == 0) std::filesystem::remove_all(options.folder);
-  else std::cout << "the ledgers and logs are in " << options.folder << "\n";
+  if (!options.keep && failed_checks == 0)
+    std::filesystem::remove_all(options.folder);
+  else
+    std::cout << "the ledgers and logs are in " << options.folder << "\n";
   std::cout << (failed_checks == 0 ? "All checks hold.\n" : std::to_string(failed_checks) + " checks failed.\n");
   return failed_checks == 0 ? 0 : 1;
 }
--- a/source/stand_ins/runner.cpp
+++ b/source/stand_ins/runner.cpp
@@ -46,20 +46,32 @@
 
 class Call : public std::enable_shared_from_this<Call> {
  public:
-  Call(boost::asio::io_context& context, tcp::socket socket, Model& model, Ledger& ledger) : context_(context), stream_(std::move(socket)), timer_(context), model_(model), ledger_(ledger) {}
+  Call(boost::asio::io_context& context, tcp::socket socket, Model& model, Ledger& ledger)
+      : context_(context), stream_(std::move(socket)), timer_(context), model_(model), ledger_(ledger) {}
   ~Call() { release(); }
   void run() {
     parser_.body_limit(32u << 20);
-    http::async_read(stream_, buffer_, parser_, [self = shared_from_this()](const beast::error_code& error, std::size_t) {
-      if (!error) self->take();
-    });
+    http::async_read(stream_, buffer_, parser_,
+                     [self = shared_from_this()](const beast::error_code& error, std::size_t) {
+                       if (!error) self->take();
+                     });
   }
 
  private:
   void take() {
     auto& request = parser_.get();
     const std::string target(request.target());
-    if (target == "/stand-in/stats") return whole(200, json::serialize(json::object{{"name", model_.name}, {"active", model_.active}, {"waiting", model_.waiting.size()}, {"most_active", model_.most_active}, {"most_active_cold", model_.most_active_cold}, {"runs", model_.runs}, {"refused", model_.refused}, {"hits", model_.hits}, {"misses", model_.misses}, {"busy", model_.busy_milliseconds}}));
+    if (target == "/stand-in/stats")
+      return whole(200, json::serialize(json::object{{"name", model_.name},
+                                                     {"active", model_.active},
+                                                     {"waiting", model_.waiting.size()},
+                                                     {"most_active", model_.most_active},
+                                                     {"most_active_cold", model_.most_active_cold},
+                                                     {"runs", model_.runs},
+                                                     {"refused", model_.refused},
+                                                     {"hits", model_.hits},
+                                                     {"misses", model_.misses},
+                                                     {"busy", model_.busy_milliseconds}}));
     if (target.starts_with("/stand-in/mode/")) {
       model_.mode = target.substr(15);
       return whole(200, "{}");
@@ -104,7 +116,8 @@
       });
       return;
     }
-    raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", [this] { next_piece(); });
+    raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        [this] { next_piece(); });
   }
 
   void next_piece() {
@@ -132,7 +145,10 @@
     });
   }
 
-  void ended(const std::string& how) { ledger_.write({{"what", "end"}, {"id", id_}, {"run", run_}, {"how", how}}); release(); }
+  void ended(const std::string& how) {
+    ledger_.write({{"what", "end"}, {"id", id_}, {"run", run_}, {"how", how}});
+    release();
+  }
 
   void release() {
     if (!held_) return;
@@ -150,14 +166,18 @@
   }
 
   void whole(int status, const std::string& body) {
-    raw("HTTP/1.1 " + std::to_string(status) + " Said\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body, [this] { close(); });
+    raw("HTTP/1.1 " + std::to_string(status) + " Said\r\nContent-Type: application/json\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body,
+        [this] { close(); });
   }
 
-  void raw(std::string text, std::function<void()> then = [] {}) {
+  void raw(
+      std::string text, std::function<void()> then = [] {}) {
     out_ = std::move(text);
-    boost::asio::async_write(stream_.socket(), boost::asio::buffer(out_), [self = shared_from_this(), then](const boost::system::error_code& error, std::size_t) {
-      if (!error) then();
-    });
+    boost::asio::async_write(stream_.socket(), boost::asio::buffer(out_),
+                             [self = shared_from_this(), then](const boost::system::error_code& error, std::size_t) {
+                               if (!error) then();
+                             });
   }
 
   void close() {
@@ -185,16 +205,26 @@
   std::signal(SIGPIPE, SIG_IGN);
   Model model;
   std::string address, ledger_path;
-  const option options[] = {{"address", 1, nullptr, 'a'}, {"name", 1, nullptr, 'n'}, {"slots", 1, nullptr, 's'}, {"ledger", 1, nullptr, 'l'}, {"prefill", 1, nullptr, 'p'}, {"decode", 1, nullptr, 'd'}, {"cold", 1, nullptr, 'c'}, {nullptr, 0, nullptr, 0}};
+  const option options[] = {{"address", 1, nullptr, 'a'}, {"name", 1, nullptr, 'n'},    {"slots", 1, nullptr, 's'},
+                            {"ledger", 1, nullptr, 'l'},  {"prefill", 1, nullptr, 'p'}, {"decode", 1, nullptr, 'd'},
+                            {"cold", 1, nullptr, 'c'},    {nullptr, 0, nullptr, 0}};
   for (int found = 0; (found = getopt_long(count, words, "", options, nullptr)) != -1;) {
-    if (found == 'a') address = optarg;
-    else if (found == 'n') model.name = optarg;
-    else if (found == 's') model.slots = static_cast<std::uint32_t>(std::stoul(optarg));
-    else if (found == 'l') ledger_path = optarg;
-    else if (found == 'p') model.prefill_per_kilobyte = std::stod(optarg);
-    else if (found == 'd') model.decode = std::stod(optarg);
-    else if (found == 'c') model.cold = std::stod(optarg);
-    else return 2;
+    if (found == 'a')
+      address = optarg;
+    else if (found == 'n')
+      model.name = optarg;
+    else if (found == 's')
+      model.slots = static_cast<std::uint32_t>(std::stoul(optarg));
+    else if (found == 'l')
+      ledger_path = optarg;
+    else if (found == 'p')
+      model.prefill_per_kilobyte = std::stod(optarg);
+    else if (found == 'd')
+      model.decode = std::stod(optarg);
+    else if (found == 'c')
+      model.cold = std::stod(optarg);
+    else
+      return 2;
   }
   const auto endpoint = endpoint_of(Address(address));
   if (!endpoint) return std::cerr << "stand-in-runner: --address IP:PORT is missing\n", 2;
--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -6,15 +6,27 @@
 namespace {
 
 json::object kind_spec(int cycle, int floor, int reserve, bool all, int ramp) {
-  return json::object{{"circle", json::object{{"cycle", cycle}, {"floor", floor}, {"reserve", reserve}, {"all", all}, {"ramp", ramp}}}, {"refusals", json::array{429}}};
+  return json::object{
+      {"circle", json::object{{"cycle", cycle}, {"floor", floor}, {"reserve", reserve}, {"all", all}, {"ramp", ramp}}},
+      {"refusals", json::array{429}}};
 }
 
-void add_machines(Shape& shape, int count, const std::vector<std::string>& halls, int disks) {
-  for (int index = 0; index < count; ++index) shape.machines.push_back(MachineShape{halls[static_cast<std::size_t>(index) % halls.size()], index < disks, {}, {}, {}, {}, {}, 0});
+void add_machines(Shape& shape, int count, const std::vector<std::string>& zones, int disks) {
+  for (int index = 0; index < count; ++index)
+    shape.machines.push_back(
+        MachineShape{zones[static_cast<std::size_t>(index) % zones.size()], index < disks, {}, {}, {}, {}, {}, 0});
 }
 
-void add_runners(Shape& shape, const std::string& kind, int count, const std::vector<std::string>& halls, std::uint32_t slots) {
-  for (int index = 0; index < count; ++index) shape.runners.push_back(RunnerShape{kind + "-" + std::to_string(index + 1), kind, halls[static_cast<std::size_t>(index) % halls.size()], {}, slots, 0, 0});
+void add_runners(Shape& shape, const std::string& kind, int count, const std::vector<std::string>& zones,
+                 std::uint32_t slots) {
+  for (int index = 0; index < count; ++index)
+    shape.runners.push_back(RunnerShape{kind + "-" + std::to_string(index + 1),
+                                        kind,
+                                        zones[static_cast<std::size_t>(index) % zones.size()],
+                                        {},
+                                        slots,
+                                        0,
+                                        0});
 }
 
 }  // namespace
@@ -35,17 +47,19 @@
 Shape small_shape() {
   Shape shape;
   shape.name = "small";
-  const std::vector<std::string> halls{"north", "south", "west"};
-  add_machines(shape, 9, halls, 6);
-  add_runners(shape, "model", 6, halls, 4);
-  add_runners(shape, "notice", 3, halls, 8);
-  shape.resources = {{"kind/model", kind_spec(5000, 2, 1, false, 2000)},
-                     {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
-                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 1024}}},
-                     {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
-                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
-                     {"lane/payments", json::object{{"path", "/payments"}, {"kind", "model"}, {"repeatable", false}}},
-                     {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  const std::vector<std::string> zones{"north", "south", "west"};
+  add_machines(shape, 9, zones, 6);
+  add_runners(shape, "model", 6, zones, 4);
+  add_runners(shape, "notice", 3, zones, 8);
+  shape.resources = {
+      {"kind/model", kind_spec(5000, 2, 1, false, 2000)},
+      {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
+      {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 1024}}},
+      {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
+      {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
+      {"lane/payments", json::object{{"path", "/payments"}, {"kind", "model"}, {"repeatable", false}}},
+      {"lane/notices",
+       json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
   shape.streams = {StreamLoad{"audits", "/audits", 3, 20, 200, 3000, 3, false},
                    StreamLoad{"suggestions", "/suggestions", 8, 6, 200, 0, 0, false},
                    StreamLoad{"filings", "/payments", 6, 0, 200, 0, 0, false},
@@ -58,17 +72,19 @@
 Shape altiplano_shape(double share) {
   Shape shape;
   shape.name = "altiplano";
-  const std::vector<std::string> halls{"alto", "bajo", "centro", "este"};
+  const std::vector<std::string> zones{"alto", "bajo", "centro", "este"};
   // Four storage machines and four edge machines with disks, then nine edge machines without.
-  add_machines(shape, 17, halls, 8);
-  add_runners(shape, "model", 12, halls, 4);
-  add_runners(shape, "notice", 4, halls, 8);
-  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
-                     {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
-                     {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
-                     {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
-                     {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
-                     {"lane/notices", json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  add_machines(shape, 17, zones, 8);
+  add_runners(shape, "model", 12, zones, 4);
+  add_runners(shape, "notice", 4, zones, 8);
+  shape.resources = {
+      {"kind/model", kind_spec(5000, 3, 2, false, 2000)},
+      {"kind/notice", kind_spec(5000, 1, 0, true, 500)},
+      {"lane/audits", json::object{{"path", "/audits"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
+      {"lane/suggestions", json::object{{"path", "/suggestions"}, {"kind", "model"}}},
+      {"lane/lines", json::object{{"path", "/lines"}, {"kind", "model"}, {"repeatable", true}}},
+      {"lane/notices",
+       json::object{{"path", "/notices"}, {"kind", "notice"}, {"repeatable", true}, {"first_piece", 2000}}}};
   shape.streams = {StreamLoad{"audits", "/audits", 5 * share, 40, 500, 6000, 4, false},
                    StreamLoad{"suggestions", "/suggestions", 18 * share, 10, 200, 0, 0, false},
                    StreamLoad{"notices", "/notices", 55 * share, 0, 150, 0, 0, true}};
@@ -79,16 +95,18 @@
 Shape sestavna_shape(double share) {
   Shape shape;
   shape.name = "sestavna";
-  const std::vector<std::string> halls{"one", "two", "three"};
-  add_machines(shape, 15, halls, 6);
-  add_runners(shape, "model", 12, halls, 4);
-  add_runners(shape, "index", 3, halls, 8);
-  shape.resources = {{"kind/model", kind_spec(5000, 3, 2, false, 2000)},
-                     {"kind/index", kind_spec(5000, 1, 0, true, 500)},
-                     {"lane/reviews", json::object{{"path", "/reviews"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
-                     {"lane/triage", json::object{{"path", "/triage"}, {"kind", "model"}}},
-                     {"lane/sweeps", json::object{{"path", "/sweeps"}, {"kind", "model"}, {"repeatable", true}}},
-                     {"lane/lookups", json::object{{"path", "/lookups"}, {"kind", "index"}, {"repeatable", true}, {"first_piece", 2000}}}};
+  const std::vector<std::string> zones{"one", "two", "three"};
+  add_machines(shape, 15, zones, 6);
+  add_runners(shape, "model", 12, zones, 4);
+  add_runners(shape, "index", 3, zones, 8);
+  shape.resources = {
+      {"kind/model", kind_spec(5000, 3, 2, false, 2000)},
+      {"kind/index", kind_spec(5000, 1, 0, true, 500)},
+      {"lane/reviews", json::object{{"path", "/reviews"}, {"kind", "model"}, {"affinity_bytes", 2048}}},
+      {"lane/triage", json::object{{"path", "/triage"}, {"kind", "model"}}},
+      {"lane/sweeps", json::object{{"path", "/sweeps"}, {"kind", "model"}, {"repeatable", true}}},
+      {"lane/lookups",
+       json::object{{"path", "/lookups"}, {"kind", "index"}, {"repeatable", true}, {"first_piece", 2000}}}};
   shape.streams = {StreamLoad{"reviews", "/reviews", 4 * share, 50, 2000, 8000, 3, false},
                    StreamLoad{"triage", "/triage", 16 * share, 12, 300, 0, 0, false},
                    StreamLoad{"lookups", "/lookups", 55 * share, 0, 80, 0, 0, true}};
@@ -101,14 +119,14 @@
   shape.name = "platform";
   shape.told_first_start = true;
   shape.machines.clear();
-  const std::vector<std::string> halls{"north", "south", "west", "east"};
+  const std::vector<std::string> zones{"north", "south", "west", "east"};
   shape.runners.clear();
-  add_runners(shape, "model", 8, halls, 4);
-  add_runners(shape, "notice", 4, halls, 8);
-  add_machines(shape, 4, halls, 4);
+  add_runners(shape, "model", 8, zones, 4);
+  add_runners(shape, "notice", 4, zones, 8);
+  add_machines(shape, 4, zones, 4);
   for (auto& machine : shape.machines) machine.keeps = "control";
-  add_machines(shape, 5, halls, 0);
-  add_machines(shape, 4, halls, 4);
+  add_machines(shape, 5, zones, 0);
+  add_machines(shape, 4, zones, 4);
   for (std::size_t index = 9; index < shape.machines.size(); ++index) shape.machines[index].keeps = "lots";
   return shape;
 }
--- a/source/stand_ins/shapes.hpp
+++ b/source/stand_ins/shapes.hpp
@@ -1,8 +1,8 @@
-// The shapes of the fleets: machines, runners, policy and callers of each deployment, for real processes and for the
-// simulator alike.
+// The shapes of the fleets: machines, runners, configuration and callers of each deployment, for real processes and for
+// the simulator alike.
 #pragma once
 #include "coding/json.hpp"
-#include "policy/resources.hpp"
+#include "configuration/resources.hpp"
 
 namespace mothwalk {
 
@@ -17,23 +17,23 @@
   std::string name, lane;
   double rate = 1;
   std::uint32_t items = 10, item_bytes = 100;
-  Span horizon = std::chrono::seconds(8);
+  Span deadline = std::chrono::seconds(8);
   bool repeatable = true;
   std::uint32_t cancel_every = 0;
-  MOTHWALK_FIELDS(name, lane, rate, items, item_bytes, horizon, repeatable, cancel_every)
+  MOTHWALK_FIELDS(name, lane, rate, items, item_bytes, deadline, repeatable, cancel_every)
 };
 
 struct MachineShape {
-  std::string hall;
+  std::string zone;
   bool disk = false;
-  std::string keeps;              // as in Member
+  std::string keeps;  // as in Member
   Address address, callers, control;
   std::string folder;
   int pid = 0;
 };
 
 struct RunnerShape {
-  std::string name, kind, hall;
+  std::string name, kind, zone;
   Address address;
   std::uint32_t slots = 4;
   double cold = 0;
@@ -42,7 +42,8 @@
 
 struct Shape {
   std::string name;
-  bool told_first_start = false;  // daemons are told whether the fleet starts for the first time; any three may be seeds
+  bool told_first_start =
+      false;  // daemons are told whether the fleet starts for the first time; any three may be seeds
   std::vector<MachineShape> machines;
   std::vector<RunnerShape> runners;
   std::vector<std::pair<std::string, json::object>> resources;  // "type/name" and spec, in the order to apply
@@ -51,7 +52,7 @@
 };
 
 Shape thin_shape();
-Shape small_shape();   // the simulator's default: three halls, six holders of which five vote
+Shape small_shape();  // the simulator's default: three zones, six holders of which five vote
 Shape altiplano_shape(double share);
 Shape sestavna_shape(double share);
 Shape platform_shape();  // as the users' platform has it: control state on edge machines' small disks, lots on others
--- a/tests/circle_test.cpp
+++ b/tests/circle_test.cpp
@@ -1,4 +1,4 @@
-// The PI law: it settles at the medium usage from any start, for every load and a wide error of the model's slope.
+// The PI law: it settles at the medium load from any start, for every load and a wide error of the model's slope.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 
 using namespace mothwalk;
 
-TEST_CASE("the law settles where the usage is near the target, and stays there") {
+TEST_CASE("the law settles where the load is near the target, and stays there") {
   for (double load : {0.5, 3.0, 6.0, 11.0, 20.0})
     for (std::size_t start : {2u, 8u, 40u})
       for (double slope : {0.7, 1.0, 1.4}) {
@@ -55,14 +55,14 @@
   for (int cycle = 0; cycle < 10; ++cycle) CHECK(law.step(0.01, 0.6, 8, 2, 16, false) == 8);
 }
 
-TEST_CASE("usage counts open and queued prompts over the members' slots alone") {
-  PolicyView view;
+TEST_CASE("load counts open and queued prompts over the members' slots alone") {
+  ConfigurationView view;
   for (const char* name : {"one", "two", "three"}) {
-    const Bytes spec = R"({"kind":"model","address":"10.0.0.1:80","hall":"h","slots":4})";
+    const Bytes spec = R"({"kind":"model","address":"10.0.0.1:80","zone":"h","slots":4})";
     REQUIRE(put_in_view(view, std::string("runner/") + name, &spec, Stamp{}));
   }
   const std::map<std::string, std::uint32_t> open{{"one", 2}, {"two", 2}, {"three", 4}};
-  CHECK(usage_of(open, 0, {RunnerId("one"), RunnerId("two")}, view.runners) == Approx(0.5));
-  CHECK(usage_of(open, 4, {RunnerId("one"), RunnerId("two")}, view.runners) == Approx(1.0));
-  CHECK(usage_of(open, 4, {}, view.runners) == 0);
+  CHECK(load_of(open, 0, {RunnerId("one"), RunnerId("two")}, view.runners) == Approx(0.5));
+  CHECK(load_of(open, 4, {RunnerId("one"), RunnerId("two")}, view.runners) == Approx(1.0));
+  CHECK(load_of(open, 4, {}, view.runners) == 0);
 }
--- a/tests/coding_test.cpp
+++ b/tests/coding_test.cpp
@@ -29,9 +29,11 @@
 }
 
 TEST_CASE("every truncation and every flipped byte of an envelope is refused or read, never worse") {
-  Envelope envelope{Address("10.0.0.1:1"), 5, "kept", "lots", "kept.write", 9, false, Bytes(40, 'x'), protocol_number};
+  Envelope envelope{Address("10.0.0.1:1"), 5, "store", "lots", "store.write", 9, false, Bytes(40, 'x'),
+                    protocol_number};
   const Bytes bytes = to_cbor(envelope);
-  for (std::size_t length = 0; length < bytes.size(); ++length) CHECK_FALSE(from_cbor<Envelope>(View(bytes).substr(0, length)));
+  for (std::size_t length = 0; length < bytes.size(); ++length)
+    CHECK_FALSE(from_cbor<Envelope>(View(bytes).substr(0, length)));
   for (std::size_t at = 0; at < bytes.size(); ++at)
     for (int flip : {0x01, 0x20, 0x80, 0xff}) {
       Bytes bad = bytes;
@@ -44,8 +46,8 @@
 }
 
 TEST_CASE("JSON is read strictly and a fault names the field and the remedy") {
-  const PolicyView empty;
-  PolicyView view;
+  const ConfigurationView empty;
+  ConfigurationView view;
   const Bytes kind = R"({})";
   REQUIRE(put_in_view(view, "kind/model", &kind, Stamp{}));
   struct Bad {
@@ -65,10 +67,10 @@
       {"kind", "k", R"({"circle":{"target":0}})", "circle.target"},
       {"kind", "k", R"({"circle":{"flor":1}})", "circle.flor"},
       {"kind", "k", R"({"refusals":[429,200]})", "refusals[1]"},
-      {"runner", "r", R"({"kind":"model","address":"somewhere:80","hall":"h"})", "address"},
-      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:99999","hall":"h"})", "address"},
-      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:80","hall":""})", "hall"},
-      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:80","hall":"h","slots":0})", "slots"},
+      {"runner", "r", R"({"kind":"model","address":"somewhere:80","zone":"h"})", "address"},
+      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:99999","zone":"h"})", "address"},
+      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:80","zone":""})", "zone"},
+      {"runner", "r", R"({"kind":"model","address":"10.0.0.1:80","zone":"h","slots":0})", "slots"},
       {"lots", "other", R"({})", "name"},
       {"lane", "a", R"({"path":)", "body"},
       {"lane", "a", R"([])", ""},
@@ -89,13 +91,14 @@
   CHECK(fault_of(parse_json(deep)) != nullptr);
 }
 
-TEST_CASE("the last hall that has runners can't be evacuated, and a kind in use can't be removed") {
-  PolicyView view;
-  const Bytes kind = "{}", runner = R"({"kind":"model","address":"10.0.0.1:80","hall":"north"})", lane = R"({"path":"/a","kind":"model"})";
+TEST_CASE("the last zone that has runners can't be evacuated, and a kind in use can't be removed") {
+  ConfigurationView view;
+  const Bytes kind = "{}", runner = R"({"kind":"model","address":"10.0.0.1:80","zone":"north"})",
+              lane = R"({"path":"/a","kind":"model"})";
   REQUIRE(put_in_view(view, "kind/model", &kind, Stamp{}));
   REQUIRE(put_in_view(view, "runner/one", &runner, Stamp{}));
-  CHECK(fault_of(check_document("hall", "north", R"({"evacuated":true})", view))->kind == FaultKind::conflict);
-  CHECK(fault_of(check_document("hall", "south", R"({"evacuated":true})", view)) == nullptr);
+  CHECK(fault_of(check_document("zone", "north", R"({"evacuated":true})", view))->kind == FaultKind::conflict);
+  CHECK(fault_of(check_document("zone", "south", R"({"evacuated":true})", view)) == nullptr);
   CHECK(fault_of(check_removal("kind", "model", view))->kind == FaultKind::conflict);
   REQUIRE(put_in_view(view, "lane/a", &lane, Stamp{}));
   REQUIRE(put_in_view(view, "runner/one", nullptr, Stamp{}));
@@ -103,8 +106,9 @@
 }
 
 TEST_CASE("a holder is not retired where fewer than three seats would remain") {
-  PolicyView view;
-  for (const char* address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}) view.roster.seats.push_back(Seat{HolderId(address), Address(address), ZoneId("h")});
+  ConfigurationView view;
+  for (const char* address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+    view.roster.seats.push_back(Seat{HolderId(address), Address(address), ZoneId("h")});
   CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view))->kind == FaultKind::conflict);
   CHECK(fault_of(check_document("holder", "10.0.0.9:1", R"({"retired":true})", view)) == nullptr);
   view.roster.seats.push_back(Seat{HolderId("x"), Address("10.0.0.4:1"), ZoneId("h")});
@@ -115,8 +119,9 @@
 }
 
 TEST_CASE("a path leads to the lane with the longest matching path") {
-  PolicyView view;
-  for (auto [key, value] : {std::pair<const char*, const char*>{"lane/a", R"({"path":"/a","kind":"k"})"}, {"lane/ab", R"({"path":"/a/b","kind":"k"})"}}) {
+  ConfigurationView view;
+  for (auto [key, value] : {std::pair<const char*, const char*>{"lane/a", R"({"path":"/a","kind":"k"})"},
+                            {"lane/ab", R"({"path":"/a/b","kind":"k"})"}}) {
     const Bytes bytes = value;
     REQUIRE(put_in_view(view, key, &bytes, Stamp{}));
   }
@@ -129,11 +134,12 @@
 }
 
 TEST_CASE("a runner's generation never goes back, and another one than the circle knows makes it cold") {
-  PolicyView view;
-  const Bytes kind = "{}", spec = R"({"kind":"model","address":"10.0.0.1:80","hall":"h","generation":4})";
+  ConfigurationView view;
+  const Bytes kind = "{}", spec = R"({"kind":"model","address":"10.0.0.1:80","zone":"h","generation":4})";
   REQUIRE(put_in_view(view, "kind/model", &kind, Stamp{}));
   REQUIRE(put_in_view(view, "runner/one", &spec, Stamp{}));
-  const auto back = check_document("runner", "one", R"({"kind":"model","address":"10.0.0.1:80","hall":"h","generation":3})", view);
+  const auto back =
+      check_document("runner", "one", R"({"kind":"model","address":"10.0.0.1:80","zone":"h","generation":3})", view);
   REQUIRE(fault_of(back) != nullptr);
   CHECK(fault_of(back)->field == "generation");
   CHECK(fault_of(check_document("runner", "one", spec, view)) == nullptr);
@@ -150,7 +156,8 @@
   CHECK(base64("ab") == "YWI=");
   CHECK(base64("abc") == "YWJj");
   LotPage page;
-  page.results = {LotResult{0, 0, "answer", 200, "plain \u00e9"}, LotResult{1, 1, "answer", 200, Bytes("\xff\x00z", 3)}};
+  page.results = {LotResult{0, 0, "answer", 200, "plain \u00e9"},
+                  LotResult{1, 1, "answer", 200, Bytes("\xff\x00z", 3)}};
   const auto carried = from_cbor<LotPage>(to_cbor(page));
   REQUIRE(carried);
   const json::value text = page_json(*carried);
@@ -161,11 +168,14 @@
 }
 
 TEST_CASE("an aim names a lane that there is and shares that can be reached; its lane stays while it does") {
-  PolicyView view;
+  ConfigurationView view;
   const Bytes kind = "{}", lane = R"({"path":"/pay","kind":"model"})", aim = R"({"lane":"pay"})";
   REQUIRE(put_in_view(view, "kind/model", &kind, Stamp{}));
   REQUIRE(put_in_view(view, "lane/pay", &lane, Stamp{}));
-  for (const auto& [text, field] : {std::pair<View, View>{R"({"lane":"none"})", "lane"}, {R"({"lane":"pay","answered":1.1})", "answered"}, {R"({"lane":"pay","in_time":0})", "in_time"}, {R"({"lane":"pay","first_piece":0})", "first_piece"}}) {
+  for (const auto& [text, field] : {std::pair<View, View>{R"({"lane":"none"})", "lane"},
+                                    {R"({"lane":"pay","answered":1.1})", "answered"},
+                                    {R"({"lane":"pay","in_time":0})", "in_time"},
+                                    {R"({"lane":"pay","first_piece":0})", "first_piece"}}) {
     const auto checked = check_document("aim", "swift", text, view);
     REQUIRE(fault_of(checked) != nullptr);
     CHECK(fault_of(checked)->field == field);
--- /dev/null
+++ b/tests/dialect_router_test.cpp
@@ -0,0 +1,515 @@
+// Live requests where callers and runners say more: shares, prompt parts, budgets, promises, streams taken up again,
+// cold runners.
+#include "router_fixture.hpp"
+
+namespace {
+
+// A dialect as a platform might bring one.
+class Speaking : public PlainDialect {
+ public:
+  RequestFacts read_request(const std::vector<Header>& headers) const override {
+    RequestFacts facts = PlainDialect::read_request(headers);
+    if (const auto* id = header_of(headers, "Id")) facts.id = *id;
+    if (const auto* budget = header_of(headers, "Budget")) facts.budget = std::chrono::milliseconds(std::stoi(*budget));
+    if (const auto* last = header_of(headers, "Last")) facts.last_event = std::stoull(*last);
+    if (const auto* prefix = header_of(headers, "Prefix")) facts.parts = {{*prefix, 4000}, {"own", 1000}};
+    if (!facts.parts.empty()) facts.prompt_tokens = 5000, facts.output_tokens = 100;
+    if (const auto* length = header_of(headers, "Long"))
+      facts.prompt_tokens = static_cast<std::uint32_t>(std::stoul(*length));
+    return facts;
+  }
+  void write_attempt(AttemptRequest& request, const RequestFacts&, const AttemptFacts& attempt) const override {
+    request.headers.push_back({"Runner", attempt.runner});
+    request.headers.push_back({"Left", std::to_string(attempt.left.count() / 1000)});
+    if (attempt.last_event) request.headers.push_back({"After", std::to_string(*attempt.last_event)});
+  }
+  AnswerFacts read_answer(int status, const std::vector<Header>& headers, const RequestFacts& facts) const override {
+    AnswerFacts answer;
+    answer.not_run = header_of(headers, "Not-Run") != nullptr || status == 421;
+    answer.other_instance = status == 421;
+    const auto* id = header_of(headers, "Id");
+    answer.foreign = id != nullptr && *id != facts.id;
+    if (const auto* version = header_of(headers, "Version")) answer.version = *version;
+    if (const auto* load = header_of(headers, "Load"))
+      answer.load = RunnerLoad{static_cast<std::uint32_t>(std::stoul(*load)), 0, 2};
+    return answer;
+  }
+};
+const Speaking speaking;
+
+struct SpeakingFixture : Fixture {
+  SpeakingFixture() : Fixture(speaking) {
+    put("lane/pay", R"({"path":"/pay","kind":"model","attempts":2,"waiting":500,"whole":5000})");
+    put("lane/stream",
+        R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":2,"waiting":500,"whole":5000})");
+  }
+  std::shared_ptr<Seen> say(const std::string& target, std::vector<Header> headers, Router::Id* id = nullptr) {
+    auto seen = std::make_shared<Seen>();
+    const auto given =
+        router.arrive(LiveRequest{"POST", target, std::move(headers), std::make_shared<const Bytes>("body")},
+                      std::make_shared<SeeingCaller>(seen));
+    if (id != nullptr) *id = given;
+    return seen;
+  }
+  std::string told(std::size_t attempt, View name) const {
+    const auto* value = header_of(attempts.at(attempt).request.headers, name);
+    return value == nullptr ? "" : *value;
+  }
+  void whole(std::size_t attempt, int status = 200, std::vector<Header> headers = {}) {
+    attempts.at(attempt).watcher->on_head(status, headers);
+    attempts.at(attempt).watcher->on_end(AttemptEnd::whole);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("an attempt is meant for its runner and carries what is left of the caller's budget, within the lane's") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 2);
+  fixture.say("/pay", {{"Budget", "1500"}});
+  CHECK((fixture.told(0, "Left") == "1500" && fixture.attempts[0].request.runner == fixture.told(0, "Runner")));
+  fixture.say("/pay", {{"Budget", "60000"}});
+  CHECK(fixture.told(1, "Left") == "5000");
+}
+
+TEST_CASE("the caller's budget ends a request at that moment: not run where it waited, unknown where it was sent") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 1);
+  ALLOW_CALL(fixture.exchange, cancel(_));
+  auto sent = fixture.say("/pay", {{"Budget", "300"}});
+  fixture.shared_state.lease_until = 1;
+  auto waited = fixture.say("/pay", {{"Budget", "300"}});
+  fixture.wait(std::chrono::milliseconds(290));
+  CHECK((sent->status == 0 && waited->status == 0));
+  fixture.wait(std::chrono::milliseconds(12));
+  CHECK((sent->status == 504 && waited->status == 503 && waited->outcome == "refused"));
+}
+
+TEST_CASE("a lane for a host goes before one for any, and headers that concern one connection stay behind") {
+  SpeakingFixture fixture;
+  fixture.put("kind/other", R"({})");
+  fixture.put("runner/four", R"({"kind":"other","address":"10.0.1.9:80","zone":"north","slots":2})");
+  fixture.put("circle/other", R"({"members":["four"],"warm":["four"]})");
+  fixture.put("lane/hosted", R"({"path":"/pay","host":"here.example","kind":"other"})");
+  EXPECT_ATTEMPTS(fixture, 2);
+  fixture.say(
+      "/pay",
+      {{"Host", "Here.example:80"}, {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-ReplicatedStore", "1"}});
+  fixture.say("/pay", {{"Host", "there.example"}});
+  CHECK(fixture.attempts[0].request.to.text == "10.0.1.9:80");
+  CHECK(fixture.attempts[1].request.to.text != "10.0.1.9:80");
+  CHECK((fixture.told(0, "X-Hop").empty() && fixture.told(0, "X-ReplicatedStore") == "1" &&
+         fixture.told(0, "Host") == "Here.example:80"));
+}
+
+TEST_CASE(
+    "a lane's shares are met closely in any row of its requests; others stand in for a kind without able runners") {
+  SpeakingFixture fixture;
+  fixture.put("kind/other", R"({})");
+  fixture.put("runner/four", R"({"kind":"other","address":"10.0.1.9:80","zone":"north","slots":100})");
+  fixture.put("circle/other", R"({"members":["four"],"warm":["four"]})");
+  fixture.put(
+      "lane/split",
+      R"({"path":"/split","kind":"model","shares":[{"kind":"model","weight":90},{"kind":"other","weight":10},{"kind":"never","weight":0}]})");
+  EXPECT_ATTEMPTS(fixture, 50);
+  std::size_t other = 0;
+  for (std::size_t count = 0; count < 40; ++count) {
+    fixture.say("/split", {});
+    other += fixture.attempts[count].request.to.text == "10.0.1.9:80";
+    CHECK(other >= (count + 1) / 10);
+    CHECK(other <= (count + 10) / 10);
+    fixture.whole(count);
+  }
+  CHECK(other == 4);
+  fixture.put("zone/north", R"({"evacuated":false})");
+  for (const char* name : {"one", "two", "three"})
+    fixture.put(std::string("runner/") + name,
+                R"({"kind":"model","address":"10.0.1.1:80","zone":"north","leaving":true})");
+  for (std::size_t count = 40; count < 50; ++count) {
+    fixture.say("/split", {});
+    CHECK(fixture.attempts[count].request.to.text == "10.0.1.9:80");
+    fixture.whole(count);
+  }
+}
+
+TEST_CASE("no path is unknown to a daemon that may not have heard of the newest lanes") {
+  SpeakingFixture fixture;
+  fixture.shared_state.lease_until = fixture.world.now().microseconds - 1;
+  auto early = fixture.say("/new", {});
+  auto never = fixture.say("/never", {});
+  fixture.wait(std::chrono::milliseconds(100));
+  CHECK((early->status == 0 && never->status == 0));
+  fixture.put("lane/new", R"({"path":"/new","kind":"model"})");
+  EXPECT_ATTEMPTS(fixture, 1);
+  fixture.lease();
+  fixture.wait(std::chrono::milliseconds(40));
+  CHECK(fixture.attempts.size() == 1);
+  CHECK(never->status == 404);
+}
+
+TEST_CASE("a request that waits goes the way of the newest lanes") {
+  SpeakingFixture fixture;
+  fixture.shared_state.lease_until = 1;
+  fixture.say("/pay", {});
+  fixture.put("kind/other", R"({})");
+  fixture.put("runner/four", R"({"kind":"other","address":"10.0.1.9:80","zone":"north","slots":2})");
+  fixture.put("circle/other", R"({"members":["four"],"warm":["four"]})");
+  const Bytes lane = R"({"path":"/pay","kind":"other"})";
+  REQUIRE(put_in_view(fixture.view, "lane/pay", &lane, Stamp{Epoch{1}, Version{2}}));
+  fixture.shared_state.configuration.set(fixture.view);
+  EXPECT_ATTEMPTS(fixture, 1);
+  fixture.lease();
+  fixture.wait(std::chrono::milliseconds(40));
+  REQUIRE(fixture.attempts.size() == 1);
+  CHECK(fixture.attempts[0].request.to.text == "10.0.1.9:80");
+}
+
+TEST_CASE("work that a runner promises not to have run goes to another one, within the lane's attempts") {
+  for (const int status : {503, 429, 421}) {
+    SpeakingFixture fixture;
+    EXPECT_ATTEMPTS(fixture, 2);
+    auto seen = fixture.say("/pay", {});
+    fixture.whole(0, status, {{"Not-Run", "1"}});
+    REQUIRE(fixture.attempts.size() == 2);
+    CHECK(fixture.told(0, "Runner") != fixture.told(1, "Runner"));
+    CHECK(seen->status == 0);
+    fixture.whole(1, status, {{"Not-Run", "1"}});
+    CHECK((seen->status == 503 && seen->outcome == "refused" && !seen->retry_after.empty()));
+  }
+}
+
+TEST_CASE("a runner's failure without that promise is its answer; repeatable work goes to another runner first") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 4);
+  auto pay = fixture.say("/pay", {});
+  fixture.whole(0, 503);
+  CHECK((pay->status == 503 && pay->outcome == "answer"));
+  fixture.put("lane/tell", R"({"path":"/tell","kind":"model","repeatable":true,"attempts":2})");
+  auto tell = fixture.say("/tell", {});
+  fixture.whole(1, 500);
+  CHECK(tell->status == 0);
+  fixture.whole(2, 500);
+  CHECK((tell->status == 500 && tell->outcome == "answer"));
+  auto wrong = fixture.say("/tell", {});
+  fixture.whole(3, 404);
+  CHECK((wrong->status == 404 && wrong->outcome == "answer"));
+}
+
+TEST_CASE("another instance at a runner's address is left alone until the list of runners may have told of it") {
+  SpeakingFixture fixture;
+  fixture.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  EXPECT_ATTEMPTS(fixture, 2);
+  auto first = fixture.say("/pay", {});
+  fixture.whole(0, 421);
+  fixture.wait(std::chrono::milliseconds(400));
+  CHECK(fixture.attempts.size() == 1);
+  fixture.wait(std::chrono::milliseconds(200));
+  CHECK(first->status == 503);
+  fixture.wait(std::chrono::milliseconds(1000));
+  fixture.say("/pay", {});
+  CHECK(fixture.attempts.size() == 2);
+}
+
+TEST_CASE("an answer that belongs to another request is given to nobody, and what became of this one is unknown") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 3);
+  REQUIRE_CALL(fixture.exchange, cancel(_)).TIMES(2);
+  auto pay = fixture.say("/pay", {{"Id", "a"}});
+  fixture.attempts[0].watcher->on_head(200, {{"Id", "b"}});
+  CHECK((pay->status == 502 && pay->outcome == "unknown"));
+  auto stream = fixture.say("/stream", {{"Id", "a"}});
+  fixture.attempts[1].watcher->on_head(200, {{"Id", "b"}});
+  CHECK((stream->status == 0 && fixture.attempts.size() == 3));
+}
+
+TEST_CASE("a stream that breaks goes on at another runner inside the same answer, with no event lost or doubled") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 2);
+  auto seen = fixture.say("/stream", {});
+  fixture.attempts[0].watcher->on_head(200, {{"Seal", "first"}, {"Version", "1"}});
+  fixture.attempts[0].watcher->on_piece("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  CHECK(seen->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  fixture.attempts[0].watcher->on_end(AttemptEnd::broken);
+  REQUIRE(fixture.attempts.size() == 2);
+  CHECK((fixture.told(1, "After") == "2" && fixture.told(1, "Runner") != fixture.told(0, "Runner")));
+  fixture.attempts[1].watcher->on_head(200, {{"Seal", "second"}, {"Version", "1"}});
+  fixture.attempts[1].watcher->on_piece("id: 3\ndata: c\n\n");
+  fixture.attempts[1].watcher->on_end(AttemptEnd::whole);
+  CHECK((seen->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" && seen->ended && !seen->broken));
+  CHECK(fixture.router.counts().resumed == 1);
+}
+
+TEST_CASE("a stream that does not go on in order, under the same weights, or within the attempts, breaks off visibly") {
+  for (const std::string how : {"gap", "double", "version", "refused", "again"}) {
+    SpeakingFixture fixture;
+    EXPECT_ATTEMPTS(fixture, 2);
+    ALLOW_CALL(fixture.exchange, cancel(_));
+    auto seen = fixture.say("/stream", {});
+    fixture.attempts[0].watcher->on_head(200, {{"Version", "1"}});
+    fixture.attempts[0].watcher->on_piece("id: 1\ndata: a\n\n");
+    fixture.attempts[0].watcher->on_end(AttemptEnd::broken);
+    REQUIRE(fixture.attempts.size() == 2);
+    if (how == "refused") {
+      fixture.whole(1, 503, {{"Not-Run", "1"}});
+    } else {
+      fixture.attempts[1].watcher->on_head(200, {{"Version", how == "version" ? "2" : "1"}});
+      if (how == "gap") fixture.attempts[1].watcher->on_piece("id: 3\ndata: c\n\n");
+      if (how == "double") fixture.attempts[1].watcher->on_piece("id: 1\ndata: a\n\n");
+      if (how == "again") fixture.attempts[1].watcher->on_end(AttemptEnd::broken);
+    }
+    CHECK((seen->broken && !seen->ended && seen->text == "id: 1\ndata: a\n\n"));
+    CHECK(fixture.router.open() == 0);
+  }
+}
+
+TEST_CASE("a stream asked for from an event on must begin with the next one") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 1);
+  ALLOW_CALL(fixture.exchange, cancel(_));
+  auto seen = fixture.say("/stream", {{"Last", "7"}});
+  CHECK(fixture.told(0, "After") == "7");
+  fixture.attempts[0].watcher->on_head(200, {});
+  fixture.attempts[0].watcher->on_piece("id: 7\ndata: g\n\n");
+  CHECK((seen->broken && seen->text.empty()));
+}
+
+TEST_CASE("requests with a prefix in common go to one runner while its load allows, and the prefixes spread") {
+  SpeakingFixture fixture;
+  fixture.put("lane/pay", R"({"path":"/pay","kind":"model","affinity":true})");
+  EXPECT_ATTEMPTS(fixture, 203);
+  std::map<std::string, int> spread;
+  for (std::size_t prefix = 0; prefix < 100; ++prefix) {
+    for (std::size_t count = 0; count < 2; ++count) {
+      fixture.say("/pay", {{"Prefix", "p" + std::to_string(prefix)}});
+      fixture.whole(2 * prefix + count);
+    }
+    CHECK(fixture.told(2 * prefix, "Runner") == fixture.told(2 * prefix + 1, "Runner"));
+    ++spread[fixture.told(2 * prefix, "Runner")];
+  }
+  CHECK(spread.size() == 3);
+  for (const auto& [runner, count] : spread) CHECK((count > 15 && count < 55));
+  // Two that run there already leave no room for a third.
+  std::set<std::string> used;
+  for (std::size_t count = 0; count < 3; ++count) {
+    fixture.say("/pay", {{"Prefix", "p0"}});
+    used.insert(fixture.told(200 + count, "Runner"));
+  }
+  CHECK(used.size() >= 2);
+}
+
+TEST_CASE("an engine's memory is a limit as its slots are") {
+  SpeakingFixture fixture;
+  fixture.put("kind/model", R"({"engine":{"memory_tokens":12000}})");
+  fixture.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  fixture.put("runner/one", R"({"kind":"model","address":"10.0.1.1:80","zone":"north","slots":32})");
+  EXPECT_ATTEMPTS(fixture, 2);
+  for (int count = 0; count < 3; ++count) fixture.say("/pay", {{"Prefix", "p"}});
+  CHECK(fixture.attempts.size() == 2);
+}
+
+TEST_CASE("what a runner tells of its load counts as others' work on it") {
+  SpeakingFixture fixture;
+  fixture.put("circle/model", R"({"members":["one","two"],"warm":["one","two"]})");
+  EXPECT_ATTEMPTS(fixture, 3);
+  fixture.say("/pay", {});
+  const std::string busy = fixture.told(0, "Runner");
+  fixture.whole(0, 200, {{"Load", "3"}});
+  for (std::size_t count = 1; count < 3; ++count) {
+    fixture.say("/pay", {});
+    CHECK(fixture.told(count, "Runner") != busy);
+  }
+}
+
+TEST_CASE("a cold runner gets nothing while a warm one is able, and little from all daemons together otherwise") {
+  // Six daemons of one fleet, which know no more of each other than that they are six.
+  std::vector<std::int64_t> offered;
+  for (int index = 1; index <= 6; ++index) {
+    SpeakingFixture fixture;
+    Members members;
+    for (int other = 1; other <= 6; ++other) {
+      Member member = Fixture::self();
+      member.address = Address("10.0.0." + std::to_string(other) + ":1");
+      members.all[member.address] = member;
+    }
+    fixture.shared_state.members.set(members);
+    fixture.put("kind/model", R"({"cold_rate":10,"circle":{"ramp":1}})");
+    fixture.put("lane/pay", R"({"path":"/pay","kind":"model","waiting":60000})");
+    RunnerListing listing;
+    for (const char* name : {"cold", "warm"}) {
+      Runner runner;
+      runner.kind = KindId("model");
+      runner.address = Address(std::string("10.0.2.") + (name[0] == 'c' ? "1:80" : "2:80"));
+      runner.zone = ZoneId("north");
+      runner.slots = 400;
+      if (name[0] == 'c') runner.cold = std::chrono::seconds(3);
+      listing.runners[name] = runner;
+    }
+    const Bytes listed = to_cbor(listing);
+    REQUIRE(put_in_view(fixture.view, listing_key, &listed, Stamp{Epoch{1}, Version{1}}));
+    fixture.put("circle/model", R"({"members":["cold","warm"],"warm":["cold","warm"]})");
+    ALLOW_CALL(fixture.exchange, start(_, _))
+        .LR_SIDE_EFFECT(fixture.attempts.push_back({_1, _2}))
+        .LR_RETURN(fixture.attempts.size());
+    for (int count = 0; count < 20; ++count) fixture.say("/pay", {});
+    CHECK(fixture.attempts.size() == 20);
+    for (const auto& attempt : fixture.attempts) CHECK(attempt.request.runner == "warm");
+    const std::size_t before = fixture.attempts.size();
+    fixture.put("circle/model", R"({"members":["cold"],"warm":["cold"]})");
+    const auto began = fixture.world.now();
+    for (int count = 0; count < 100; ++count) fixture.say("/pay", {});
+    std::size_t seen = before;
+    while (fixture.world.now() - began < std::chrono::milliseconds(2900)) {
+      for (; seen < fixture.attempts.size(); ++seen) offered.push_back((fixture.world.now() - began).count());
+      fixture.wait(std::chrono::milliseconds(10));
+    }
+    CHECK(fixture.attempts.size() > before);
+    fixture.wait(std::chrono::milliseconds(200));
+    CHECK(fixture.attempts.size() == before + 100);
+  }
+  std::sort(offered.begin(), offered.end());
+  for (const auto from : offered)
+    CHECK(std::count_if(offered.begin(), offered.end(),
+                        [&](std::int64_t at) { return at >= from && at < from + 1000000; }) <= 10 * 1.5 + 5);
+}
+
+TEST_CASE("nothing goes to a zone that is evacuated while a request waits, or to a leaving runner") {
+  SpeakingFixture fixture;
+  fixture.put("runner/three", R"({"kind":"model","address":"10.0.1.3:80","zone":"south","slots":2})");
+  fixture.shared_state.lease_until = 1;
+  for (int count = 0; count < 3; ++count) fixture.say("/pay", {});
+  fixture.put("zone/north", R"({"evacuated":true})");
+  EXPECT_ATTEMPTS(fixture, 3);
+  fixture.lease();
+  fixture.wait(std::chrono::milliseconds(40));
+  for (const auto& attempt : fixture.attempts) CHECK(attempt.request.runner == "three");
+}
+
+TEST_CASE("a daemon that drains serves what comes over open connections where it is set to") {
+  SpeakingFixture fixture;
+  fixture.router.serves_while_draining = true;
+  fixture.shared_state.draining = true;
+  EXPECT_ATTEMPTS(fixture, 1);
+  auto seen = fixture.say("/pay", {});
+  fixture.whole(0);
+  CHECK((seen->status == 200 && seen->ended));
+}
+
+TEST_CASE("a caller that will miss its aim is told so early, with when to come back; one that will not waits on") {
+  SpeakingFixture fixture;
+  fixture.put("lane/pay", R"({"path":"/pay","kind":"model","aim":1000,"waiting":5000})");
+  ALLOW_CALL(fixture.exchange, start(_, _))
+      .LR_SIDE_EFFECT(fixture.attempts.push_back({_1, _2}))
+      .LR_RETURN(fixture.attempts.size());
+  // Nine run; the lane answers two a second, and five wait.
+  std::vector<std::shared_ptr<Seen>> seen;
+  for (int count = 0; count < 11; ++count) seen.push_back(fixture.say("/pay", {}));
+  fixture.whole(0);
+  fixture.whole(1);
+  for (int count = 0; count < 5; ++count) seen.push_back(fixture.say("/pay", {}));
+  fixture.wait(std::chrono::milliseconds(150));
+  CHECK(fixture.router.counts().refusals.empty());
+  fixture.wait(std::chrono::milliseconds(90));
+  CHECK(fixture.router.counts().refusals.at("busy") >= 3);
+  CHECK(fixture.router.counts().refusals.at("busy") < 5);
+}
+
+TEST_CASE("a runner that goes dark under streams is left: they go on elsewhere, and it gets nothing new meanwhile") {
+  SpeakingFixture fixture;
+  fixture.put("circle/model", R"({"members":["one","two"],"warm":["one","two"]})");
+  fixture.put(
+      "lane/stream",
+      R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":2,"aim":250,"gap":200,"whole":5000})");
+  fixture.put("lane/once",
+              R"({"path":"/once","kind":"model","streaming":true,"attempts":1,"aim":250,"gap":200,"whole":5000})");
+  ALLOW_CALL(fixture.exchange, start(_, _))
+      .LR_SIDE_EFFECT(fixture.attempts.push_back({_1, _2}))
+      .LR_RETURN(fixture.attempts.size());
+  auto first = fixture.say("/stream", {});
+  const std::string dark = fixture.told(0, "Runner");
+  fixture.attempts[0].watcher->on_head(200, {});
+  fixture.attempts[0].watcher->on_piece("id: 1\ndata: a\n\n");
+  // Silent for a while, as a stream may be.
+  fixture.wait(std::chrono::milliseconds(500));
+  CHECK(fixture.attempts.size() == 1);
+  REQUIRE_CALL(fixture.exchange, cancel(1)).TIMES(1);
+  fixture.wait(std::chrono::milliseconds(300));
+  REQUIRE(fixture.attempts.size() == 2);
+  CHECK((fixture.told(1, "Runner") != dark && fixture.told(1, "After") == "1"));
+  fixture.attempts[1].watcher->on_head(200, {});
+  fixture.attempts[1].watcher->on_piece("id: 2\ndata: b\n\n");
+  fixture.attempts[1].watcher->on_end(AttemptEnd::whole);
+  CHECK((first->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" && first->ended));
+  for (std::size_t count = 2; count < 5; ++count) {
+    fixture.say("/once", {});
+    CHECK(fixture.told(count, "Runner") != dark);
+  }
+}
+
+TEST_CASE("work that may not be repeated stays with a silent runner; a runner that answers others is not silent") {
+  SpeakingFixture fixture;
+  fixture.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  fixture.put("lane/once",
+              R"({"path":"/once","kind":"model","streaming":true,"attempts":2,"aim":250,"gap":200,"whole":5000})");
+  fixture.put(
+      "lane/stream",
+      R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":2,"aim":250,"gap":200,"whole":5000})");
+  EXPECT_ATTEMPTS(fixture, 2);
+  auto once = fixture.say("/once", {});
+  auto waits = fixture.say("/stream", {});
+  fixture.attempts[0].watcher->on_head(200, {});
+  for (int count = 1; count < 6; ++count) {
+    fixture.attempts[0].watcher->on_piece("id: " + std::to_string(count) + "\ndata: a\n\n");
+    fixture.wait(std::chrono::milliseconds(400));
+  }
+  CHECK((once->text.size() > 50 && waits->status == 0));
+  fixture.attempts[1].watcher->on_head(200, {});
+  fixture.attempts[1].watcher->on_end(AttemptEnd::whole);
+  fixture.wait(std::chrono::milliseconds(2000));
+  CHECK_FALSE(once->broken);
+  fixture.attempts[0].watcher->on_end(AttemptEnd::whole);
+  CHECK(once->ended);
+}
+
+TEST_CASE("a very long prompt goes to members that read such ones, others to the rest, while these have room") {
+  SpeakingFixture fixture;
+  fixture.put("kind/model", R"({"engine":{"memory_tokens":8000000}})");
+  std::string members;
+  for (int index = 0; index < 7; ++index) {
+    const std::string name = "m" + std::to_string(index);
+    fixture.put("runner/" + name, R"({"kind":"model","address":"10.0.3.)" + std::to_string(index) + R"(:80","zone":")" +
+                                      (index % 2 == 0 ? "north" : "south") + R"(","slots":40})");
+    members += (members.empty() ? "\"" : ",\"") + name + "\"";
+  }
+  fixture.put("circle/model", "{\"members\":[" + members + "],\"warm\":[" + members + "]}");
+  ALLOW_CALL(fixture.exchange, start(_, _))
+      .LR_SIDE_EFFECT(fixture.attempts.push_back({_1, _2}))
+      .LR_RETURN(fixture.attempts.size());
+  std::set<std::string> large, small;
+  std::size_t count = 0;
+  for (int round = 0; round < 20; ++round) {
+    for (int each = 0; each < 8; ++each, ++count) {
+      fixture.say("/pay", {{"Prefix", "p" + std::to_string(each)}});
+      if (round > 0) small.insert(fixture.told(count, "Runner"));
+    }
+    fixture.say("/pay", {{"Prefix", "p"}, {"Long", "300000"}});
+    large.insert(fixture.told(count++, "Runner"));
+    if (round % 4 == 3)
+      for (std::size_t done = count - 36; done < count; ++done) fixture.whole(done);
+  }
+  CHECK(large.size() == 3);
+  CHECK(small.size() == 4);
+  for (const auto& name : large) CHECK_FALSE(small.contains(name));
+}
+
+TEST_CASE("a daemon that knows of no lane at all denies none") {
+  SpeakingFixture fixture;
+  const ConfigurationView whole = fixture.view;
+  fixture.shared_state.configuration.set(ConfigurationView{});
+  auto seen = fixture.say("/pay", {});
+  fixture.wait(std::chrono::milliseconds(200));
+  CHECK(seen->status == 0);
+  EXPECT_ATTEMPTS(fixture, 1);
+  fixture.shared_state.configuration.set(whole);
+  fixture.wait(std::chrono::milliseconds(40));
+  CHECK(fixture.attempts.size() == 1);
+}
--- a/tests/events_test.cpp
+++ b/tests/events_test.cpp
@@ -6,7 +6,8 @@
 using namespace mothwalk;
 
 TEST_CASE("events are passed whole and unchanged, however their bytes come") {
-  const Bytes text = "id: 1\ndata: a\n\n: a comment\n\nid:2\r\ndata: b\r\ndata: c\r\n\r\nweights: 3\nid: 3\ndata: d\n\n";
+  const Bytes text =
+      "id: 1\ndata: a\n\n: a comment\n\nid:2\r\ndata: b\r\ndata: c\r\n\r\nweights: 3\nid: 3\ndata: d\n\n";
   for (std::size_t step = 1; step <= text.size(); ++step) {
     EventReader reader;
     reader.begin(std::nullopt);
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -28,7 +28,7 @@
   void on_end(AttemptEnd given) override { end = given; }
 };
 
-struct Stage {
+struct Fixture {
   boost::asio::io_context context;
   tcp::acceptor acceptor{context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
   BeastExchange exchange{context};
@@ -70,7 +70,8 @@
   std::string received(tcp::socket& socket) {
     std::string text;
     bool done = false;
-    boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\nbody", [&](const boost::system::error_code& error, std::size_t) { done = !error; });
+    boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\nbody",
+                                  [&](const boost::system::error_code& error, std::size_t) { done = !error; });
     run([&] { return done; });
     return text;
   }
@@ -90,108 +91,112 @@
 }  // namespace
 
 TEST_CASE("a kept connection carries the next request to the same runner, and no other's") {
-  Stage stage;
-  tcp::socket& socket = stage.once();
-  auto outcome = stage.start(stage.request());
-  const std::string text = stage.received(socket);
+  Fixture fixture;
+  tcp::socket& socket = fixture.once();
+  auto outcome = fixture.start(fixture.request());
+  const std::string text = fixture.received(socket);
   CHECK(text.find("Host: callers.example\r\n") != std::string::npos);
-  stage.say(socket, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
-  stage.run([&] { return outcome->end.has_value(); });
+  fixture.say(socket, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
+  fixture.run([&] { return outcome->end.has_value(); });
   CHECK((outcome->status == 404 && outcome->end == AttemptEnd::whole));
-  CHECK((stage.exchange.counts().opened == 1 && stage.exchange.counts().reused == 1));
-  auto other = stage.start(stage.request(false, "two"));
-  stage.received(stage.accepted());
-  CHECK(stage.exchange.counts().opened == 2);
+  CHECK((fixture.exchange.counts().opened == 1 && fixture.exchange.counts().reused == 1));
+  auto other = fixture.start(fixture.request(false, "two"));
+  fixture.received(fixture.accepted());
+  CHECK(fixture.exchange.counts().opened == 2);
 }
 
 TEST_CASE("a connection that its runner closed while idle carries nothing more, known or not known yet") {
   for (const bool seen : {true, false}) {
-    Stage stage;
-    stage.once().close();
-    if (seen) stage.settle();
-    auto outcome = stage.start(stage.request());
-    tcp::socket& fresh = stage.accepted();
-    stage.received(fresh);
-    stage.say(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    stage.run([&] { return outcome->end.has_value(); });
+    Fixture fixture;
+    fixture.once().close();
+    if (seen) fixture.settle();
+    auto outcome = fixture.start(fixture.request());
+    tcp::socket& fresh = fixture.accepted();
+    fixture.received(fresh);
+    fixture.say(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    fixture.run([&] { return outcome->end.has_value(); });
     CHECK(outcome->end == AttemptEnd::whole);
   }
 }
 
 TEST_CASE("a runner that ends a kept connection under a request: repeatable work goes again, other work may have run") {
   for (const bool repeatable : {true, false}) {
-    Stage stage;
-    tcp::socket& socket = stage.once();
-    auto outcome = stage.start(stage.request(repeatable));
-    stage.received(socket);
+    Fixture fixture;
+    tcp::socket& socket = fixture.once();
+    auto outcome = fixture.start(fixture.request(repeatable));
+    fixture.received(socket);
     socket.close();
     if (repeatable) {
-      tcp::socket& fresh = stage.accepted();
-      stage.received(fresh);
-      stage.say(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      tcp::socket& fresh = fixture.accepted();
+      fixture.received(fresh);
+      fixture.say(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     }
-    stage.run([&] { return outcome->end.has_value(); });
+    fixture.run([&] { return outcome->end.has_value(); });
     CHECK(outcome->end == (repeatable ? AttemptEnd::whole : AttemptEnd::broken));
-    CHECK(stage.exchange.counts().opened == (repeatable ? 2 : 1));
+    CHECK(fixture.exchange.counts().opened == (repeatable ? 2 : 1));
   }
 }
 
 TEST_CASE("bytes after a whole answer, at once or late, are given to no later request") {
   const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
   for (const bool late : {true, false}) {
-    Stage stage;
-    auto first = stage.start(stage.request());
-    tcp::socket& socket = stage.accepted();
-    stage.received(socket);
-    stage.say(socket, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok" + (late ? std::string() : extra));
-    stage.run([&] { return first->end.has_value(); });
+    Fixture fixture;
+    auto first = fixture.start(fixture.request());
+    tcp::socket& socket = fixture.accepted();
+    fixture.received(socket);
+    fixture.say(socket, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok" +
+                            (late ? std::string() : extra));
+    fixture.run([&] { return first->end.has_value(); });
     CHECK(first->text == "ok");
     // Not even noticed by the loop yet: the look at the connection before it is used finds them.
-    if (late) stage.say(socket, extra);
-    auto second = stage.start(stage.request());
-    tcp::socket& fresh = stage.accepted();
-    stage.received(fresh);
-    stage.say(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
-    stage.run([&] { return second->end.has_value(); });
+    if (late) fixture.say(socket, extra);
+    auto second = fixture.start(fixture.request());
+    tcp::socket& fresh = fixture.accepted();
+    fixture.received(fresh);
+    fixture.say(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+    fixture.run([&] { return second->end.has_value(); });
     CHECK(second->text == "own");
-    CHECK(stage.exchange.counts().opened == 2);
+    CHECK(fixture.exchange.counts().opened == 2);
   }
 }
 
 TEST_CASE("a connection whose runner says that it closes, or keeps idle ones for no time, is not kept") {
-  for (const char* head : {"HTTP/1.1 200 OK\r\nConnection: close\r\n", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"}) {
-    Stage stage;
-    stage.next_head = head;
-    stage.once();
-    auto outcome = stage.start(stage.request());
-    stage.received(stage.accepted());
-    CHECK((stage.exchange.counts().opened == 2 && stage.exchange.counts().reused == 0));
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\nConnection: close\r\n", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"}) {
+    Fixture fixture;
+    fixture.next_head = head;
+    fixture.once();
+    auto outcome = fixture.start(fixture.request());
+    fixture.received(fixture.accepted());
+    CHECK((fixture.exchange.counts().opened == 2 && fixture.exchange.counts().reused == 0));
   }
 }
 
 TEST_CASE("an answer that is no HTTP, or whose end can't be told, is broken; a reset before or after the head too") {
-  for (const std::string text : {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nto the end", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", ""}) {
-    Stage stage;
-    auto outcome = stage.start(stage.request());
-    tcp::socket& socket = stage.accepted();
-    stage.received(socket);
-    stage.say(socket, text);
-    stage.settle();
+  for (const std::string text :
+       {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nto the end", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", ""}) {
+    Fixture fixture;
+    auto outcome = fixture.start(fixture.request());
+    tcp::socket& socket = fixture.accepted();
+    fixture.received(socket);
+    fixture.say(socket, text);
+    fixture.settle();
     socket.set_option(boost::asio::socket_base::linger(true, 0));
     socket.close();
-    stage.run([&] { return outcome->end.has_value(); });
+    fixture.run([&] { return outcome->end.has_value(); });
     CHECK(outcome->end == AttemptEnd::broken);
   }
 }
 
 TEST_CASE("a runner that nobody can reach got no byte; one that gives nothing is late") {
-  Stage stage;
-  const AttemptRequest request = stage.request();
-  stage.acceptor.close();
-  auto refused = stage.start(request);
-  stage.run([&] { return refused->end.has_value(); });
+  Fixture fixture;
+  const AttemptRequest request = fixture.request();
+  fixture.acceptor.close();
+  auto refused = fixture.start(request);
+  fixture.run([&] { return refused->end.has_value(); });
   CHECK(refused->end == AttemptEnd::not_sent);
-  Stage silent;
+  Fixture silent;
   AttemptRequest brief = silent.request();
   brief.first_piece = std::chrono::milliseconds(30);
   auto late = silent.start(brief);
@@ -201,33 +206,35 @@
 }
 
 TEST_CASE("what came in one read is given as one piece, then a pause; a cancelled attempt hears nothing more") {
-  Stage stage;
+  Fixture fixture;
   Exchange::Id id = 0;
-  auto outcome = stage.start(stage.request(), &id);
-  tcp::socket& socket = stage.accepted();
-  stage.received(socket);
-  stage.say(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n4\r\nmore\r\n");
-  stage.run([&] { return outcome->pauses > 0; });
+  auto outcome = fixture.start(fixture.request(), &id);
+  tcp::socket& socket = fixture.accepted();
+  fixture.received(socket);
+  fixture.say(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n4\r\nmore\r\n");
+  fixture.run([&] { return outcome->pauses > 0; });
   CHECK((outcome->text == "fourmore" && outcome->pieces == 1));
-  stage.exchange.cancel(id);
-  stage.say(socket, "0\r\n\r\n");
-  stage.settle();
+  fixture.exchange.cancel(id);
+  fixture.say(socket, "0\r\n\r\n");
+  fixture.settle();
   CHECK_FALSE(outcome->end.has_value());
 }
 
 TEST_CASE("a held attempt is not read until it is let go") {
-  Stage stage;
+  Fixture fixture;
   Exchange::Id id = 0;
-  auto outcome = stage.start(stage.request(), &id);
-  outcome->headed = [&] { stage.exchange.hold(id, true); };
-  tcp::socket& socket = stage.accepted();
-  stage.received(socket);
-  stage.say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
-  stage.run([&] { return outcome->status != 0; });
-  stage.say(socket, "eight by");
-  stage.settle();
+  auto outcome = fixture.start(fixture.request(), &id);
+  outcome->headed = [&] {
+    fixture.exchange.hold(id, true);
+  };
+  tcp::socket& socket = fixture.accepted();
+  fixture.received(socket);
+  fixture.say(socket, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+  fixture.run([&] { return outcome->status != 0; });
+  fixture.say(socket, "eight by");
+  fixture.settle();
   CHECK(outcome->text.empty());
-  stage.exchange.hold(id, false);
-  stage.run([&] { return outcome->end.has_value(); });
+  fixture.exchange.hold(id, false);
+  fixture.run([&] { return outcome->end.has_value(); });
   CHECK((outcome->text == "eight by" && outcome->end == AttemptEnd::whole));
 }
--- a/tests/founding_test.cpp
+++ b/tests/founding_test.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "simulate/town.hpp"
+#include "simulate/cluster.hpp"
 
 using namespace mothwalk;
 using namespace mothwalk::simulate;
@@ -21,25 +21,30 @@
 struct Seed {
   Catcher wire;
   World world{1};
-  SimulatedSchedule schedule{world, std::make_shared<Life>()};
-  Board board;
-  Post post{wire, schedule, Address("10.0.0.9:1"), 1, "founding"};
+  SimulatedTimers timers{world, std::make_shared<Life>()};
+  SharedState shared_state;
+  Messenger messenger{wire, timers, Address("10.0.0.9:1"), 1, "founding"};
   Founding founding;
-  explicit Seed(bool first_start) : founding(post, board, first_start) {}
-  template <class Message> typename Message::Reply say(const std::string& from, const Message& message) {
-    post.take(Envelope{Address(from), 1, "founding", "kept", std::string(Message::kind), 5, false, to_cbor(message), protocol_number});
+  explicit Seed(bool first_start) : founding(messenger, shared_state, first_start) {}
+  template <class Message>
+  typename Message::Reply say(const std::string& from, const Message& message) {
+    messenger.take(Envelope{Address(from), 1, "founding", "store", std::string(Message::kind), 5, false,
+                            to_cbor(message), protocol_number});
     return *from_cbor<typename Message::Reply>(wire.last.body);
   }
 };
 
-Seat seat(const std::string& holder, const std::string& address) { return Seat{HolderId(holder), Address(address), ZoneId("h")}; }
+Seat seat(const std::string& holder, const std::string& address) {
+  return Seat{HolderId(holder), Address(address), ZoneId("h")};
+}
 
 // Every distinct roster of version 1 that any machine's news or folder has shown.
-std::set<std::vector<Seat>> founded(Town& town) {
+std::set<std::vector<Seat>> founded(SimulatedCluster& cluster) {
   std::set<std::vector<Seat>> rosters;
-  for (auto& machine : town.machines)
+  for (auto& machine : cluster.machines)
     if (machine->alive())
-      if (const Roster& roster = machine->board().policy.get()->roster; roster.version == Version{1}) rosters.insert(roster.seats);
+      if (const Roster& roster = machine->shared_state().configuration.get()->roster; roster.version == Version{1})
+        rosters.insert(roster.seats);
   return rosters;
 }
 }  // namespace
@@ -63,9 +68,9 @@
 
 TEST_CASE("a seed that knows of a roster gives its word to no other") {
   Seed seed(true);
-  PolicyView view;
+  ConfigurationView view;
   view.roster = Roster{Version{1}, {seat("a", "10.0.0.1:1")}};
-  seed.board.policy.set(view);
+  seed.shared_state.configuration.set(view);
   CHECK(seed.say("10.0.0.2:1", ReportCandidate{seat("b", "10.0.0.2:1")}).known);
   CHECK_FALSE(seed.say("10.0.0.2:1", AskWord{Roster{Version{1}, {seat("b", "10.0.0.2:1")}}}).given);
 }
@@ -73,20 +78,22 @@
 TEST_CASE("the fleet is founded once, whichever daemons the seeds are, with holders of lots apart") {
   for (std::uint64_t number = 1; number <= 12; ++number) {
     World world(number);
-    Town town(world, shape_named("platform", 1.0));
-    town.start();
+    SimulatedCluster cluster(world, shape_named("platform", 1.0));
+    cluster.start();
     world.run_until(Moment{} + seconds(3));
-    CHECK(founded(town).size() == 1);
+    CHECK(founded(cluster).size() == 1);
     world.run_until(Moment{} + seconds(7));
-    const auto policy = town.any_alive().board().policy.get();
-    CHECK(policy->roster.seats.size() == 4);
-    CHECK(policy->lot_roster.seats.size() == 4);
+    const auto configuration = cluster.any_alive().shared_state().configuration.get();
+    CHECK(configuration->roster.seats.size() == 4);
+    CHECK(configuration->lot_roster.seats.size() == 4);
     int taken = 0;
     for (int lot = 0; lot < 20; ++lot)
-      town.control(town.any_alive(), "PUT", "/lots/lot-" + std::to_string(lot), R"({"lane":"lines","items":["x"]})", [&](int status, const std::string&) { taken += status == 200; }, true);
+      cluster.control(
+          cluster.any_alive(), "PUT", "/lots/lot-" + std::to_string(lot), R"({"lane":"lines","items":["x"]})",
+          [&](int status, const std::string&) { taken += status == 200; }, true);
     world.run_until(world.now() + seconds(2));
     CHECK(taken == 20);
-    for (Machine* holder : town.holders()) {
+    for (Machine* holder : cluster.holders()) {
       CHECK((holder->disk().read_all().index() == 0));
       CHECK((std::get<Bytes>(holder->disk().read_all()).find("lot/lot-") != Bytes::npos) == !holder->serves());
     }
@@ -96,66 +103,70 @@
 TEST_CASE("a proposer that dies at any moment of the founding never leaves two rosters") {
   for (std::uint64_t number = 0; number < 40; ++number) {
     World world(100 + number);
-    Town town(world, shape_named("platform", 1.0));
-    town.start();
+    SimulatedCluster cluster(world, shape_named("platform", 1.0));
+    cluster.start();
     // The lowest candidate dies as a message of the founding passes it, and comes back with its folder or empty.
     world.armed_kind = number % 2 == 0 ? "take kept reply" : "send founding.word";
     world.armed = number % 2 == 0 ? 40 + number * 3 : 1 + number / 2 % 3;
     bool struck = false, seed = false;
     world.strike = [&](const std::string& place) {
-      for (auto& machine : town.machines)
+      for (auto& machine : cluster.machines)
         if (machine->name == place && machine->alive()) {
           struck = true;
-          seed = std::find(town.seeds.begin(), town.seeds.end(), machine->address) != town.seeds.end();
+          seed = std::find(cluster.seeds.begin(), cluster.seeds.end(), machine->address) != cluster.seeds.end();
           machine->kill(number % 4 < 2);
-          world.after(milliseconds(300), [machine = machine.get()] { if (!machine->alive()) machine->start(); });
+          world.after(milliseconds(300), [machine = machine.get()] {
+            if (!machine->alive()) machine->start();
+          });
         }
     };
     std::set<std::vector<Seat>> seen;
     for (int step = 0; step < 100; ++step) {
       world.run_until(world.now() + milliseconds(100));
-      for (const auto& roster : founded(town)) seen.insert(roster);
+      for (const auto& roster : founded(cluster)) seen.insert(roster);
     }
     // A seed that was started again gives no word: then there may be no roster, but never two.
     CHECK(seen.size() <= 1);
     if (!seed) CHECK(seen.size() == 1);
-    if (!seed) CHECK(town.ready());
+    if (!seed) CHECK(cluster.ready());
     if (number % 2 == 1) CHECK(struck);
   }
 }
 
 TEST_CASE("an empty folder in a later start only joins") {
   World world(31);
-  Town town(world, shape_named("platform", 1.0));
-  town.start();
-  for (auto& machine : town.machines) machine->kill(true);
-  for (auto& machine : town.machines) machine->start();
+  SimulatedCluster cluster(world, shape_named("platform", 1.0));
+  cluster.start();
+  for (auto& machine : cluster.machines) machine->kill(true);
+  for (auto& machine : cluster.machines) machine->start();
   world.run_until(Moment{} + seconds(10));
-  CHECK_FALSE(town.ready());
-  for (auto& machine : town.machines) CHECK(machine->board().policy.get()->roster.seats.empty());
+  CHECK_FALSE(cluster.ready());
+  for (auto& machine : cluster.machines) CHECK(machine->shared_state().configuration.get()->roster.seats.empty());
 }
 
 TEST_CASE("a wiped holder is seated again and its old seat is gone well before the next loss may strike") {
   for (const bool lots : {false, true})
     for (std::uint64_t number = 1; number <= 6; ++number) {
       World world(200 + number);
-      Town town(world, shape_named("platform", 1.0));
-      town.start();
+      SimulatedCluster cluster(world, shape_named("platform", 1.0));
+      cluster.start();
       world.run_until(Moment{} + seconds(8));
-      Machine& machine = *town.machines[(lots ? 9 : 0) + number % 4];
+      Machine& machine = *cluster.machines[(lots ? 9 : 0) + number % 4];
       auto seats = [&] {
-        const auto policy = town.machines[4]->board().policy.get();
-        return lots ? policy->lot_roster : policy->roster;
+        const auto configuration = cluster.machines[4]->shared_state().configuration.get();
+        return lots ? configuration->lot_roster : configuration->roster;
       };
       const HolderId before = machine.kept()->identity();
       REQUIRE(seats().seated(before));
       machine.kill(true);
       const bool elsewhere = number % 2 == 0;
       world.run_until(world.now() + seconds(2));
-      Machine& back = elsewhere ? town.add_machine("north", machine.keeps) : machine;
+      Machine& back = elsewhere ? cluster.add_machine("north", machine.keeps) : machine;
       back.start();
       const Moment returned = world.now();
-      while ((seats().seated(before) || !seats().seated(back.kept()->identity())) && world.now() - returned < seconds(10)) world.run_until(world.now() + milliseconds(50));
+      while ((seats().seated(before) || !seats().seated(back.kept()->identity())) &&
+             world.now() - returned < seconds(10))
+        world.run_until(world.now() + milliseconds(50));
       CHECK(world.now() - returned < milliseconds(3500));
     }
 }
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -9,7 +9,7 @@
 
 #include "host/file_disk.hpp"
 #include "host/front.hpp"
-#include "kept/record_file.hpp"
+#include "replication/record_file.hpp"
 #include "simulate/world.hpp"
 
 using namespace mothwalk;
@@ -62,23 +62,29 @@
 TEST_CASE("a connection over the limit is told when to come back") {
   boost::asio::io_context context;
   simulate::World world{7};
-  simulate::SimulatedSchedule schedule{world, std::make_shared<simulate::Life>()};
+  simulate::SimulatedTimers timers{world, std::make_shared<simulate::Life>()};
   SilentWire wire;
-  Post post{wire, schedule, Address("10.0.0.1:1"), 1, "routes"};
-  Board board;
+  Messenger messenger{wire, timers, Address("10.0.0.1:1"), 1, "routes"};
+  SharedState shared_state;
   NoExchange exchange;
-  Entries entries{post, board, exchange, world.chance, Member{}};
-  Front front(context, entries, [](ControlRequest, ControlAnswer answer) { return answer(ControlReply{200, json::object{{"good", true}}, false}), true; }, 1);
+  Router entries{messenger, shared_state, exchange, world.random, Member{}};
+  Front front(
+      context, entries,
+      [](ControlRequest, ControlAnswer answer) {
+        return answer(ControlReply{200, json::object{{"good", true}}, false}), true;
+      },
+      1);
   boost::asio::ip::tcp::acceptor probe(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
   const auto endpoint = probe.local_endpoint();
   probe.close();
   REQUIRE(fault_of(front.listen(Address("127.0.0.1:" + std::to_string(endpoint.port())), false)) == nullptr);
   auto ask = [&](boost::asio::ip::tcp::socket& socket) {
     socket.connect(endpoint);
-    boost::asio::write(socket, boost::asio::buffer(std::string("GET /v1/soundness HTTP/1.1\r\nHost: here\r\n\r\n")));
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /v1/health HTTP/1.1\r\nHost: here\r\n\r\n")));
     std::string text(4096, '\0');
     std::size_t length = 0;
-    socket.async_read_some(boost::asio::buffer(text), [&](const boost::system::error_code&, std::size_t count) { length = count; });
+    socket.async_read_some(boost::asio::buffer(text),
+                           [&](const boost::system::error_code&, std::size_t count) { length = count; });
     while (length == 0) context.run_one();
     return text.substr(0, length);
   };
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -22,25 +22,64 @@
 }  // namespace
 
 TEST_CASE("a sound history breaks nothing") {
-  CHECK(judge(lines({run, whole, R"({"what":"request","id":"a","load":"l","repeatable":false,"status":200,"outcome":"answer","fault":"","run":"r1"})"})).broken.empty());
-  CHECK(judge(lines({run, run_again, whole, R"({"what":"request","id":"a","load":"l","repeatable":true,"status":200,"outcome":"answer","fault":"","run":"r1"})"})).broken.empty());
+  CHECK(
+      judge(
+          lines(
+              {run, whole,
+               R"({"what":"request","id":"a","load":"l","repeatable":false,"status":200,"outcome":"answer","fault":"","run":"r1"})"}))
+          .broken.empty());
+  CHECK(
+      judge(
+          lines(
+              {run, run_again, whole,
+               R"({"what":"request","id":"a","load":"l","repeatable":true,"status":200,"outcome":"answer","fault":"","run":"r1"})"}))
+          .broken.empty());
 }
 
 TEST_CASE("each broken rule is named") {
-  CHECK(names(judge(lines({run, run_again, R"({"what":"request","id":"a","load":"l","repeatable":false,"outcome":"unknown","fault":"","run":""})"})), "unrepeatable request run twice"));
-  CHECK(names(judge(lines({run, R"({"what":"request","id":"a","load":"l","repeatable":true,"status":503,"retry_after":"1","outcome":"refused","fault":"","run":""})"})), "refusal of work that runs"));
-  CHECK(names(judge(lines({run, R"({"what":"request","id":"a","load":"l","repeatable":true,"status":200,"outcome":"answer","fault":"","run":"r1"})"})), "false success"));
-  CHECK(names(judge(lines({run, whole, R"({"what":"request","id":"a","load":"l","repeatable":true,"status":200,"outcome":"answer","fault":"spliced runs","run":"r1"})"})), "wrong answer"));
-  CHECK(names(judge(lines({R"({"what":"request","id":"a","load":"l","repeatable":true,"status":503,"retry_after":"","outcome":"refused","fault":"","run":""})"})), "refusal without Retry-After"));
+  CHECK(names(
+      judge(lines(
+          {run, run_again,
+           R"({"what":"request","id":"a","load":"l","repeatable":false,"outcome":"unknown","fault":"","run":""})"})),
+      "unrepeatable request run twice"));
+  CHECK(names(
+      judge(lines(
+          {run,
+           R"({"what":"request","id":"a","load":"l","repeatable":true,"status":503,"retry_after":"1","outcome":"refused","fault":"","run":""})"})),
+      "refusal of work that runs"));
+  CHECK(names(
+      judge(lines(
+          {run,
+           R"({"what":"request","id":"a","load":"l","repeatable":true,"status":200,"outcome":"answer","fault":"","run":"r1"})"})),
+      "false success"));
+  CHECK(names(
+      judge(lines(
+          {run, whole,
+           R"({"what":"request","id":"a","load":"l","repeatable":true,"status":200,"outcome":"answer","fault":"spliced runs","run":"r1"})"})),
+      "wrong answer"));
+  CHECK(names(
+      judge(lines(
+          {R"({"what":"request","id":"a","load":"l","repeatable":true,"status":503,"retry_after":"","outcome":"refused","fault":"","run":""})"})),
+      "refusal without Retry-After"));
   CHECK(names(judge(lines({R"({"what":"lot_vanished","id":"x"})"})), "lot vanished"));
   CHECK(names(judge(lines({R"({"what":"result_moved","id":"x"})"})), "listed result moved"));
   CHECK(names(judge(lines({R"({"what":"lot_unfinished","id":"x","results":1,"items":2})"})), "lot never finished"));
-  CHECK(names(judge(lines({run, R"({"what":"result","id":"a","lot":"x","repeatable":false,"outcome":"cancelled","fault":"","run":""})"})), "refusal of work that runs"));
+  CHECK(names(
+      judge(lines(
+          {run,
+           R"({"what":"result","id":"a","lot":"x","repeatable":false,"outcome":"cancelled","fault":"","run":""})"})),
+      "refusal of work that runs"));
   const char* late = R"({"what":"run","id":"x/1","run":"r9","runner":"m","at":4000})";
-  CHECK(names(judge(lines({late, R"({"what":"cancelled","id":"x","at":900})"})), "item of a cancelled lot started late"));
+  CHECK(
+      names(judge(lines({late, R"({"what":"cancelled","id":"x","at":900})"})), "item of a cancelled lot started late"));
   CHECK_FALSE(names(judge(lines({late, R"({"what":"cancelled","id":"x","at":1100})"})), "item of a cancelled lot"));
-  CHECK(names(judge(lines({late, R"({"what":"leaving","runners":["m"],"acknowledged":900,"until":9000})"})), "work to a leaving runner"));
-  CHECK_FALSE(names(judge(lines({late, R"({"what":"leaving","runners":["other"],"acknowledged":900,"until":9000})"})), "work to a leaving runner"));
-  CHECK(names(judge(lines({R"({"what":"run","id":"x/1","run":"r9","runner":"m","at":6000})", R"({"what":"evacuated","runners":["m"],"acknowledged":900,"until":9000})"})), "work to an evacuated hall"));
-  CHECK(names(judge(lines({R"({"what":"observed","name":"service back","took":13000,"limit":12000})"})), "service back"));
+  CHECK(names(judge(lines({late, R"({"what":"leaving","runners":["m"],"acknowledged":900,"until":9000})"})),
+              "work to a leaving runner"));
+  CHECK_FALSE(names(judge(lines({late, R"({"what":"leaving","runners":["other"],"acknowledged":900,"until":9000})"})),
+                    "work to a leaving runner"));
+  CHECK(names(judge(lines({R"({"what":"run","id":"x/1","run":"r9","runner":"m","at":6000})",
+                           R"({"what":"evacuated","runners":["m"],"acknowledged":900,"until":9000})"})),
+              "work to an evacuated zone"));
+  CHECK(
+      names(judge(lines({R"({"what":"observed","name":"service back","took":13000,"limit":12000})"})), "service back"));
 }
