The replicated store in modules: replica, hand-over, writes, reads, roster changes, repair

Change: each duty of the store is a file of its own; handlers are member functions; what the parts share stands in store_internals.hpp; the client of a key's owner in store_client. Disk entries name only the fields that they have. Behaviour unchanged.

--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "coding/json.hpp"
 #include "lots/lot_calls.hpp"
-#include "replication/replicated_store.hpp"
+#include "replication/store_client.hpp"
 
 namespace mothwalk {
 
--- a/source/control/fleet_calls.hpp
+++ b/source/control/fleet_calls.hpp
@@ -2,7 +2,7 @@
 // revisions, evacuation of zones, and the retirement of machines that hold lots.
 #pragma once
 #include "coding/json.hpp"
-#include "replication/replicated_store.hpp"
+#include "replication/store_client.hpp"
 
 namespace mothwalk {
 
--- a/source/lots/lot_calls.hpp
+++ b/source/lots/lot_calls.hpp
@@ -7,7 +7,7 @@
 //   word busy, lost, ...              not now; for reads, refused and unknown mean no more than that either
 #pragma once
 #include "lots/messages.hpp"
-#include "replication/replicated_store.hpp"
+#include "replication/store_client.hpp"
 
 namespace mothwalk {
 
--- a/source/replication/record_file.hpp
+++ b/source/replication/record_file.hpp
@@ -7,14 +7,14 @@
 
 struct DiskEntry {
   std::string what;  // identity, roster, promise, change, install, copies, handover
-  HolderId holder;
-  Roster roster;
+  HolderId holder{};
+  Roster roster{};
   std::uint32_t slot = 0;
-  Epoch epoch;
-  Change change;
-  std::vector<Record> records;
-  Address address;                   // of the holder, with its identity
-  std::vector<RecordStamp> content;  // of a hand-over
+  Epoch epoch{};
+  Change change{};
+  std::vector<Record> records{};
+  Address address{};                   // of the holder, with its identity
+  std::vector<RecordStamp> content{};  // of a hand-over
   MOTHWALK_FIELDS(what, holder, roster, slot, epoch, change, records, address, content)
 };
 
--- /dev/null
+++ b/source/replication/store_client.cpp
@@ -0,0 +1,15 @@
+// Writing and reading of keys at their owner.
+#include "replication/store_client.hpp"
+
+namespace mothwalk {
+
+void StoreClient::write(Write write, Span timeout, Answer<WriteReply> answer) {
+  const std::string key = write.key;
+  ask_owner<Write>(key, std::move(write), messenger_.timers().now() + timeout, false, std::move(answer));
+}
+
+void StoreClient::read(const std::string& key, Span timeout, Answer<ReadReply> answer) {
+  ask_owner<Read>(key, Read{key}, messenger_.timers().now() + timeout, false, std::move(answer));
+}
+
+}  // namespace mothwalk
--- a/source/scale/loopback.cpp
+++ b/source/scale/loopback.cpp
@@ -18,7 +18,7 @@
 
 #include "host/tcp_wire.hpp"
 #include "news/news.hpp"
-#include "replication/replicated_store.hpp"
+#include "replication/store_client.hpp"
 #include "routes/router.hpp"
 #include "sessions/sessions.hpp"
 
