--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -58,6 +58,11 @@
     SlotLots lots;
   };
   struct Finishing;
+  struct Fetching;
+  struct Demand {  // of the circles and of the placers
+    std::map<std::string, LotDemand> kinds;
+    PendingItems pending;
+  };
 
   void tick();
   void follow_ownership();
@@ -65,6 +70,7 @@
   void load(std::uint32_t slot, Epoch epoch);
   void adopt(std::uint32_t slot);
   void adopted(std::uint32_t slot, const Address& placer, const SlotItems& held);
+  static void replay(Lot& lot, LotEntry entry, Moment now);
   Lot rebuild(const Record& record, Epoch epoch) const;
   Lot* find(const std::string& id, bool* ready);
   Lot* find_under(const std::string& id, Epoch epoch);
@@ -76,16 +82,32 @@
   bool leased(const Slot& slot) const;
   void when_owner(const std::string& id, bool within_lease, std::function<void(bool, Lot*)> then);
   void submit(SubmitLot submit, Answer<LotStatus> answer);
+  std::optional<Fault> not_accepted(const LotHead& head, const ConfigurationView& configuration) const;
+  void submitted(const std::string& id, const Bytes& head, const std::string& content, Epoch epoch,
+                 const Result<WriteReply>& result, const Answer<LotStatus>& answer);
   void cancel(const std::string& id, Answer<LotStatus> answer);
   void read(ReadLot read, Answer<LotPage> answer);
   LotPage page(const Lot& lot, const ReadLot& read) const;
+  void wait_for_result(Lot& lot, const ReadLot& read, const Answer<LotPage>& answer);
+  void end_wait(const std::string& id, std::uint64_t number);
   void answer_waiters(Lot& lot);
   void body(ReadItem read, Answer<ItemBody> answer);
   void fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer, bool again);
+  // The lots that the items of a fetch come from, in their order; what waits in all of them is counted in the reply.
+  std::vector<Lot*> lots_to_start(const std::string& runner_kind, std::uint32_t wanted, ItemsReply& reply);
+  void start_items(Lot& lot, const std::shared_ptr<Fetching>& fetching);
+  LotEntry start_entry(const Lot& lot, std::uint32_t index) const;
+  PlacedItem placed_item(const Lot& lot, std::uint32_t index) const;
+  void hand_out_started(Lot& lot, const std::vector<LotEntry>& starts, bool durable, ItemsReply& reply);
   void finish(FinishItems finish, Answer<FinishReply> answer);
   // Whether the report is settled now; where not, either a result is being written or a majority has to be asked first.
   enum class Settled { now, writing, later, unsure };
   Settled take_report(FinishItem& finish, std::map<std::string, std::vector<LotEntry>>& results);
+  // The result that a report amounts to, or none where the item goes on or runs again.
+  std::optional<LotEntry> batch_result(Lot& lot, FinishItem& finish);
+  std::optional<LotEntry> plain_result(Lot& lot, FinishItem& finish);
+  bool may_run_again(const Lot& lot, const Item& item, bool stopped_by_us) const;
+  void learn_run_time(const Lot& lot, const Item& item);
   void give_results(Lot& lot, std::vector<LotEntry> entries, std::function<void(bool)> then);
   void give_up(Lot& lot, const std::string& outcome);
   // Whether the fetch comes from the newest placer of the runner that this owner has heard of.
@@ -97,9 +119,17 @@
   bool leads(const ConfigurationView& configuration, const Lot& lot, const std::string& kind) const;
   bool repeatable(const Lot& lot) const;
   void sweep(Lot& lot, Moment now);
+  void sweep_batch(Lot& lot, Moment now);
+  void free_lost_items(Lot& lot, Moment now);
+  std::vector<std::uint32_t> lost_items(Lot& lot, Moment now) const;
   void remove(Lot& lot);
   void ask_placers(Moment now);
   void announce();
+  void add_demand(const ConfigurationView& configuration, const Slot& slot, const Lot& lot, Moment now,
+                  Demand& demand) const;
+  // How many items of a batch have to run at once so that it is in time.
+  double runs_at_once(const Lot& lot, std::uint32_t pending, Moment now) const;
+  void tell_demand(const ConfigurationView& configuration, const Demand& demand);
   LotStatus status(const Lot& lot) const;
 
   Messenger& messenger_;
