Orders: identity of base, number and digest, remembered beside the document

Cause: the kept configuration remembered the 64-bit hashes of the last 32 changes, in the document that goes to every daemon. An order sent again after more than 32 others was refused (412) though it had been taken.

Now an order's identity (base, number, digest of call and content) is an entry of the configuration's record: committed with the change, on disk at every replica, never part of the news. At least the last 1024 are known (2048 at most); an order older than that is left unclear (504). A daemon reads the head alone while the order builds on the current revision, and the entries only to settle a resend.

--- a/source/configuration/resources.hpp
+++ b/source/configuration/resources.hpp
@@ -169,8 +169,7 @@
 struct FleetConfiguration {
   std::uint64_t revision = 0;
   Bytes document;
-  std::vector<std::uint64_t> taken;  // hashes of the last changes taken, newest last: one sent again is answered alike
-  MOTHWALK_FIELDS(revision, document, taken)
+  MOTHWALK_FIELDS(revision, document)
 };
 struct ConfigurationContent {
   std::map<std::string, Lane> lanes;
--- /dev/null
+++ b/source/control/configuration_orders.cpp
@@ -0,0 +1,112 @@
+// Each step rests on a read that the owner of the record had confirmed by a majority; the write is conditional on the
+// version that was read.
+#include "control/configuration_orders.hpp"
+
+#include "coding/cbor.hpp"
+
+namespace mothwalk {
+
+namespace {
+Fault not_above(std::uint64_t number, std::uint64_t base) {
+  return Fault{
+      FaultKind::invalid, "revision",
+      "revision " + std::to_string(number) + " is not above the one that it builds on, " + std::to_string(base),
+      "give a higher one"};
+}
+
+Fault another_is_current(std::uint64_t current, std::uint64_t base) {
+  return Fault{FaultKind::conflict, "base",
+               "revision " + std::to_string(current) + " is current, not " + std::to_string(base),
+               "read the configuration again and build on that"};
+}
+
+Fault not_remembered() {
+  return Fault{FaultKind::unknown, "base", "the change is older than those that are remembered; it may have been taken",
+               "read the configuration again and build on that"};
+}
+}  // namespace
+
+Result<FleetConfiguration> configuration_of(const ReadReply& reply) {
+  if (!reply.found || reply.record.removed) return FleetConfiguration{};
+  auto read = from_cbor<FleetConfiguration>(reply.record.head);
+  if (!read)
+    return Fault{FaultKind::damaged, "configuration", "the kept configuration can't be read",
+                 "run the version of mothwalk that wrote it"};
+  return std::move(*read);
+}
+
+void ConfigurationOrders::take(ConfigurationChange change, Span limit, Answer<Version> answer) {
+  const OrderIdentity& identity = change.identity;
+  if (identity.number <= identity.base) return answer(not_above(identity.number, identity.base));
+  const Moment until = messenger_.timers().now() + limit;
+  read(std::make_shared<Order>(Order{std::move(change), until, std::move(answer)}), true);
+}
+
+void ConfigurationOrders::read(const OrderPointer& order, bool head_only) {
+  client_.read(
+      std::string(configuration_key), order->until - messenger_.timers().now(),
+      [this, order, head_only](Result<ReadReply> result) {
+        auto fault = fault_of(result);
+        if (fault == nullptr) return decide(order, std::get<ReadReply>(result), head_only);
+        order->answer(order->sent ? Fault{FaultKind::unknown, fault->field, fault->message, fault->remedy} : *fault);
+      },
+      head_only);
+}
+
+void ConfigurationOrders::decide(const OrderPointer& order, const ReadReply& reply, bool head_only) {
+  auto kept = configuration_of(reply);
+  if (auto fault = fault_of(kept)) return order->answer(*fault);
+  const FleetConfiguration& current = std::get<FleetConfiguration>(kept);
+  const OrderIdentity& identity = order->change.identity;
+  const bool on_its_base = current.revision == identity.base;
+  // Revisions rise: what is taken has a number that is not above the current one.
+  if (!on_its_base && identity.number > current.revision)
+    return order->answer(another_is_current(current.revision, identity.base));
+  const bool needs_history = !on_its_base || reply.entries >= OrderHistory::most_remembered;
+  if (head_only && needs_history) return read(order, false);
+  if (on_its_base) return build(order, reply, current);
+  decide_by_history(order, reply, current.revision);
+}
+
+void ConfigurationOrders::decide_by_history(const OrderPointer& order, const ReadReply& reply, std::uint64_t current) {
+  const OrderIdentity& identity = order->change.identity;
+  switch (OrderHistory(reply.record.entries, current).find(identity)) {
+    case OrderOutcome::taken:
+      return order->answer(Version{identity.number});
+    case OrderOutcome::not_taken:
+      return order->answer(another_is_current(current, identity.base));
+    case OrderOutcome::unknown:
+      return order->answer(not_remembered());
+  }
+}
+
+void ConfigurationOrders::build(const OrderPointer& order, const ReadReply& reply, const FleetConfiguration& current) {
+  auto made = order->change.make(current);
+  if (auto fault = fault_of(made)) return order->answer(*fault);
+  const OrderIdentity& identity = order->change.identity;
+  const bool exists = reply.found && !reply.record.removed;
+  Write change;
+  change.key = std::string(configuration_key);
+  change.head = to_cbor(FleetConfiguration{identity.number, std::move(std::get<Bytes>(made))});
+  change.expected = exists ? reply.record.stamp.version.value : 0;
+  change.token = identity.digest;
+  change.replaces_entries = reply.entries >= OrderHistory::most_remembered;
+  change.appends = change.replaces_entries ? OrderHistory::compacted(reply.record.entries, identity)
+                                           : std::vector<Bytes>{to_cbor(identity)};
+  write(order, std::move(change));
+}
+
+void ConfigurationOrders::write(const OrderPointer& order, Write change) {
+  client_.write(std::move(change), order->until - messenger_.timers().now(), [this, order](Result<WriteReply> written) {
+    auto fault = fault_of(written);
+    if (fault == nullptr) return order->answer(Version{order->change.identity.number});
+    const bool time_left = messenger_.timers().now() < order->until;
+    // Another change, or an earlier sending of this one, came between: the newest record tells which.
+    const bool settled_by_reading = fault->kind == FaultKind::stale || (fault->kind == FaultKind::unknown && time_left);
+    if (!settled_by_reading) return order->answer(*fault);
+    order->sent = true;
+    read(order, true);
+  });
+}
+
+}  // namespace mothwalk
--- a/source/control/fleet_calls.cpp
+++ b/source/control/fleet_calls.cpp
@@ -1,4 +1,4 @@
-// Each change reads the newest document from its owner, and is written on condition that nothing came between.
+// Calls that concern the whole fleet, answered by the owners of what they are about.
 #include "control/fleet_calls.hpp"
 
 #include <algorithm>
@@ -6,74 +6,15 @@
 namespace mothwalk {
 
 namespace {
-constexpr std::size_t remembered_changes = 32;
 constexpr std::size_t least_holders = 3;  // of which one may be lost
-
-// What is kept under the configuration's key; revision 0 where nothing is.
-Result<FleetConfiguration> configuration_of(const ReadReply& reply) {
-  if (!reply.found || reply.record.removed) return FleetConfiguration{};
-  auto read = from_cbor<FleetConfiguration>(reply.record.head);
-  if (!read)
-    return Fault{FaultKind::damaged, "configuration", "the kept configuration can't be read",
-                 "run the version of mothwalk that wrote it"};
-  return std::move(*read);
-}
 }  // namespace
 
 void FleetCalls::change(ConfigurationChange change, Span limit, Answer<Version> answer) {
-  attempt(std::make_shared<ConfigurationChange>(std::move(change)), messenger_.timers().now() + limit, false,
-          std::move(answer));
-}
-
-void FleetCalls::attempt(std::shared_ptr<ConfigurationChange> change, Moment until, bool sent, Answer<Version> answer) {
-  const std::string key(configuration_key);
-  client_.read(
-      key, until - messenger_.timers().now(), [this, change, until, sent, answer, key](Result<ReadReply> result) {
-        if (auto fault = fault_of(result))
-          return answer(sent ? Fault{FaultKind::unknown, key, fault->message, fault->remedy} : *fault);
-        const ReadReply& reply = std::get<ReadReply>(result);
-        auto kept = configuration_of(reply);
-        if (auto fault = fault_of(kept)) return answer(*fault);
-        const FleetConfiguration& current = std::get<FleetConfiguration>(kept);
-        if (std::find(current.taken.begin(), current.taken.end(), change->hash) != current.taken.end())
-          return answer(Version{current.revision});
-        if (current.revision != change->base)
-          return answer(
-              Fault{FaultKind::conflict, "base",
-                    "revision " + std::to_string(current.revision) + " is current, not " + std::to_string(change->base),
-                    "read the configuration again and build on that"});
-        auto made = change->make(current);
-        if (auto fault = fault_of(made)) return answer(*fault);
-        FleetConfiguration next = std::move(std::get<FleetConfiguration>(made));
-        if (next.revision <= current.revision)
-          return answer(Fault{FaultKind::invalid, "revision",
-                              "revision " + std::to_string(next.revision) + " is not above the current one, " +
-                                  std::to_string(current.revision),
-                              "give a higher one"});
-        next.taken = current.taken;
-        next.taken.push_back(change->hash);
-        if (next.taken.size() > remembered_changes) next.taken.erase(next.taken.begin());
-        Write write;
-        write.key = key;
-        write.head = to_cbor(next);
-        write.expected = reply.found && !reply.record.removed ? reply.record.stamp.version.value : 0;
-        write.token = std::to_string(change->hash);
-        client_.write(std::move(write), until - messenger_.timers().now(),
-                      [this, change, until, answer, revision = next.revision](Result<WriteReply> written) {
-                        auto fault = fault_of(written);
-                        if (fault == nullptr) return answer(Version{revision});
-                        // Another change, or an earlier sending of this one, came between: the newest document tells
-                        // which.
-                        if (fault->kind == FaultKind::stale ||
-                            (fault->kind == FaultKind::unknown && messenger_.timers().now() < until))
-                          return attempt(change, until, true, answer);
-                        answer(*fault);
-                      });
-      });
+  orders_.take(std::move(change), limit, std::move(answer));
 }
 
 void FleetCalls::show(Span limit, Answer<FleetConfiguration> answer) {
-  client_.read(std::string(configuration_key), limit, [answer](Result<ReadReply> result) {
+  auto give = [answer](Result<ReadReply> result) {
     if (auto fault = fault_of(result)) return answer(*fault);
     auto kept = configuration_of(std::get<ReadReply>(result));
     auto* configuration = std::get_if<FleetConfiguration>(&kept);
@@ -81,7 +22,8 @@
       return answer(
           Fault{FaultKind::unknown_name, "configuration", "no configuration was taken yet", "give the first one"});
     answer(std::move(kept));
-  });
+  };
+  client_.read(std::string(configuration_key), limit, give, true);
 }
 
 void FleetCalls::put(std::string key, const json::value& document, Span limit, Answer<Done> answer) {
--- /dev/null
+++ b/source/control/order_history.cpp
@@ -0,0 +1,31 @@
+// Revisions only rise, so each number was in force at most once, and an order whose number was passed over or taken by
+// another content can never be taken any more.
+#include "control/order_history.hpp"
+
+#include "coding/cbor.hpp"
+
+namespace mothwalk {
+
+OrderHistory::OrderHistory(const std::vector<Bytes>& entries, std::uint64_t current) : known_above_(current) {
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+    auto order = from_cbor<OrderIdentity>(*entry);
+    if (!order || order->number != known_above_) return;
+    known_above_ = order->base;
+    by_number_.emplace(order->number, std::move(*order));
+  }
+}
+
+OrderOutcome OrderHistory::find(const OrderIdentity& order) const {
+  if (order.number <= known_above_) return OrderOutcome::unknown;
+  auto found = by_number_.find(order.number);
+  return found != by_number_.end() && found->second == order ? OrderOutcome::taken : OrderOutcome::not_taken;
+}
+
+std::vector<Bytes> OrderHistory::compacted(const std::vector<Bytes>& entries, const OrderIdentity& order) {
+  const std::size_t kept = std::min(entries.size(), least_remembered - 1);
+  std::vector<Bytes> remaining(entries.end() - static_cast<std::ptrdiff_t>(kept), entries.end());
+  remaining.push_back(to_cbor(order));
+  return remaining;
+}
+
+}  // namespace mothwalk
--- a/source/replication/messages.hpp
+++ b/source/replication/messages.hpp
@@ -45,18 +45,21 @@
   std::optional<std::uint64_t> expected;  // the version that the record must be at; zero for absent
   std::optional<std::uint64_t> fence;     // the epoch that the slot must be owned under
   std::string token;                      // the same token again settles an unknown outcome
-  MOTHWALK_FIELDS(key, head, appends, removed, expected, fence, token)
+  bool replaces_entries = false;          // the appends stand in place of the entries before them
+  MOTHWALK_FIELDS(key, head, appends, removed, expected, fence, token, replaces_entries)
 };
 struct ReadReply {
   bool found = false;
   Record record;
-  MOTHWALK_FIELDS(found, record)
+  std::uint64_t entries = 0;  // of the record, also where they are not sent along
+  MOTHWALK_FIELDS(found, record, entries)
 };
 struct Read {
   static constexpr View kind = "store.read";
   using Reply = ReadReply;
   std::string key;
-  MOTHWALK_FIELDS(key)
+  bool head_only = false;  // without the record's entries
+  MOTHWALK_FIELDS(key, head_only)
 };
 struct RecordsReply {
   std::vector<Record> records;
--- a/source/replication/reads.cpp
+++ b/source/replication/reads.cpp
@@ -13,13 +13,15 @@
 void ReplicatedStore::on_read(Read read, Answer<ReadReply> answer) {
   const std::uint32_t slot = slot_of(read.key);
   if (owned_[slot].state != Owned::State::owned || !keeps_key(read.key)) return answer(moved());
-  confirm(slot, [this, slot, key = read.key, answer](bool good) {
+  confirm(slot, [this, slot, key = read.key, head_only = read.head_only, answer](bool good) {
     if (!good || owned_[slot].state != Owned::State::owned) return answer(moved());
-    auto finish = [this, slot, key, answer] {
+    auto finish = [this, slot, key, head_only, answer] {
       if (owned_[slot].state != Owned::State::owned) return answer(moved());
       auto found = held_[slot].records.find(key);
       if (found == held_[slot].records.end()) return answer(ReadReply{});
-      answer(ReadReply{true, found->second});
+      ReadReply reply{true, found->second, found->second.entries.size()};
+      if (head_only) reply.record.entries.clear();
+      answer(std::move(reply));
     };
     auto queue = owned_[slot].queues.find(key);
     if (queue != owned_[slot].queues.end() && queue->second.busy)
--- a/source/replication/store_client.cpp
+++ b/source/replication/store_client.cpp
@@ -8,8 +8,8 @@
   ask_owner<Write>(key, std::move(write), messenger_.timers().now() + timeout, false, std::move(answer));
 }
 
-void StoreClient::read(const std::string& key, Span timeout, Answer<ReadReply> answer) {
-  ask_owner<Read>(key, Read{key}, messenger_.timers().now() + timeout, false, std::move(answer));
+void StoreClient::read(const std::string& key, Span timeout, Answer<ReadReply> answer, bool head_only) {
+  ask_owner<Read>(key, Read{key, head_only}, messenger_.timers().now() + timeout, false, std::move(answer));
 }
 
 }  // namespace mothwalk
--- a/source/replication/store_client.hpp
+++ b/source/replication/store_client.hpp
@@ -9,7 +9,8 @@
  public:
   StoreClient(Messenger& messenger, SharedState& shared_state) : messenger_(messenger), shared_state_(shared_state) {}
   void write(Write write, Span timeout, Answer<WriteReply> answer);
-  void read(const std::string& key, Span timeout, Answer<ReadReply> answer);
+  // With head_only without the record's entries.
+  void read(const std::string& key, Span timeout, Answer<ReadReply> answer, bool head_only = false);
   template <class Message>
   void ask_owner(const std::string& key, Message message, Moment until, bool sent,
                  Answer<typename Message::Reply> answer) {
--- a/source/replication/writes.cpp
+++ b/source/replication/writes.cpp
@@ -63,7 +63,7 @@
                   first.write.appends,
                   first.write.token,
                   {}};
-    if (absent && record != nullptr) change.full = true;
+    if ((absent && record != nullptr) || (first.write.replaces_entries && first.write.head)) change.full = true;
     std::vector<Answer<WriteReply>> answers{first.answer};
     const bool only_appends = !first.write.head && !first.write.removed;
     while (only_appends && !queue.pending.empty() && !queue.pending.front().write.head &&
--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -97,6 +97,8 @@
   Router* entries() { return duties_ ? duties_->entries.get() : nullptr; }
   StoreClient* client() { return duties_ ? duties_->client.get() : nullptr; }
   Control* control() { return duties_ ? duties_->control.get() : nullptr; }
+  // That of the operators' calls, for surfaces that a test puts on it; null while the machine is down.
+  Messenger* control_messenger() { return duties_ ? duties_->posts.at("control").get() : nullptr; }
   ReplicatedStore* kept() { return duties_ ? duties_->kept.get() : nullptr; }
   std::uint64_t frames = 0, bytes = 0, bytes_in = 0;  // sent; what was taken while the world measures
   Span clock{};                                       // how far its wall clock is off
