Exchange: no bytes on an old decision, and answers that end with their connection

Cause: the time was looked at when a connection stood, not before the write and not on kept connections, so a process suspended meanwhile sent late; a repeatable request on a kept connection that broke went to the same runner again however long ago that was decided; answers without a length were refused. Change: the decision to send holds for the connecting budget, checked before the first byte (nothing is sent) and after the write (the connection is reset, the outcome is 'broken'), and before a resend over a fresh connection. An answer without a length is whole at an orderly end, broken at a reset.

--- a/source/host/beast_exchange.cpp
+++ b/source/host/beast_exchange.cpp
@@ -55,11 +55,12 @@
   std::array<char, input_bytes> input;
   std::size_t filled = 0;
   bool closed = false, reading = false, used_before = false;
-  Moment used, began;
+  Moment used;
   Span idle = unstated_idle;
 
   // Of the attempt that it carries; no watcher: idle.
   Id id = 0;
+  Moment decided;  // when its caller decided to send it
   std::shared_ptr<AttemptWatcher> watcher;
   AttemptRequest request;
   std::string head;
@@ -78,6 +79,11 @@
 }
 
 Exchange::Id BeastExchange::start(const AttemptRequest& given, std::shared_ptr<AttemptWatcher> watcher) {
+  return start_decided(given, std::move(watcher), clock_());
+}
+
+Exchange::Id BeastExchange::start_decided(const AttemptRequest& given, std::shared_ptr<AttemptWatcher> watcher,
+                                          Moment decided) {
   const Id id = ++last_;
   const std::string key = given.to.text + " " + given.runner;
   ConnectionPointer connection = idle_for(key, given.repeatable);
@@ -92,6 +98,7 @@
   }
   attempts_[id] = connection;
   connection->id = id;
+  connection->decided = decided;
   connection->watcher = std::move(watcher);
   connection->request = given;
   connection->head = head_of(given);
@@ -104,7 +111,7 @@
   if (given.method == "HEAD") connection->reader->skip(true);
   if (kept) {
     ++counts_.reused;
-    write(connection);
+    write_first(connection);
   } else {
     connect(connection);
   }
@@ -115,7 +122,7 @@
 BeastExchange::ConnectionPointer BeastExchange::idle_for(const std::string& key, bool repeatable) {
   auto found = pools_.find(key);
   if (found == pools_.end()) return nullptr;
-  const Moment now = steady_now();
+  const Moment now = clock_();
   while (!found->second.idle.empty()) {
     const ConnectionPointer connection = found->second.idle.back();
     const Span age = now - connection->used;
@@ -144,23 +151,40 @@
     return;
   }
   ++counts_.opened;
-  connection->began = steady_now();
-  deadlines_.set(connection->number, connection->began + connection->request.connecting);
+  deadlines_.set(connection->number, connection->decided + connection->request.connecting);
   connection->socket.async_connect(*endpoint, [this, connection](const boost::system::error_code& failed) {
     if (connection->closed) return;
-    // A process that was frozen meanwhile wakes with a connection that stands and a configuration that may be old:
-    // nothing is sent.
-    if (failed || steady_now() - connection->began > connection->request.connecting)
-      return finish(connection, AttemptEnd::not_sent);
+    if (failed) return finish(connection, AttemptEnd::not_sent);
     connection->connected = true;
     boost::system::error_code ignored;
     connection->socket.set_option(tcp::no_delay(true), ignored);
     connection->socket.non_blocking(true, ignored);
-    write(connection);
+    write_first(connection);
     if (!connection->closed) read(connection);
   });
 }
 
+bool BeastExchange::outdated(const Connection& connection) const {
+  return clock_() - connection.decided > connection.request.connecting;
+}
+
+// A process that was suspended since the decision wakes with a configuration that may be old: it sends nothing. Where
+// the suspension fell between the check and the end of the write, the runner may have begun, and is reset at once.
+void BeastExchange::write_first(const ConnectionPointer& connection) {
+  auto later = [this, connection, id = connection->id](AttemptEnd end) {
+    boost::asio::post(context_, [this, connection, id, end] {
+      if (connection->id == id) finish(connection, end);
+    });
+  };
+  if (outdated(*connection)) return later(AttemptEnd::not_sent);
+  write(connection);
+  if (connection->sent == 0 || !outdated(*connection)) return;
+  boost::system::error_code ignored;
+  connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  connection->socket.close(ignored);
+  later(AttemptEnd::broken);
+}
+
 void BeastExchange::write(const ConnectionPointer& connection) {
   const std::size_t body = connection->request.body ? connection->request.body->size() : 0;
   const std::size_t whole = connection->head.size() + body;
@@ -181,7 +205,8 @@
   if (error == boost::asio::error::would_block) {
     connection->socket.async_wait(tcp::socket::wait_write,
                                   [this, connection, id = connection->id](const boost::system::error_code& failed) {
-                                    if (!failed && !connection->closed && connection->id == id) write(connection);
+                                    if (failed || connection->closed || connection->id != id) return;
+                                    connection->sent == 0 ? write_first(connection) : write(connection);
                                   });
     return;
   }
@@ -205,7 +230,7 @@
           counts_.unasked += !error;
           return close(connection);
         }
-        if (error) return broken(connection);
+        if (error) return input_ended(connection, error);
         take(connection, count);
       });
 }
@@ -226,9 +251,7 @@
   };
   if (reader.is_header_done() && !connection->headed) {
     connection->headed = true;
-    // Without a length or chunks the end can't be told from a break: such an answer is not passed as whole.
-    if (error || reader.status < 200 || reader.status > 599 || reader.need_eof())
-      return finish(connection, AttemptEnd::broken);
+    if (error || reader.status < 200 || reader.status > 599) return finish(connection, AttemptEnd::broken);
     if (const auto idle = idle_of(reader.headers)) connection->idle = *idle;
     watcher->on_head(reader.status, reader.headers);
     if (!mine()) return;
@@ -252,17 +275,26 @@
   read(connection);
 }
 
+// An answer without a length or chunks is whole where its connection ends in order; a reset is a break.
+void BeastExchange::input_ended(const ConnectionPointer& connection, const boost::system::error_code& error) {
+  const bool unframed = connection->headed && connection->reader->need_eof();
+  if (error != boost::asio::error::eof || !unframed) return broken(connection);
+  finish(connection, AttemptEnd::whole);
+}
+
 // The connection ended before the answer did. Where that was one kept since an earlier request, and no byte of an
-// answer came, repeatable work goes again over a fresh one; any work does where nothing was written.
+// answer came, repeatable work goes again over a fresh one, while the decision to send it to this runner is fresh; any
+// work does where nothing was written.
 void BeastExchange::broken(const ConnectionPointer& connection) {
-  const bool again =
-      connection->used_before && !connection->any_byte && (connection->request.repeatable || connection->sent == 0);
+  const bool again = connection->used_before && !connection->any_byte && !outdated(*connection) &&
+                     (connection->request.repeatable || connection->sent == 0);
   if (!again)
     return finish(connection,
                   !connection->any_byte && connection->sent == 0 ? AttemptEnd::not_sent : AttemptEnd::broken);
   ++counts_.stale;
   const Id id = connection->id;
   AttemptRequest request = std::move(connection->request);
+  const Moment decided = connection->decided;
   auto watcher = std::move(connection->watcher);
   connection->watcher.reset();
   const std::string key = connection->key;
@@ -272,7 +304,7 @@
     close(ConnectionPointer(pool->second.idle.back()));
     pool = pools_.find(key);
   }
-  const Id fresh = start(request, std::move(watcher));
+  const Id fresh = start_decided(request, std::move(watcher), decided);
   auto taken = attempts_.extract(fresh);
   taken.mapped()->id = id;
   taken.key() = id;
@@ -284,14 +316,14 @@
   const auto watcher = std::exchange(connection->watcher, nullptr);
   attempts_.erase(connection->id);
   const bool kept = end == AttemptEnd::whole && connection->written && connection->filled == 0 &&
-                    connection->reader->keep_alive() && connection->idle > Span{};
+                    connection->reader->is_done() && connection->reader->keep_alive() && connection->idle > Span{};
   if (!kept) {
     counts_.unasked += end == AttemptEnd::whole && connection->filled > 0;
     close(connection);
   } else {
     connection->request = {};
     connection->held = false;
-    connection->used = steady_now();
+    connection->used = clock_();
     pools_[connection->key].idle.push_back(connection);
     deadlines_.set(connection->number, connection->used + connection->idle * 3 / 4);
     read(connection);
--- a/source/host/beast_exchange.hpp
+++ b/source/host/beast_exchange.hpp
@@ -1,6 +1,7 @@
 // HTTP attempts to runners over connections that are kept. One that was not used for a while may be closing at the
 // other end, so work that may not be repeated gets a fresh one; bytes that nobody asked for end a connection, and what
-// ended before its whole answer is never used again.
+// ended before its whole answer is never used again. The decision to send holds for the connecting budget of the
+// request: a process that was suspended for longer sends nothing, and resets a connection whose write took longer.
 #pragma once
 #include "host/deadlines.hpp"
 
@@ -12,8 +13,10 @@
 
 class BeastExchange : public Exchange {
  public:
-  explicit BeastExchange(boost::asio::io_context& context)
-      : context_(context), deadlines_(context, [this](std::uint64_t key) { due(key); }) {}
+  using Clock = std::function<Moment()>;
+  // `clock` is steady and counts suspended time; tests give one of their own.
+  explicit BeastExchange(boost::asio::io_context& context, Clock clock = steady_now)
+      : context_(context), clock_(std::move(clock)), deadlines_(context, [this](std::uint64_t key) { due(key); }) {}
   ~BeastExchange() override;
   Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) override;
   void cancel(Id id) override;
@@ -28,16 +31,22 @@
     std::size_t open = 0;                 // idle ones and those in use
   };
   ConnectionPointer idle_for(const std::string& key, bool repeatable);
+  Id start_decided(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher, Moment decided);
   void connect(const ConnectionPointer& connection);
+  // Whether the decision to send this attempt is too old to act on.
+  bool outdated(const Connection& connection) const;
   void write(const ConnectionPointer& connection);
+  void write_first(const ConnectionPointer& connection);
   void read(const ConnectionPointer& connection);
   void take(const ConnectionPointer& connection, std::size_t count);
+  void input_ended(const ConnectionPointer& connection, const boost::system::error_code& error);
   void broken(const ConnectionPointer& connection);
   void finish(const ConnectionPointer& connection, AttemptEnd end);
   void close(const ConnectionPointer& connection);
   void due(std::uint64_t key);
 
   boost::asio::io_context& context_;
+  Clock clock_;
   Deadlines deadlines_;
   std::unordered_map<Id, ConnectionPointer> attempts_;
   std::unordered_map<std::uint64_t, ConnectionPointer> connections_;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -31,7 +31,14 @@
 struct Fixture {
   boost::asio::io_context context;
   tcp::acceptor acceptor{context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
-  BeastExchange exchange{context};
+  // The exchange's clock: the process is suspended for a while at the given look at it.
+  Span suspended{};
+  int looks_until_suspension = -1;
+  BeastExchange exchange{context, [this] {
+                           if (looks_until_suspension >= 0 && looks_until_suspension-- == 0)
+                             suspended += std::chrono::seconds(10);
+                           return steady_now() + suspended;
+                         }};
   std::vector<std::unique_ptr<tcp::socket>> connections;
   std::string next_head = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n";
 
@@ -189,6 +196,91 @@
   }
 }
 
+TEST_CASE("an answer without a length ends with its connection in order, and its connection carries nothing more") {
+  Fixture fixture;
+  auto outcome = fixture.start(fixture.request());
+  tcp::socket& socket = fixture.accepted();
+  fixture.received(socket);
+  fixture.say(socket, "HTTP/1.1 200 OK\r\n\r\nto the end");
+  socket.close();
+  fixture.run([&] { return outcome->end.has_value(); });
+  CHECK((outcome->end == AttemptEnd::whole && outcome->status == 200 && outcome->text == "to the end"));
+  fixture.start(fixture.request());
+  fixture.received(fixture.accepted());
+  CHECK((fixture.exchange.counts().opened == 2 && fixture.exchange.counts().reused == 0));
+}
+
+TEST_CASE("an answer that comes before its long request is sent whole leaves a connection that is not used again") {
+  Fixture fixture;
+  AttemptRequest request = fixture.request();
+  request.body = std::make_shared<const Bytes>(std::string(64u << 20, 'b'));
+  auto outcome = fixture.start(request);
+  tcp::socket& socket = fixture.accepted();
+  fixture.say(socket, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+  fixture.run([&] { return outcome->end.has_value(); });
+  CHECK((outcome->end == AttemptEnd::whole && outcome->text == "ok"));
+  auto second = fixture.start(fixture.request());
+  fixture.received(fixture.accepted());
+  CHECK(fixture.exchange.counts().opened == 2);
+  // What the runner reads on is the body and the end of the connection, never the next request.
+  std::string buffer(1u << 20, '\0');
+  boost::system::error_code error;
+  std::string tail;
+  while (!error) {
+    const std::size_t count = socket.read_some(boost::asio::buffer(buffer), error);
+    tail = (tail + buffer.substr(0, count));
+    if (tail.size() > 2000) tail.erase(0, tail.size() - 2000);
+  }
+  CHECK(tail == std::string(tail.size(), 'b'));
+}
+
+TEST_CASE("a process that was suspended after the decision to send hands over nothing, on a new or a kept connection") {
+  for (const bool kept : {false, true}) {
+    Fixture fixture;
+    tcp::socket* socket = kept ? &fixture.once() : nullptr;
+    // One look for the decision, one more for the kept connection's age; the next is right before the write.
+    fixture.looks_until_suspension = kept ? 2 : 1;
+    auto outcome = fixture.start(fixture.request(true));
+    if (!kept) socket = &fixture.accepted();
+    fixture.run([&] { return outcome->end.has_value(); });
+    CHECK(outcome->end == AttemptEnd::not_sent);
+    CHECK(fixture.looks_until_suspension == -1);
+    std::string buffer(100, '\0');
+    boost::system::error_code error;
+    CHECK(socket->read_some(boost::asio::buffer(buffer), error) == 0);
+    CHECK(error == boost::asio::error::eof);
+  }
+}
+
+TEST_CASE("a process that was suspended during the write resets the connection, and the request may have run") {
+  for (const bool kept : {false, true}) {
+    Fixture fixture;
+    tcp::socket* socket = kept ? &fixture.once() : nullptr;
+    fixture.looks_until_suspension = kept ? 3 : 2;
+    auto outcome = fixture.start(fixture.request(true));
+    if (!kept) socket = &fixture.accepted();
+    fixture.run([&] { return outcome->end.has_value(); });
+    CHECK(outcome->end == AttemptEnd::broken);
+    CHECK(fixture.exchange.counts().opened == 1);
+    std::string buffer(1000, '\0');
+    boost::system::error_code error;
+    while (!error) socket->read_some(boost::asio::buffer(buffer), error);
+    CHECK(error == boost::asio::error::connection_reset);
+  }
+}
+
+TEST_CASE("a kept connection that ends long after the request was sent does not send it again to the same runner") {
+  Fixture fixture;
+  tcp::socket& socket = fixture.once(true);
+  auto outcome = fixture.start(fixture.request(true));
+  fixture.received(socket);
+  fixture.suspended += std::chrono::seconds(5);
+  socket.close();
+  fixture.run([&] { return outcome->end.has_value(); });
+  CHECK(outcome->end == AttemptEnd::broken);
+  CHECK(fixture.exchange.counts().opened == 1);
+}
+
 TEST_CASE("a runner that nobody can reach got no byte; one that gives nothing is late") {
   Fixture fixture;
   const AttemptRequest request = fixture.request();
