Model check: control state's duties under schedules of loss, crash, wipe and freeze

The real duty objects of control state (sessions, news, founding, replicated store, store client, fleet calls) on a deterministic scheduler.

--- /dev/null
+++ b/tests/model/planted_faults.hpp
@@ -0,0 +1,43 @@
+// Faults that are planted from outside, by rewriting messages and by disks that lie: each takes one guard away. A clean
+// run plants none. No product code knows of them.
+#pragma once
+#include "model/disk.hpp"
+#include "seams/seams.hpp"
+
+namespace mothwalk::model {
+
+enum class PlantedFault {
+  none,
+  epoch_check_off,         // replicas take what owners of lower epochs send
+  installed_ignored,       // a new owner doesn't see which hand-over a replica holds whole
+  old_roster_majority,     // an owner counts the newest seat as if it had answered
+  stale_home,              // a control daemon grants leases although it reaches no majority
+  sync_not_awaited,        // disks say that bytes are safe before they are
+  wiped_keeps_identity,    // a wiped folder comes back under its former identity
+  order_identity_ignored,  // a change that is sent again is taken for another one
+};
+
+inline constexpr std::pair<View, PlantedFault> planted_faults[] = {
+    {"none", PlantedFault::none},
+    {"epoch-check-off", PlantedFault::epoch_check_off},
+    {"installed-ignored", PlantedFault::installed_ignored},
+    {"old-roster-majority", PlantedFault::old_roster_majority},
+    {"stale-home", PlantedFault::stale_home},
+    {"sync-not-awaited", PlantedFault::sync_not_awaited},
+    {"wiped-keeps-identity", PlantedFault::wiped_keeps_identity},
+    {"order-identity-ignored", PlantedFault::order_identity_ignored}};
+
+// What a request asked for, as its reply is read later.
+struct Request {
+  std::string kind;
+  Bytes body;
+};
+
+// Rewrites an envelope as it is taken, given the taker's file and, for a reply, the request that it answers.
+void rewrite_taken(PlantedFault fault, const DecodedFile& taker, const Request* request, Envelope& envelope);
+
+// The answer that a seat is assumed to have given, where the fault makes the owner count it without asking.
+std::optional<Envelope> assumed_answer(PlantedFault fault, const DecodedFile& sender, const Address& to,
+                                       const Envelope& envelope);
+
+}  // namespace mothwalk::model
--- /dev/null
+++ b/tests/model/scheduler.cpp
@@ -0,0 +1,52 @@
+// The queue of events in the order of their virtual times.
+#include "model/scheduler.hpp"
+
+#include <algorithm>
+
+namespace mothwalk::model {
+
+void Scheduler::after(Span span, ProcessPointer process, Task task) {
+  queue_.emplace(std::make_pair(now_ + std::max(span, Span{0}), ++order_), Event{std::move(process), std::move(task)});
+}
+
+void Scheduler::at(std::int64_t milliseconds, Task task) {
+  after(Moment{milliseconds * 1000} - now_, nullptr, std::move(task));
+}
+
+void Scheduler::run_until(Moment end, const std::function<bool(const std::string&)>& stepped) {
+  while (!queue_.empty() && queue_.begin()->first.first <= end) {
+    auto node = queue_.extract(queue_.begin());
+    now_ = std::max(now_, node.key().first);
+    Event& event = node.mapped();
+    if (event.process && !event.process->alive) continue;
+    if (event.process && event.process->frozen) {
+      event.process->deferred.emplace_back(node.key().second, std::move(event.task));
+      continue;
+    }
+    ++steps_;
+    event.task();
+    event.task = nullptr;
+    graveyard.clear();
+    if (!stepped(event.process ? event.process->machine : std::string())) return;
+  }
+  now_ = std::max(now_, end);
+}
+
+void Scheduler::wake(const ProcessPointer& process) {
+  process->frozen = false;
+  auto tasks = std::move(process->deferred);
+  process->deferred.clear();
+  std::sort(tasks.begin(), tasks.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+  for (auto& [order, task] : tasks) after(Span{0}, process, std::move(task));
+}
+
+Timers::Id ModelTimers::after(Span span, Task task) {
+  const Id id = ++last_;
+  live_->insert(id);
+  scheduler_.after(span, process_, [live = live_, id, task = std::move(task)] {
+    if (live->erase(id) > 0) task();
+  });
+  return id;
+}
+
+}  // namespace mothwalk::model
