--- a/tests/bench/points.py
+++ b/tests/bench/points.py
@@ -152,8 +152,25 @@
     return Trouble("after_ack_wipe", at, on=on, count=1, for_s=draw.number(1, 3), how=how)
 
 
+def retire_then_replace(draw: Draw, day: Day) -> None:
+    """A storage machine is added, one retired while another's disk is wiped, the oldest replaced some seconds later."""
+    retired_at = draw.number(4, 8)
+    replaced_at = retired_at + draw.number(12, 20)
+    how = draw.one("oldest", "oldest", "", "oldest planned")
+    day.add(
+        Trouble("add_nodes", draw.number(0.5, 2.5), on="store", count=1),
+        Trouble("retire", retired_at, for_s=draw.number(8, 10), how="wipe"),
+        Trouble("replace_core", replaced_at, on="store", x=draw.number(0.5, 2.5), how=how),
+    )
+    day.length_s = max(day.length_s, round(replaced_at + draw.number(6, 20)))
+    day.closing = Closing("wipe_after_ack", draw.number(0.5, 1.5), joined(draw.one("", "oldest", "taken"), "all"))
+
+
 def draw_second_loss(draw: Draw, site: Site, day: Day) -> None:
     """Point 3: a wipe or replacement as soon as the machine lost before counts as back."""
+    if draw.chance(0.5):
+        retire_then_replace(draw, day)
+        return
     after_recovery_s = site.catch_up_s + draw.number(2.0, 6.0)
     start = draw.number(3, 8)
     if draw.chance(0.7):
