Model check: orders by their identity, as the product has them now

Change: its operators give base, number and digest; the planted fault drops the remembered orders from a read's entries.

--- a/tests/model/operators.cpp
+++ b/tests/model/operators.cpp
@@ -2,6 +2,7 @@
 #include "model/operators.hpp"
 
 #include "coding/cbor.hpp"
+#include "coding/digest.hpp"
 
 namespace mothwalk::model {
 
@@ -130,11 +131,8 @@
   };
   if (machine == nullptr) return again();
   ConfigurationChange change;
-  change.base = operation.base;
-  change.hash = hash_of(operation.value, operation.base);
-  change.make = [operation](const FleetConfiguration&) -> Result<FleetConfiguration> {
-    return FleetConfiguration{operation.base + 1, operation.value, {}};
-  };
+  change.identity = OrderIdentity{operation.base, operation.base + 1, digest_of(operation.value)};
+  change.make = [operation](const FleetConfiguration&) -> Result<Bytes> { return operation.value; };
   machine->fleet_calls()->change(std::move(change), change_limit, [this, running, life, again](Result<Version> result) {
     if (running->over || running->life != life) return;
     ++running->life;
--- a/tests/model/planted_faults.cpp
+++ b/tests/model/planted_faults.cpp
@@ -33,12 +33,7 @@
 }
 
 void forget_taken_orders(Envelope& envelope) {
-  change_body<ReadReply>(envelope, [](ReadReply& reply) {
-    auto configuration = from_cbor<FleetConfiguration>(reply.record.head);
-    if (!configuration) return;
-    configuration->taken.clear();
-    reply.record.head = to_cbor(*configuration);
-  });
+  change_body<ReadReply>(envelope, [](ReadReply& reply) { reply.record.entries.clear(); });
 }
 
 template <class Message, class Reply>
