Requests: answers need their id, streams their weights, refusals the runner's promise

Cause: a failure without an id, or with an encoded body, passed as the runner's; a 429 or 503 that its runner did not mark as not run passed as a promise; streams and items were taken up on any weights; a series of events that ended inside an event counted as whole; an item's foreign answer left its connection in use; a caller that had sent more ahead was not seen leaving; work that may not be repeated was stopped midway when its caller left. Change: the dialect says so (foreign, false_refusal, version, version_field), the router and the placer follow; a continuation carries the version of the last whole event, and a runner with other weights is not blamed. Tests changed: platform_test gave failures without an id, which now are nobody's (checked instead, for four statuses); 'a caller that left' and the front's twin use a repeatable lane, since work that may not be repeated goes on (tests of its own); the ramp test likewise, since it frees its runners by leaving callers.

--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -134,9 +134,10 @@
                                 self->filled_ = 0;
                                 return self->read();
                               }
-                              // What is sent ahead of an answer waits; then the caller's leaving is noticed by the
-                              // failing write.
-                              if (!self->answering_ && !self->done_) self->parse();
+                              if (!self->answering_ && !self->done_) return self->parse();
+                              // What is sent ahead of an answer waits, and the caller's leaving is still noticed.
+                              if (self->input_.size() < long_input_bytes) self->input_.resize(long_input_bytes);
+                              self->read();
                             });
   }
 
@@ -298,6 +299,7 @@
                                if (self->closed_) return;
                                if (error) return self->close();
                                self->written_ += count;
+                               if (self->done_) self->set_deadline(self->limits_.idle_time);
                                if (self->written_ < self->in_flight_.size()) return self->write_on();
                                self->writing_ = false;
                                self->in_flight_ = {};
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -67,14 +67,22 @@
 class Placing::BatchWatcher : public AttemptWatcher {
  public:
   BatchWatcher(Placing& placing, std::uint64_t attempt, RequestFacts facts, StreamPart part)
-      : placing_(placing), attempt_(attempt), facts_(std::move(facts)), part_(std::move(part)) {
+      : placing_(placing),
+        attempt_(attempt),
+        facts_(std::move(facts)),
+        part_(std::move(part)),
+        reader_(placing.dialect_.version_field()) {
     reader_.begin(part_.last_event > 0 ? std::optional(part_.last_event) : std::nullopt);
   }
   void on_head(int status, const std::vector<Header>& headers) override {
     status_ = status;
     answer_ = placing_.dialect_.read_answer(status, headers, facts_);
-    // Under other weights the text would not be one.
-    if (good() && part_.last_event > 0 && answer_.version != part_.version) damaged_ = true;
+    if (answer_.foreign) return placing_.leave(attempt_, "lost", 0);
+    const bool continued = part_.last_event > 0;
+    // Under other weights the text would not be one; a runner with others turns the continuation away.
+    if (continued && status == 421 && !part_.version.empty()) damaged_ = true;
+    if (continued && good() && answer_.version != part_.version) damaged_ = true;
+    if (damaged_) return placing_.leave(attempt_, "damaged", status);
     if (good()) part_.version = answer_.version;
   }
   void on_piece(View piece) override {
@@ -83,13 +91,14 @@
     const bool sound = reader_.take(piece, events);
     add(events);
     if (reader_.last()) part_.last_event = *reader_.last();
+    if (reader_.version()) part_.version = *reader_.version();
     damaged_ = !sound || part_.text.size() > longest_body;
+    if (damaged_) placing_.leave(attempt_, "damaged", status_);
   }
   void on_end(AttemptEnd end) override {
     if (end == AttemptEnd::not_sent) return give("not_run");
     if (status_ == 0 || answer_.foreign) return give("lost");
     if (answer_.not_run || answer_.other_instance) return give("not_run");
-    if (damaged_) return give("damaged");
     if (end != AttemptEnd::whole) return give("lost");
     if (status_ == 500) return give("failed");
     if (status_ == 422) return give("impossible");
@@ -282,6 +291,13 @@
   }
 }
 
+void Placing::leave(std::uint64_t number, const std::string& outcome, int status) {
+  auto found = attempts_.find(number);
+  if (found == attempts_.end()) return;
+  exchange_.cancel(found->second.exchange);
+  ended(number, {outcome, status, {}, {}});
+}
+
 void Placing::work_soon() {
   if (work_soon_) return;
   work_soon_ = true;
@@ -394,8 +410,11 @@
     RequestFacts facts = dialect_.read_request(request.headers);
     facts.id = item.request.id;
     facts.host = item.host;
-    AttemptFacts given{name, run_budget, std::nullopt};
-    if (item.part.last_event > 0) given.last_event = item.part.last_event;
+    AttemptFacts given{name, run_budget, std::nullopt, {}};
+    if (item.part.last_event > 0) {
+      given.last_event = item.part.last_event;
+      given.version = item.part.version;
+    }
     dialect_.write_attempt(request, facts, given);
     watcher = attempt.batch =
         std::make_shared<BatchWatcher>(*this, number, std::move(facts), std::move(attempt.item.part));
@@ -423,7 +442,7 @@
     state.failures = 0;
   } else if (outcome == "not_run" && ending.status != 0 && ending.status != 421) {
     state.not_before = now + milliseconds(200);  // it is busy, and sound
-  } else if (outcome != "stopped") {
+  } else if (outcome != "stopped" && !(outcome == "damaged" && ending.status == 421)) {
     state.failures = std::min(state.failures + 1, 5u);
     state.not_before = now + milliseconds(200 << state.failures);
   }
--- a/source/lots/placing.hpp
+++ b/source/lots/placing.hpp
@@ -60,6 +60,8 @@
   std::uint32_t room(const std::string& name, const Runner& runner, const Kind& kind, Work& state);
   void report_load();
   void send(const std::string& runner, const PlacedItem& item);
+  // Ends an attempt whose answer can't be used, and its connection.
+  void leave(std::uint64_t attempt, const std::string& outcome, int status);
   void stop(const std::vector<std::uint64_t>& attempts);
   void ended(std::uint64_t attempt, Ending ending);
   void report(FinishItem finish);
--- a/source/routes/events.cpp
+++ b/source/routes/events.cpp
@@ -1,15 +1,48 @@
 // Events are told apart by their blank lines; a run's ids rise one by one.
 #include "routes/events.hpp"
 
+#include <utility>
+
 namespace mothwalk {
 
 void EventReader::begin(std::optional<std::uint64_t> last) {
   held_.clear();
   line_ = 0;
   id_.reset();
+  next_version_.reset();
   last_ = last;
 }
 
+namespace {
+// The value after "name:" and at most one space, where the line begins with that.
+std::optional<View> value_of(View line, View name) {
+  if (name.empty() || !line.starts_with(name) || line.size() <= name.size() || line[name.size()] != ':')
+    return std::nullopt;
+  line.remove_prefix(name.size() + 1);
+  if (line.starts_with(' ')) line.remove_prefix(1);
+  return line;
+}
+
+std::optional<std::uint64_t> event_id(View text) {
+  constexpr std::size_t most_digits = 18;
+  if (text.empty() || text.size() > most_digits) return std::nullopt;
+  std::uint64_t number = 0;
+  for (const char letter : text) {
+    if (letter < '0' || letter > '9') return std::nullopt;
+    number = number * 10 + static_cast<std::uint64_t>(letter - '0');
+  }
+  return number;
+}
+}  // namespace
+
+void EventReader::read_line(View line) {
+  if (const auto text = value_of(line, "id")) {
+    if (const auto number = event_id(*text)) id_ = number;
+  } else if (const auto version = value_of(line, version_field_)) {
+    next_version_ = std::string(*version);
+  }
+}
+
 bool EventReader::take(View bytes, Bytes& out) {
   std::size_t from = held_.size(), whole = 0;
   held_.append(bytes);
@@ -23,17 +56,10 @@
       }
       if (id_) last_ = id_;
       id_.reset();
+      if (next_version_) version_ = std::exchange(next_version_, std::nullopt);
       whole = end + 1;
-    } else if (line.starts_with("id:")) {
-      line.remove_prefix(3);
-      if (line.starts_with(' ')) line.remove_prefix(1);
-      std::uint64_t number = 0;
-      bool good = !line.empty() && line.size() < 19;
-      for (const char letter : line) {
-        good = good && letter >= '0' && letter <= '9';
-        number = number * 10 + static_cast<std::uint64_t>(letter - '0');
-      }
-      if (good) id_ = number;
+    } else {
+      read_line(line);
     }
   }
   out.append(held_, 0, whole);
--- a/source/routes/router.cpp
+++ b/source/routes/router.cpp
@@ -401,9 +401,9 @@
   if (kind.connections > 0)
     request.connections =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, kind.connections / runner_table_.daemons()));
-  dialect_.write_attempt(
-      request, record.facts,
-      AttemptFacts{name, std::max(Span{}, record.deadline - messenger_.timers().now()), record.last_event});
+  dialect_.write_attempt(request, record.facts,
+                         AttemptFacts{name, std::max(Span{}, record.deadline - messenger_.timers().now()),
+                                      record.last_event, record.head_given ? record.version : std::string()});
   record.exchange = exchange_.start(request, std::make_shared<Watcher>(*this, record.id, record.attempt));
 }
 
@@ -441,12 +441,18 @@
   if (refusal || facts.other_instance || (facts.not_run && (status >= 500 || status == 429 || status == 421))) {
     // The answer's rest goes by unseen, so that the connection can be kept.
     release(record, true);
-    runner_table_.rest(record.runner, facts.other_instance ? stale_listing
-                                      : refusal            ? milliseconds(100)
-                                                           : milliseconds(30));
+    // A stream that is taken up is turned away by runners with other weights as well.
+    const bool other_weights = record.head_given && !record.version.empty();
+    const bool other_instance = facts.other_instance && !other_weights;
+    runner_table_.rest(record.runner, other_instance ? stale_listing : refusal ? milliseconds(100) : milliseconds(30));
     again_or(record, false, 503, "runner", "the runners refused the request");
     return passes();
   }
+  if (facts.false_refusal) {
+    release(record, true);
+    again_or(record, true, 502, "runner", "the runner turned the request away without a promise that it did not run");
+    return passes();
+  }
   const bool good = status >= 200 && status < 300;
   if (!good && record.repeatable && (status >= 500 || record.head_given) && attempts_left(record) &&
       retry_tokens_ >= 1) {
@@ -456,20 +462,27 @@
     again(record);
     return passes();
   }
-  if (record.head_given) {
-    if (!good || facts.version != record.version) {
-      leave(record);
-      ended_broken(record, good ? "version" : "resumed");
-      return passes();
-    }
-    record.events->begin(record.last_event);
-    set_state(record, State::relaying);
-    return;
+  if (record.head_given) return resumed_head(record, good, facts);
+  relay_head(record, status, headers, facts);
+}
+
+// A stream goes on at another runner under the same weights alone; its caller keeps the first runner's head.
+void Router::resumed_head(Record& record, bool good, const AnswerFacts& facts) {
+  if (!good || facts.version != record.version) {
+    leave(record);
+    ended_broken(record, good ? "version" : "resumed");
+    return passes();
   }
+  record.events->begin(record.last_event);
+  set_state(record, State::relaying);
+}
+
+void Router::relay_head(Record& record, int status, const std::vector<Header>& headers, const AnswerFacts& facts) {
+  const bool good = status >= 200 && status < 300;
   const std::string* type = header_of(headers, "Content-Type");
   if (good && record.lane.streaming && record.lane.resumable &&
       (type == nullptr || type->starts_with("text/event-stream")))
-    record.events.emplace().begin(record.last_event);
+    record.events.emplace(dialect_.version_field()).begin(record.last_event);
   record.version = facts.version;
   std::vector<Header> given = end_to_end(headers, !record.events);
   given.insert(given.begin(), Header{"X-Mothwalk-Outcome", "answer"});
@@ -484,17 +497,11 @@
   if (found == table_.end() || found->second.attempt != attempt || found->second.state != State::relaying) return;
   Record& record = found->second;
   runner_table_.read(record.runner, record.demand, !std::exchange(record.read, true));
-  if (record.events) {
-    Bytes whole;
-    const bool in_order = record.events->take(piece, whole);
-    if (!whole.empty()) record.caller->piece(whole);
-    record.last_event = record.events->last();
-    if (!in_order) {
-      break_off(record, "order");
-      return passes();
-    }
-  } else {
+  if (!record.events) {
     record.caller->piece(piece);
+  } else if (!relay_events(record, piece)) {
+    break_off(record, "order");
+    return passes();
   }
   record.backlog = record.caller->backlog();
   if (record.backlog <= high_backlog || record.held_since) return;
@@ -504,6 +511,16 @@
   arm_tick();
 }
 
+// Passes whole events on; false where they do not go on in order.
+bool Router::relay_events(Record& record, View piece) {
+  Bytes whole;
+  const bool in_order = record.events->take(piece, whole);
+  if (!whole.empty()) record.caller->piece(whole);
+  record.last_event = record.events->last();
+  if (const auto& version = record.events->version()) record.version = *version;
+  return in_order;
+}
+
 void Router::attempt_pause(Id id, std::uint64_t attempt) {
   auto found = table_.find(id);
   if (found != table_.end() && found->second.attempt == attempt && found->second.state == State::relaying)
@@ -530,7 +547,17 @@
   ended_broken(record, reason);
 }
 
+void Router::give_end(Record& record) {
+  set_state(record, State::finished);
+  if (record.abandoned) return;
+  count_for_aims(record, true);
+  ++counts_.answered;
+  ++answered_now_[record.lane_name];
+  record.caller->end();
+}
+
 void Router::ended_broken(Record& record, const std::string& reason) {
+  if (record.abandoned) return set_state(record, State::finished);
   count_for_aims(record, false);
   ++counts_.broken;
   ++counts_.breaks[reason];
@@ -553,14 +580,11 @@
   if (found == table_.end() || found->second.attempt != attempt) return;
   Record& record = found->second;
   if (record.state == State::relaying) {
-    release(record, end == AttemptEnd::whole);
-    if (end == AttemptEnd::whole) {
-      count_for_aims(record, true);
-      ++counts_.answered;
-      ++answered_now_[record.lane_name];
-      if (record.events && !record.events->rest().empty()) record.caller->piece(record.events->rest());
-      record.caller->end();
-      set_state(record, State::finished);
+    // A series of events that ends inside an event was broken off, however its end is framed.
+    const bool whole = end == AttemptEnd::whole && !(record.events && !record.events->rest().empty());
+    release(record, whole);
+    if (whole) {
+      give_end(record);
     } else if (record.events && attempts_left(record) && retry_tokens_ >= 1) {
       // The next run goes on after the last whole event that the caller got.
       retry_tokens_ -= 1;
@@ -598,6 +622,7 @@
 }
 
 void Router::again(Record& record) {
+  if (record.abandoned) return set_state(record, State::finished);
   ++counts_.retries;
   record.tried.insert(record.runner);
   set_state(record, State::waiting);
@@ -633,6 +658,7 @@
 }
 
 void Router::answer(Record& record, int status, const std::string& outcome, const Fault& fault, bool retry_after) {
+  if (record.abandoned) return set_state(record, State::finished);
   ++(outcome == "unknown" ? counts_.unknown : counts_.refused);
   count_for_aims(record, false);
   json::value body = fault_to_json(fault);
@@ -667,11 +693,31 @@
   return std::chrono::seconds(wait + random_.below(1 + wait));
 }
 
+namespace {
+class DiscardingCaller : public CallerSide {
+ public:
+  void head(int, const std::vector<Header>&) override {}
+  void piece(View) override {}
+  void end() override {}
+  void break_off() override {}
+  std::size_t backlog() const override { return 0; }
+};
+}  // namespace
+
+// Work that may not be repeated is not stopped halfway where it may have begun: its run ends unseen, and is not sent
+// to another runner.
+void Router::abandon(Record& record) {
+  record.abandoned = true;
+  record.caller = std::make_shared<DiscardingCaller>();
+}
+
+// The caller of a run that may be repeated, or of a stream, takes its runner's work with it.
 void Router::gone(Id id) {
   auto found = table_.find(id);
   if (found == table_.end() || found->second.state == State::finished) return;
   Record& record = found->second;
   ++counts_.callers_gone;
+  if (record.state != State::waiting && !record.repeatable && !record.lane.streaming) return abandon(record);
   if (record.state != State::waiting) leave(record);
   set_state(record, State::finished);
   passes();
--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -74,13 +74,14 @@
     std::uint64_t attempt = 0;
     std::uint32_t attempts = 0;
     bool may_have_run = false, head_given = false, read = false;
+    bool abandoned = false;            // its caller left, and its run goes on: it may not be repeated
     std::optional<Moment> held_since;  // the runner is not read: the caller takes its pieces too slowly
     std::size_t backlog = 0;
     std::optional<Span> first_piece;  // after its arrival
     std::set<std::string> tried;
     std::optional<EventReader> events;  // of an answer that may go on at another runner
     std::optional<std::uint64_t> last_event;
-    std::string version;
+    std::string version;  // of the weights that the answer comes from, as its head and its events tell
   };
   class Watcher;
   using Place = std::tuple<std::uint32_t, Moment, Id>;  // rank, arrival
@@ -99,6 +100,8 @@
   void set_state(Record& record, State state);
   bool follow_slow(Record& record, Moment now);
   void break_off(Record& record, const std::string& reason);
+  void give_end(Record& record);
+  void abandon(Record& record);
   void ended_broken(Record& record, const std::string& reason);
   void count_for_aims(const Record& record, bool answered);
   bool admit(Record& record);
@@ -108,6 +111,9 @@
   bool attempts_left(const Record& record) const;
   void attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers);
   void attempt_piece(Id id, std::uint64_t attempt, View piece);
+  void resumed_head(Record& record, bool good, const AnswerFacts& facts);
+  void relay_head(Record& record, int status, const std::vector<Header>& headers, const AnswerFacts& facts);
+  bool relay_events(Record& record, View piece);
   void attempt_pause(Id id, std::uint64_t attempt);
   void attempt_end(Id id, std::uint64_t attempt, AttemptEnd end);
   void go_on(Record& record, const std::string& reason);
--- a/source/seams/dialect.hpp
+++ b/source/seams/dialect.hpp
@@ -30,6 +30,7 @@
   std::string runner;  // the instance that it is meant for, and no other
   Span left{};         // of the caller's budget
   std::optional<std::uint64_t> last_event;
+  std::string version;  // of the weights that the stream must go on under; empty: any
 };
 
 struct RunnerLoad {
@@ -39,7 +40,8 @@
 struct AnswerFacts {
   bool not_run = false;         // the runner promises that it did not run the request
   bool other_instance = false;  // another instance answers at this address
-  bool foreign = false;         // the answer belongs to another request
+  bool foreign = false;         // the answer belongs to another request, or is not the runner's own
+  bool false_refusal = false;   // its status would tell the caller that nothing ran, which the runner does not promise
   bool closing = false;         // the runner closes the connection after it
   std::optional<Span> idle;     // how long the runner keeps an idle connection
   std::string version;          // of the weights that answer: a stream goes on under the same alone
@@ -53,6 +55,8 @@
   // Sets or replaces the headers that the attempt carries beside those of the caller.
   virtual void write_attempt(AttemptRequest& request, const RequestFacts& facts, const AttemptFacts& attempt) const = 0;
   virtual AnswerFacts read_answer(int status, const std::vector<Header>& headers, const RequestFacts& facts) const = 0;
+  // The name of an event's first line that tells a change of weights, in lower case; empty: events do not tell it.
+  virtual View version_field() const { return {}; }
   // The text of Retry-After, in seconds.
   virtual std::string retry_after(Span span) const = 0;
 };
--- a/tests/dialect_router_test.cpp
+++ b/tests/dialect_router_test.cpp
@@ -21,6 +21,7 @@
   void write_attempt(AttemptRequest& request, const RequestFacts&, const AttemptFacts& attempt) const override {
     request.headers.push_back({"Runner", attempt.runner});
     request.headers.push_back({"Left", std::to_string(attempt.left.count() / 1000)});
+    if (!attempt.version.empty()) request.headers.push_back({"Expected", attempt.version});
     if (attempt.last_event) request.headers.push_back({"After", std::to_string(*attempt.last_event)});
   }
   AnswerFacts read_answer(int status, const std::vector<Header>& headers, const RequestFacts& facts) const override {
@@ -29,11 +30,13 @@
     answer.other_instance = status == 421;
     const auto* id = header_of(headers, "Id");
     answer.foreign = id != nullptr && *id != facts.id;
+    answer.false_refusal = header_of(headers, "False") != nullptr;
     if (const auto* version = header_of(headers, "Version")) answer.version = *version;
     if (const auto* load = header_of(headers, "Load"))
       answer.load = RunnerLoad{static_cast<std::uint32_t>(std::stoul(*load)), 0, 2};
     return answer;
   }
+  View version_field() const override { return "weights"; }
 };
 const Speaking speaking;
 
@@ -262,6 +265,90 @@
   }
 }
 
+TEST_CASE("a stream is taken up on the weights of its last whole event, and a runner with others sends it on") {
+  SpeakingFixture fixture;
+  fixture.put("lane/stream",
+              R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":3,"whole":5000})");
+  EXPECT_ATTEMPTS(fixture, 4);
+  auto seen = fixture.say("/stream", {});
+  CHECK(fixture.told(0, "Expected").empty());
+  fixture.attempts[0].watcher->on_head(200, {{"Version", "1"}});
+  fixture.attempts[0].watcher->on_piece("id: 1\ndata: a\n\nweights: 2\nid: 2\ndata: b\n\nweights: 3\nid: 3\nda");
+  fixture.attempts[0].watcher->on_end(AttemptEnd::broken);
+  REQUIRE(fixture.attempts.size() == 2);
+  CHECK((fixture.told(1, "Expected") == "2" && fixture.told(1, "After") == "2"));
+  fixture.whole(1, 421);
+  REQUIRE(fixture.attempts.size() == 3);
+  CHECK((fixture.told(2, "Expected") == "2" && fixture.told(2, "Runner") != fixture.told(1, "Runner")));
+  fixture.attempts[2].watcher->on_head(200, {{"Version", "2"}});
+  fixture.attempts[2].watcher->on_piece("id: 3\ndata: c\n\n");
+  fixture.attempts[2].watcher->on_end(AttemptEnd::whole);
+  CHECK((seen->ended && seen->text == "id: 1\ndata: a\n\nweights: 2\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+  // It is the runner named in the list all the same, and gets the next request.
+  fixture.put("circle/model", R"({"members":[")" + fixture.told(1, "Runner") + R"("],"warm":[]})");
+  fixture.wait(std::chrono::milliseconds(200));
+  fixture.say("/pay", {});
+  CHECK(fixture.attempts.size() == 4);
+}
+
+TEST_CASE("a stream that ends inside an event was broken off, and goes on elsewhere") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 2);
+  auto seen = fixture.say("/stream", {});
+  fixture.attempts[0].watcher->on_head(200, {});
+  fixture.attempts[0].watcher->on_piece("id: 1\ndata: a\n\nid: 2\nda");
+  fixture.attempts[0].watcher->on_end(AttemptEnd::whole);
+  REQUIRE(fixture.attempts.size() == 2);
+  CHECK((!seen->ended && fixture.told(1, "After") == "1"));
+  fixture.attempts[1].watcher->on_head(200, {});
+  fixture.attempts[1].watcher->on_piece("id: 2\ndata: b\n\n");
+  fixture.attempts[1].watcher->on_end(AttemptEnd::whole);
+  CHECK((seen->ended && seen->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+}
+
+TEST_CASE("a refusal that its runner does not promise is unknown to the caller, and repeatable work goes elsewhere") {
+  SpeakingFixture fixture;
+  fixture.put("lane/tell", R"({"path":"/tell","kind":"model","repeatable":true,"attempts":2})");
+  EXPECT_ATTEMPTS(fixture, 3);
+  auto pay = fixture.say("/pay", {});
+  fixture.whole(0, 503, {{"False", "1"}});
+  CHECK((pay->status == 502 && pay->outcome == "unknown"));
+  auto tell = fixture.say("/tell", {});
+  fixture.whole(1, 503, {{"False", "1"}});
+  REQUIRE(fixture.attempts.size() == 3);
+  fixture.whole(2);
+  CHECK(tell->status == 200);
+}
+
+TEST_CASE("each try of a request is handed less time, and no more than is left to its caller") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 2);
+  fixture.say("/stream", {{"Budget", "1500"}});
+  fixture.wait(std::chrono::milliseconds(700));
+  fixture.attempts[0].watcher->on_end(AttemptEnd::broken);
+  REQUIRE(fixture.attempts.size() == 2);
+  CHECK((fixture.told(0, "Left") == "1500" && fixture.told(1, "Left") == "800"));
+}
+
+TEST_CASE("a stream and a waiting request end at the lane's time at once, however far they are") {
+  SpeakingFixture fixture;
+  EXPECT_ATTEMPTS(fixture, 2);
+  REQUIRE_CALL(fixture.exchange, cancel(_)).TIMES(2);
+  auto stream = fixture.say("/stream", {});
+  auto silent = fixture.say("/pay", {});
+  fixture.attempts[0].watcher->on_head(200, {});
+  for (int count = 1; count < 5; ++count) {
+    fixture.wait(std::chrono::milliseconds(1000));
+    fixture.attempts[0].watcher->on_piece("id: " + std::to_string(count) + "\ndata: a\n\n");
+  }
+  fixture.wait(std::chrono::milliseconds(990));
+  CHECK((!stream->broken && silent->status == 0));
+  fixture.wait(std::chrono::milliseconds(20));
+  CHECK((stream->broken && silent->status == 504));
+  fixture.wait(std::chrono::milliseconds(100));
+  CHECK(fixture.router.open() == 0);
+}
+
 TEST_CASE("a stream asked for from an event on must begin with the next one") {
   SpeakingFixture fixture;
   EXPECT_ATTEMPTS(fixture, 1);
--- a/tests/events_test.cpp
+++ b/tests/events_test.cpp
@@ -21,6 +21,20 @@
   }
 }
 
+TEST_CASE("the version of the weights is that of the last whole event that changed it") {
+  EventReader reader("weights");
+  reader.begin(std::nullopt);
+  Bytes out;
+  REQUIRE(reader.take("id: 1\ndata: weights: 5\n\n", out));
+  CHECK_FALSE(reader.version().has_value());
+  REQUIRE(reader.take("weights: 7\nid: 2\ndata: b\n\nweights: 8\nid: 3\ndata: c\n", out));
+  CHECK(reader.version() == "7");
+  // The event that changed it to 8 was broken off: another run begins after event 2.
+  reader.begin(reader.last());
+  REQUIRE(reader.take("id: 3\ndata: c\n\n", out));
+  CHECK(reader.version() == "7");
+}
+
 TEST_CASE("what a run broke off in the middle of an event is dropped, and the next run must go on at the next id") {
   EventReader reader;
   reader.begin(std::nullopt);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -146,10 +146,16 @@
   }
 }
 
-TEST_CASE("a caller that leaves before or amid its answer frees the runner") {
-  for (const bool amid : {false, true}) {
+TEST_CASE("a caller that leaves before or amid its answer frees the runner, also where it has sent more ahead") {
+  for (const auto& [amid, ahead] : {std::pair{false, false}, {true, false}, {false, true}, {true, true}}) {
     Fixture fixture;
+    fixture.put("lane/pay", R"({"path":"/","kind":"model","repeatable":true})");
     auto caller = fixture.call(get);
+    if (ahead) {
+      fixture.settle();
+      say(caller, get);
+      fixture.settle();
+    }
     auto runner = fixture.accepted();
     fixture.until(runner, "\r\n\r\n");
     if (amid) {
--- a/tests/lots_fixture.hpp
+++ b/tests/lots_fixture.hpp
@@ -180,6 +180,7 @@
   void write_attempt(AttemptRequest& request, const RequestFacts& facts, const AttemptFacts& attempt) const override {
     request.headers.push_back({"Id", facts.id});
     request.headers.push_back({"For", attempt.runner});
+    if (!attempt.version.empty()) request.headers.push_back({"Expected", attempt.version});
     if (attempt.last_event) request.headers.push_back({"After", std::to_string(*attempt.last_event)});
   }
   AnswerFacts read_answer(int status, const std::vector<Header>& headers, const RequestFacts& facts) const override {
@@ -190,6 +191,7 @@
     answer.other_instance = status == 421;
     return answer;
   }
+  View version_field() const override { return "weights"; }
 };
 
 class PlayedExchange : public Exchange {
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -55,6 +55,45 @@
   }
 }
 
+TEST_CASE("a continuation is asked for on the weights of the last whole event") {
+  PlacerFixture fixture;
+  const FinishItem broken = fixture.end(fixture.offer(PlacerFixture::item()), 200,
+                                        "id: 1\ndata: one\n\nweights: 8\nid: 2\ndata: two\n\nweights: 9\nid: 3\n",
+                                        AttemptEnd::broken, {{"Version", "7"}});
+  CHECK((broken.part.version == "8" && broken.part.last_event == 2));
+  fixture.wait(std::chrono::seconds(2));
+  fixture.pass_second();
+  auto& attempt = fixture.offer(PlacerFixture::item(1, broken.part));
+  CHECK(attempt.header("Expected") == "8");
+}
+
+TEST_CASE("a runner that has other weights than an item's part is not blamed, and the item starts over") {
+  PlacerFixture fixture;
+  auto& attempt = fixture.offer(PlacerFixture::item(0, StreamPart{"one", 1, "7"}));
+  const FinishItem finish = fixture.end(attempt, 421, "");
+  CHECK((finish.outcome == "damaged" && finish.part.last_event == 0 && finish.part.text.empty()));
+  // The runner gets the next item at once.
+  fixture.pass_second();
+  CHECK(fixture.offer(PlacerFixture::item(1)).header("Expected").empty());
+}
+
+TEST_CASE("an answer that is another request's ends its connection at once, as does one that can't be joined") {
+  for (const bool foreign : {true, false}) {
+    PlacerFixture fixture;
+    auto& attempt = fixture.offer(PlacerFixture::item(0, StreamPart{"one", 1, "7"}));
+    if (foreign) {
+      attempt.watcher->on_head(200, {{"Id", "another"}, {"Version", "7"}});
+    } else {
+      attempt.watcher->on_head(200, {{"Version", "7"}});
+      attempt.watcher->on_piece("id: 4\ndata: four\n\n");
+    }
+    CHECK(attempt.cancelled);
+    fixture.wait(milliseconds(200));
+    REQUIRE(fixture.finished.size() == 1);
+    CHECK(fixture.finished[0].outcome == (foreign ? "lost" : "damaged"));
+  }
+}
+
 TEST_CASE("an answer that ends inside an event is not whole") {
   PlacerFixture fixture;
   const FinishItem finish =
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -170,25 +170,32 @@
   CHECK(facts.last_event == 12);
   AttemptRequest request;
   request.headers = headers;
-  dialect.write_attempt(request, facts, AttemptFacts{"i-7f", std::chrono::milliseconds(1500), 14});
+  dialect.write_attempt(request, facts, AttemptFacts{"i-7f", std::chrono::milliseconds(1500), 14, ""});
   CHECK(*header_of(request.headers, "Time-Budget") == "1500");
   CHECK(*header_of(request.headers, "Target-Instance") == "i-7f");
   CHECK(*header_of(request.headers, "Last-Event-Id") == "14");
   CHECK(request.headers.size() == headers.size() + 1);
+  dialect.write_attempt(request, facts, AttemptFacts{"i-7f", std::chrono::milliseconds(1500), 14, "7"});
+  CHECK(*header_of(request.headers, "Expected-Version") == "7");
 }
 
 TEST_CASE("platform: what runners' answers promise") {
   const PlatformDialect dialect;
   RequestFacts facts;
   facts.id = "one";
-  CHECK(dialect.read_answer(503, {{"Not-Executed", "1"}}, facts).not_run);
-  CHECK_FALSE(dialect.read_answer(503, {}, facts).not_run);
-  CHECK(dialect.read_answer(421, {}, facts).other_instance);
+  CHECK(dialect.read_answer(503, {{"Not-Executed", "1"}, {"Attempt-Id", "one"}}, facts).not_run);
+  CHECK_FALSE(dialect.read_answer(503, {{"Attempt-Id", "one"}}, facts).not_run);
+  CHECK(dialect.read_answer(421, {{"Attempt-Id", "one"}}, facts).other_instance);
   CHECK(dialect.read_answer(200, {{"Attempt-Id", "two"}}, facts).foreign);
   CHECK_FALSE(dialect.read_answer(200, {{"Attempt-Id", "one"}, {"Server-Seal", "3e1b"}}, facts).foreign);
   CHECK(dialect.read_answer(200, {{"Attempt-Id", "one"}}, facts).foreign);
   CHECK(dialect.read_answer(200, {{"Server-Seal", "3e1b"}}, facts).foreign);
-  CHECK_FALSE(dialect.read_answer(500, {}, facts).foreign);
+  CHECK_FALSE(dialect.read_answer(500, {{"Attempt-Id", "one"}}, facts).foreign);
+  for (const int status : {421, 429, 500, 503}) {
+    CHECK(dialect.read_answer(status, {}, facts).foreign);
+    CHECK(dialect.read_answer(status, {{"Attempt-Id", "two"}, {"Attempt-Id", "one"}}, facts).foreign);
+  }
+  CHECK_FALSE(dialect.read_answer(400, {{"Not-Executed", "1"}}, RequestFacts{}).foreign);
   const AnswerFacts answer = dialect.read_answer(
       200, {{"Keep-Alive", "timeout=5, max=10"}, {"Connection", "close"}, {"Instance-Load", "3,1,8"}}, facts);
   CHECK(answer.idle == std::chrono::seconds(5));
@@ -196,6 +203,31 @@
   CHECK(answer.load->waiting == 1);
 }
 
+TEST_CASE("platform: a status that tells callers that nothing ran needs the runner's own promise") {
+  const PlatformDialect dialect;
+  RequestFacts facts;
+  facts.id = "one";
+  for (const int status : {408, 429, 503}) {
+    CHECK(dialect.read_answer(status, {{"Attempt-Id", "one"}}, facts).false_refusal);
+    CHECK_FALSE(dialect.read_answer(status, {{"Attempt-Id", "one"}, {"Not-Executed", "1"}}, facts).false_refusal);
+  }
+  for (const int status : {200, 400, 421, 500, 504})
+    CHECK_FALSE(dialect.read_answer(status, {{"Attempt-Id", "one"}, {"Server-Seal", "s"}}, facts).false_refusal);
+}
+
+TEST_CASE("platform: an encoded body is not the runner's, and the version of its weights is read") {
+  const PlatformDialect dialect;
+  RequestFacts facts;
+  facts.id = "one";
+  std::vector<Header> headers{{"Attempt-Id", "one"}, {"Server-Seal", "3e1b"}, {"Weight-Versions", "12"}};
+  CHECK(dialect.read_answer(200, headers, facts).version == "12");
+  CHECK(dialect.version_field() == "weight-versions");
+  headers.push_back({"Content-Encoding", "gzip"});
+  CHECK(dialect.read_answer(200, headers, facts).foreign);
+  headers.back().value = "identity";
+  CHECK_FALSE(dialect.read_answer(200, headers, facts).foreign);
+}
+
 TEST_CASE("platform: a page of the list of runners, with fields unknown, missing and doubled") {
   const PlatformList list(Address("10.200.0.4:8142"), std::chrono::milliseconds(600));
   auto read = list.read(
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -82,17 +82,64 @@
   CHECK(fixture.router.counts().refusals.at("busy") == 2);
 }
 
-TEST_CASE("a caller that left has its attempt cancelled and frees the runner") {
+TEST_CASE("a caller that left has its attempt cancelled and frees the runner, where the work may be repeated") {
   Fixture fixture;
   EXPECT_ATTEMPTS(fixture, 1);
   Router::Id id = 0;
-  auto seen = fixture.ask("/pay", &id);
+  auto seen = fixture.ask("/tell", &id);
   REQUIRE_CALL(fixture.exchange, cancel(_)).TIMES(1);
   fixture.router.gone(id);
   CHECK(fixture.router.open() == 0);
   CHECK(seen->status == 0);
 }
 
+TEST_CASE("a caller that left a stream that may not be repeated has it cancelled too") {
+  Fixture fixture;
+  fixture.put("lane/stream", R"({"path":"/stream","kind":"model","streaming":true,"retries":0})");
+  EXPECT_ATTEMPTS(fixture, 1);
+  Router::Id id = 0;
+  fixture.ask("/stream", &id);
+  fixture.attempts[0].watcher->on_head(200, {});
+  REQUIRE_CALL(fixture.exchange, cancel(_)).TIMES(1);
+  fixture.router.gone(id);
+  CHECK(fixture.router.open() == 0);
+}
+
+TEST_CASE("work that may not be repeated runs to its end unseen when its caller left, and goes to no other runner") {
+  for (const bool refused : {false, true}) {
+    Fixture fixture;
+    EXPECT_ATTEMPTS(fixture, 1);
+    Router::Id id = 0;
+    auto seen = fixture.ask("/pay", &id);
+    FORBID_CALL(fixture.exchange, cancel(_));
+    fixture.router.gone(id);
+    CHECK(fixture.router.open() == 1);
+    if (refused) {
+      fixture.attempts[0].watcher->on_head(429, {});
+    } else {
+      fixture.attempts[0].watcher->on_head(200, {});
+      fixture.attempts[0].watcher->on_piece("done");
+      fixture.attempts[0].watcher->on_end(AttemptEnd::whole);
+    }
+    CHECK(fixture.router.open() == 0);
+    CHECK((seen->status == 0 && seen->text.empty() && !seen->ended));
+    CHECK((fixture.router.counts().callers_gone == 1 && fixture.router.counts().answered == 0));
+    fixture.wait(std::chrono::seconds(2));
+  }
+}
+
+TEST_CASE("a caller that left while its request waits has nothing sent for it") {
+  Fixture fixture;
+  fixture.shared_state.lease_until = 1;
+  Router::Id id = 0;
+  fixture.ask("/pay", &id);
+  fixture.router.gone(id);
+  CHECK(fixture.router.open() == 0);
+  fixture.lease();
+  fixture.wait(std::chrono::seconds(1));
+  CHECK(fixture.attempts.empty());
+}
+
 TEST_CASE("a caller that does not take its stream is broken off instead of filling the memory") {
   Fixture fixture;
   EXPECT_ATTEMPTS(fixture, 1);
@@ -243,7 +290,7 @@
     SharedState shared_state;
     ConfigurationView view;
     for (auto [key, value] : {std::pair<const char*, const char*>{"kind/model", R"({"circle":{"ramp":10000}})"},
-                              {"lane/pay", R"({"path":"/pay","kind":"model"})"},
+                              {"lane/pay", R"({"path":"/pay","kind":"model","repeatable":true})"},
                               {"runner/one", R"({"kind":"model","address":"10.0.1.1:80","zone":"north","slots":16})"},
                               {"circle/model", R"({"members":["one"],"warm":[]})"}}) {
       const Bytes bytes = value;
