Router: admission, sending, answers and endings are modules of their own

router.cpp held 750 lines, with functions of 50 lines and more. Same code in five files of 80 to 225 lines, cut into short functions; the choice of end-to-end headers is a function of its own file. No change of behaviour.

--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -105,12 +105,20 @@
   void ended_broken(Record& record, const std::string& reason);
   void count_for_aims(const Record& record, bool answered);
   bool admit(Record& record);
+  bool without_lane(Record& record, const ConfigurationView& configuration);
+  void take_lane(Record& record, const std::string& name, const Lane& lane);
+  static Demand demand_of(const Record& record);
+  bool follow_configuration(Record& record, const std::shared_ptr<const ConfigurationView>& configuration, Moment now);
+  bool send_to_any(Record& record, const ConfigurationView& configuration, std::set<std::string>& full,
+                   std::string* why);
   void share(Record& record);
   bool hopeless(const Record& record, Moment now) const;
   void send(Record& record, const std::string& runner, const ConfigurationView& configuration);
+  AttemptRequest attempt_request(const Record& record, const Runner& runner, const Kind& kind);
   bool attempts_left(const Record& record) const;
   void attempt_head(Id id, std::uint64_t attempt, int status, const std::vector<Header>& headers);
   void attempt_piece(Id id, std::uint64_t attempt, View piece);
+  bool turned_away(Record& record, int status, const AnswerFacts& facts);
   void resumed_head(Record& record, bool good, const AnswerFacts& facts);
   void relay_head(Record& record, int status, const std::vector<Header>& headers, const AnswerFacts& facts);
   bool relay_events(Record& record, View piece);
--- /dev/null
+++ b/source/routes/router_sending.cpp
@@ -0,0 +1,227 @@
+// Matching of waiting requests with runners, attempts, and whether another attempt is allowed.
+#include <algorithm>
+
+#include "routes/hop_headers.hpp"
+#include "routes/router.hpp"
+
+namespace mothwalk {
+
+namespace {
+using std::chrono::milliseconds;
+constexpr Span starting_span = milliseconds(2500);  // that a request waits for a daemon's first configuration
+constexpr Span silence = milliseconds(1000);        // after which a runner that gave nothing at all counts as failing
+constexpr Span watch_span = milliseconds(100);
+constexpr Span awake_span = milliseconds(600);  // since news ran last: the process was not suspended
+}  // namespace
+
+class Router::Watcher : public AttemptWatcher {
+ public:
+  Watcher(Router& router, Id id, std::uint64_t attempt) : router_(router), id_(id), attempt_(attempt) {}
+  void on_head(int status, const std::vector<Header>& headers) override {
+    router_.attempt_head(id_, attempt_, status, headers);
+  }
+  void on_piece(View piece) override { router_.attempt_piece(id_, attempt_, piece); }
+  void on_pause() override { router_.attempt_pause(id_, attempt_); }
+  void on_end(AttemptEnd end) override { router_.attempt_end(id_, attempt_, end); }
+
+ private:
+  Router& router_;
+  Id id_;
+  std::uint64_t attempt_;
+};
+
+void Router::match_pass() {
+  const Moment now = messenger_.timers().now();
+  const auto configuration = shared_state_.configuration.get();
+  // A lapsed lease is sought for a moment; when no control daemon can be had, the newest configuration known stays in
+  // force.
+  const bool awake = now - Moment{shared_state_.news_tick.load()} < awake_span;
+  const bool may_send = shared_state_.has_lease(now) || (awake && shared_state_.stands_alone(now));
+  std::set<std::string> full;
+  for (const auto& place : std::vector<Place>(waiting_.begin(), waiting_.end())) {
+    auto found = table_.find(std::get<Id>(place));
+    if (found == table_.end() || found->second.state != State::waiting) continue;
+    Record& record = found->second;
+    if (!follow_configuration(record, configuration, now)) continue;
+    std::string why = "lease";
+    if (may_send && send_to_any(record, *configuration, full, &why)) continue;
+    if (now - record.waiting_since >= record.lane.waiting || (why == "busy" && hopeless(record, now)))
+      refuse(record, why, "no runner was free within the lane's waiting budget");
+  }
+}
+
+// What waited goes the way of the newest configuration; false where the record can't be sent in this pass.
+bool Router::follow_configuration(Record& record, const std::shared_ptr<const ConfigurationView>& configuration,
+                                  Moment now) {
+  if (record.configuration == configuration && !record.lane_name.empty()) return true;
+  auto lane = configuration->lanes.find(record.lane_name);
+  const bool unchanged = !record.lane_name.empty() && lane != configuration->lanes.end() &&
+                         lane->second.stamp == record.configuration->lanes.at(record.lane_name).stamp &&
+                         configuration->fleet.stamp == record.configuration->fleet.stamp;
+  if (unchanged)
+    record.configuration = configuration;
+  else if (!admit(record))
+    return false;
+  if (!record.lane_name.empty()) return true;
+  if (now - record.arrived >= starting_span)
+    refuse(record, "starting", "this daemon has not taken the configuration in yet");
+  return false;
+}
+
+// Sends the record to a runner of its kinds; `full` collects the kinds whose runners are all busy.
+bool Router::send_to_any(Record& record, const ConfigurationView& configuration, std::set<std::string>& full,
+                         std::string* why) {
+  for (const auto& kind : record.kinds) {
+    *why = "busy";
+    if (full.contains(kind)) return false;
+    if (auto runner = runner_table_.choose(configuration, kind, record.demand, record.tried, why)) {
+      record.kind = kind;
+      send(record, *runner, configuration);
+      return true;
+    }
+    if (*why == "busy" && record.tried.empty()) full.insert(kind);
+    if (*why == "busy") return false;
+  }
+  return false;
+}
+
+// Where so many wait that the aim will be missed, a caller does better to come back later, told so early.
+bool Router::hopeless(const Record& record, Moment now) const {
+  const Span waited = now - record.waiting_since;
+  if (record.lane.aim == Span{} || record.head_given || waited * 5 < record.lane.aim) return false;
+  auto count = [&](const auto& counts) {
+    auto found = counts.find(record.lane_name);
+    return found == counts.end() ? 0u : found->second;
+  };
+  const std::uint32_t pace = std::max(count(answered_now_), count(answered_last_));
+  return pace > 0 && waited + std::chrono::seconds(1) * static_cast<std::int64_t>(waiting_in(record.lane_name)) / pace >
+                         record.lane.aim;
+}
+
+bool Router::attempts_left(const Record& record) const {
+  return record.lane.attempts > 0 ? record.attempts < record.lane.attempts : record.attempts <= record.lane.retries;
+}
+
+void Router::send(Record& record, const std::string& name, const ConfigurationView& configuration) {
+  const Runner& runner = configuration.runners.at(name).spec;
+  const Kind& kind = configuration.kinds.at(record.kind).spec;
+  set_state(record, State::sent);
+  record.runner = name;
+  record.attempt = ++last_attempt_;
+  record.read = false;
+  record.sent = messenger_.timers().now();
+  ++record.attempts;
+  ++counts_.attempts;
+  ++(runner.zone == self_.zone ? counts_.own_zone : counts_.other_zone);
+  runner_table_.sent(name, kind, record.demand);
+  const AttemptRequest request = attempt_request(record, runner, kind);
+  record.exchange = exchange_.start(request, std::make_shared<Watcher>(*this, record.id, record.attempt));
+}
+
+AttemptRequest Router::attempt_request(const Record& record, const Runner& runner, const Kind& kind) {
+  AttemptRequest request;
+  request.to = runner.address;
+  request.method = record.request.method;
+  request.target = record.request.target;
+  request.headers = end_to_end(record.request.headers, false);
+  request.body = record.request.body;
+  request.connecting = record.lane.connecting;
+  request.first_piece = record.lane.first_piece;
+  request.between_pieces = record.lane.between_pieces;
+  request.runner = record.runner;
+  request.repeatable = record.repeatable;
+  if (kind.connections > 0)
+    request.connections =
+        static_cast<std::uint32_t>(std::max<std::size_t>(1, kind.connections / runner_table_.daemons()));
+  dialect_.write_attempt(request, record.facts,
+                         AttemptFacts{record.runner, std::max(Span{}, record.deadline - messenger_.timers().now()),
+                                      record.last_event, record.head_given ? record.version : std::string()});
+  return request;
+}
+
+// The runner's work is of no use any more, and says nothing of the runner unless it kept silent for long.
+void Router::leave(Record& record) {
+  exchange_.cancel(record.exchange);
+  const Moment now = messenger_.timers().now();
+  const bool silent = record.state == State::sent && now - record.arrived > silence &&
+                      now - runner_table_.heard(record.runner) > silence;
+  runner_table_.ended(record.runner, record.demand, silent ? std::optional(false) : std::nullopt, record.read);
+}
+
+void Router::release(Record& record, bool sound) {
+  runner_table_.ended(record.runner, record.demand, sound, record.read);
+}
+
+// Another attempt is allowed if nothing ran, or if the work may be repeated; both within the lane's attempts.
+void Router::again_or(Record& record, bool ran, int status, const std::string& reason, const std::string& message) {
+  record.may_have_run = record.may_have_run || ran;
+  if (attempts_left(record) && (!ran || (record.repeatable && retry_tokens_ >= 1))) {
+    if (ran) retry_tokens_ -= 1;
+    return again(record);
+  }
+  if (record.may_have_run)
+    give_unknown(record, ran ? status : 502, reason, message);
+  else
+    refuse(record, reason, message);
+}
+
+void Router::again(Record& record) {
+  if (record.abandoned) return set_state(record, State::finished);
+  ++counts_.retries;
+  record.tried.insert(record.runner);
+  set_state(record, State::waiting);
+  record.waiting_since = messenger_.timers().now();
+  passes_wanted_ = true;
+  // When every runner of the circle was tried, all may be tried again.
+  const auto configuration = shared_state_.configuration.get();
+  auto circle = configuration->circles.find(record.kind);
+  if (circle != configuration->circles.end() && record.tried.size() >= circle->second.spec.members.size())
+    record.tried.clear();
+}
+
+// Runners that go dark keep their connections: nothing but their silence shows it. Where a lane says how soon its
+// answers are wanted, a runner that gave nothing at all to this daemon for well over that is left, and repeatable work
+// goes elsewhere.
+Span Router::patience(const Record& record) const {
+  const Lane& lane = record.lane;
+  if (record.read && lane.streaming)
+    return lane.gap > Span{} ? std::max<Span>(lane.gap * 3, milliseconds(500)) : Span::max();
+  if (lane.aim == Span{}) return Span::max();
+  return lane.streaming ? std::clamp<Span>(lane.aim * 3, milliseconds(600), milliseconds(1500))
+                        : std::clamp<Span>(lane.aim * 5 / 2, milliseconds(250), milliseconds(1500));
+}
+
+void Router::arm_watch() {
+  if (watch_armed_ || table_.empty()) return;
+  watch_armed_ = true;
+  messenger_.timers().after(watch_span, [this] {
+    watch_armed_ = false;
+    watch();
+  });
+}
+
+void Router::watch() {
+  const Moment now = messenger_.timers().now();
+  std::vector<Id> dark;
+  for (const auto& [id, record] : table_) {
+    if ((record.state != State::sent && record.state != State::relaying) || record.held_since) continue;
+    if (now - std::max(record.sent, runner_table_.heard(record.runner)) > patience(record)) dark.push_back(id);
+  }
+  for (const Id id : dark) {
+    Record& record = table_.at(id);
+    runner_table_.suspect(record.runner);
+    const bool streams_on = record.state == State::sent || record.events;
+    if (!record.repeatable || !streams_on || !attempts_left(record) || retry_tokens_ < 1) continue;
+    exchange_.cancel(record.exchange);
+    runner_table_.ended(record.runner, record.demand, std::nullopt, record.read);
+    record.may_have_run = true;
+    retry_tokens_ -= 1;
+    counts_.resumed += record.head_given;
+    ++counts_.left_dark;
+    again(record);
+  }
+  if (!dark.empty()) passes();
+  arm_watch();
+}
+
+}  // namespace mothwalk
