Orders: retirements by the roster's owner, evacuations by version, histories checked

Cause: a daemon refused retirements (404, 409) out of its own members and news; a retirement that was taken was refused when sent again once too few machines remained; two at the same time were both allowed; a begin of an evacuation that was still under way could undo the end that its operator sent later; two items of one name in one named change were taken.

Now the owner of the lots' roster, confirmed by a majority, says whether a machine is known and whether enough remain, and allows one retirement after another. Zone names are checked; one that neither settings nor members, runners or kept state know is 404.

--- a/source/configuration/resources.cpp
+++ b/source/configuration/resources.cpp
@@ -224,6 +224,11 @@
          type == "aim";
 }
 
+bool is_resource_name(View name) {
+  return !name.empty() && name.size() <= 100 &&
+         name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") == View::npos;
+}
+
 std::string resource_types() {
   return "lane, kind, runner, zone, lots, holder, aim";
 }
@@ -291,8 +296,7 @@
   if (!is_resource_type(type))
     return Fault{FaultKind::unknown_name, "type", "no resource has the type '" + std::string(type) + "'",
                  "use one of: " + resource_types()};
-  if (name.empty() || name.size() > 100 ||
-      name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") != View::npos)
+  if (!is_resource_name(name))
     return wrong("name", "the name has characters that are not allowed, or a length outside 1 to 100",
                  "use letters, digits, - _ . :");
   if (type == "lane") return check_as<Lane>(name, text, view);
--- a/source/configuration/resources.hpp
+++ b/source/configuration/resources.hpp
@@ -240,6 +240,8 @@
 // The name of a type of resources today; a name of the release before 0.2 is understood for one release.
 std::string current_type(View type);
 bool is_resource_type(View type);
+// 1 to 100 letters, digits, - _ . or :
+bool is_resource_name(View name);
 std::string resource_types();
 
 }  // namespace mothwalk
--- /dev/null
+++ b/source/control/zone_orders.cpp
@@ -0,0 +1,60 @@
+// Read, and written on condition that the version is still the one that was read first.
+#include "control/zone_orders.hpp"
+
+namespace mothwalk {
+
+namespace {
+Fault unclear(const std::string& key, std::string message) {
+  return Fault{FaultKind::unknown, key, std::move(message), "send the same order again"};
+}
+
+// Whether the kept state says that the zone is evacuated; a zone that nothing is kept about is not.
+bool evacuated_in(const ReadReply& reply) {
+  if (!reply.found || reply.record.removed) return false;
+  const auto zone = from_json<Zone>(reply.record.head);
+  return fault_of(zone) == nullptr && std::get<Zone>(zone).evacuated;
+}
+}  // namespace
+
+void ZoneOrders::take(const ZoneId& zone, bool evacuated, Span limit, Answer<Done> answer) {
+  const Moment until = messenger_.timers().now() + limit;
+  read(std::make_shared<Order>(Order{"zone/" + zone.text, evacuated, until, std::move(answer)}));
+}
+
+void ZoneOrders::read(const OrderPointer& order) {
+  client_.read(
+      order->key, order->until - messenger_.timers().now(),
+      [this, order](Result<ReadReply> result) {
+        auto fault = fault_of(result);
+        if (fault == nullptr) return decide(order, std::get<ReadReply>(result));
+        const bool nothing_sent = !order->version;
+        order->answer(nothing_sent ? *fault : unclear(order->key, fault->message));
+      },
+      true);
+}
+
+void ZoneOrders::decide(const OrderPointer& order, const ReadReply& reply) {
+  if (evacuated_in(reply) == order->evacuated) return order->answer(Done{});
+  const bool exists = reply.found && !reply.record.removed;
+  const std::uint64_t version = exists ? reply.record.stamp.version.value : 0;
+  if (order->version && *order->version != version)
+    return order->answer(unclear(order->key, "another order changed the zone meanwhile"));
+  order->version = version;
+  write(order);
+}
+
+void ZoneOrders::write(const OrderPointer& order) {
+  Write change;
+  change.key = order->key;
+  change.head = json::serialize(to_json(Zone{order->evacuated}));
+  change.expected = order->version;
+  client_.write(std::move(change), order->until - messenger_.timers().now(), [this, order](Result<WriteReply> result) {
+    auto fault = fault_of(result);
+    if (fault == nullptr) return order->answer(Done{});
+    const bool unsure = fault->kind == FaultKind::stale || fault->kind == FaultKind::unknown;
+    if (unsure && messenger_.timers().now() < order->until) return read(order);
+    order->answer(unsure ? unclear(order->key, fault->message) : *fault);
+  });
+}
+
+}  // namespace mothwalk
--- a/source/replication/messages.hpp
+++ b/source/replication/messages.hpp
@@ -210,7 +210,9 @@
 // well.
 struct RetirementReply {
   bool known = false, retired = false, seated = false, complete = false;
-  MOTHWALK_FIELDS(known, retired, seated, complete)
+  Address holder;              // where it stands, also where only its name was given; empty for unknown
+  bool enough_remain = false;  // without it
+  MOTHWALK_FIELDS(known, retired, seated, complete, holder, enough_remain)
 };
 struct Retirement {
   static constexpr View kind = "store.retirement";
@@ -218,7 +220,8 @@
   std::string roster;  // the key: "roster" or "roster/lots"
   Address holder;      // empty where only its name is known
   std::string name{};
-  MOTHWALK_FIELDS(roster, holder, name)
+  bool begins = false;  // the holder is going to be marked as retired, if the answer allows it
+  MOTHWALK_FIELDS(roster, holder, name, begins)
 };
 struct DigestsReply {
   std::vector<std::uint64_t> digests;
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -116,6 +116,11 @@
   void install_at_returned();
   void install_at(const Seat& seat, std::uint32_t slot, Epoch epoch, Version roster, TakingPointer taking, int times);
   void retirement(const Retirement& asked, Answer<RetirementReply> answer);
+  Address retiring_holder(const Retirement& asked, const Roster& roster) const;
+  std::set<Address> remaining_holders(const Roster& roster, const Address& without) const;
+  // What is known of the holder, without the state of the copies; approves a retirement that begins. None while another
+  // retirement's outcome decides whether this one may begin.
+  std::optional<RetirementReply> review(const Retirement& asked, const Roster& roster);
   void step_down(std::uint32_t slot, Span pause);
   void publish();
   void write(Write write, Answer<WriteReply> answer);
@@ -167,7 +172,8 @@
     std::set<std::uint32_t> slots;
   };
   std::map<std::string, Copied> copied_;
-  std::size_t newcomers_ = 0;  // holders of lots seen before their first roster, and since when so many
+  std::map<Address, Moment> approved_;  // retirements that were allowed to begin and may not be in the news yet
+  std::size_t newcomers_ = 0;           // holders of lots seen before their first roster, and since when so many
   Moment newcomers_since_;
 };
 
--- a/tests/operators_fixture.hpp
+++ b/tests/platform_operators.hpp
@@ -20,12 +20,7 @@
 };
 
 // A whole configuration without routes; the note tells contents under one number apart.
-inline OperatorRequest replace_request(std::uint64_t base, std::uint64_t number, const std::string& note) {
-  const json::object document{
-      {"config-revision", number}, {"route-table", json::array{}}, {"pool-table", json::array{}}, {"note", note}};
-  return OperatorRequest{
-      "POST", "/v1/Config.Replace", {{"Base-Version", std::to_string(base)}}, json::serialize(document)};
-}
+OperatorRequest replace_request(std::uint64_t base, std::uint64_t number, const std::string& note);
 
 class OperatorSurfaces {
  public:
@@ -57,7 +52,8 @@
     return given->value_or(OperatorReply{});
   }
 
-  double lost_answers = 0;  // share of answers that never reach the operator
+  double lost_answers = 0;      // share of answers that never reach the operator
+  std::set<std::string> zones;  // that the settings name, for surfaces that are made from now on
 
  private:
   static constexpr Span network_delay = std::chrono::microseconds(300);
@@ -65,7 +61,7 @@
   platform::PlatformSurface& surface(Machine& machine) {
     auto& place = surfaces_[machine.name + "/" + std::to_string(machine.incarnation())];
     if (!place)
-      place = std::make_unique<platform::PlatformSurface>(*machine.control_messenger(), machine.shared_state());
+      place = std::make_unique<platform::PlatformSurface>(*machine.control_messenger(), machine.shared_state(), zones);
     return *place;
   }
 
