Record file: synced marks in frames, rewrites in pieces, a failed disk as a state

(1) After a loss of power a hole in the unsynced tail before a sound frame was taken for damage in the middle: the holder dropped everything and took a new identity. (2) The file was rewritten whole in one order, at every start and above 8 MB. (3) A failed sync ended the daemon, and what it left in the file was read as good by the next start.

Each frame states the length that was synced when it was made; a broken place is damage only if a sound frame behind it claims it. Files of the earlier form are read. RecordLog writes the next file slot by slot, in pieces of 1 MB, beside the appends, and switches. A start syncs what it reads, cuts a torn tail and writes nothing else. After a failed append nothing is safe until a next file stands; the holder owns nothing meanwhile, says so in its beats, and tries each second. LogFiles has the steps for the daemon and the simulator, whose disk now loses any part of what is unsynced. Exit code 5 is gone.

Scenarios disk-full and disk-error relied on the end of the process: disk-full now asks that the process stays and owns again, disk-error replaces the drive after 2 s.

--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -73,13 +73,6 @@
     report.note = [](View sentence) {
       logs::note("store", sentence);
     };
-    report.fatal = [this] {
-      logs::warn("store", "The disk failed; this daemon ends.");
-      boost::asio::post(main_, [this] {
-        exit_code_ = 5;
-        main_.stop();
-      });
-    };
     store_ =
         std::make_unique<ReplicatedStore>(*store_duty_.messenger, shared_state_, *disk_, store_duty_.thread.random(),
                                           self_, settings_.seeds, std::move(report), settings_.first_start);
@@ -239,7 +232,7 @@
   wait();
   watch();
   main_.run();
-  return exit_code_;
+  return 0;
 }
 
 void Daemon::drain(bool long_enough, bool over) {
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -74,7 +74,6 @@
   std::atomic<std::uint64_t> syncs_{0}, commits_{0};
   boost::asio::steady_timer drain_timer_{main_};
   std::function<void()> drain_again_;
-  int exit_code_ = 0;
 };
 
 }  // namespace mothwalk
--- /dev/null
+++ b/source/host/posix_volume.cpp
@@ -0,0 +1,112 @@
+// System calls on the files of a data folder.
+#include "host/posix_volume.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace mothwalk {
+
+namespace {
+constexpr std::size_t read_size = 1u << 20;
+constexpr int open_flags = O_RDWR | O_APPEND | O_CLOEXEC;
+}  // namespace
+
+PosixVolume::~PosixVolume() {
+  for (const auto& [file, descriptor] : open_) ::close(descriptor);
+}
+
+int PosixVolume::descriptor(const std::string& file) {
+  auto found = open_.find(file);
+  if (found != open_.end()) return found->second;
+  const int opened = ::open(path(file).c_str(), open_flags);
+  if (opened >= 0) open_[file] = opened;
+  return opened;
+}
+
+void PosixVolume::close(const std::string& file) {
+  auto found = open_.find(file);
+  if (found == open_.end()) return;
+  ::close(found->second);
+  open_.erase(found);
+}
+
+bool PosixVolume::open(const std::string& file) {
+  const int opened = ::open(path(file).c_str(), open_flags | O_CREAT, 0600);
+  if (opened < 0) return false;
+  close(file);
+  open_[file] = opened;
+  return true;
+}
+
+Result<Bytes> PosixVolume::read(const std::string& file) {
+  const Fault fault{FaultKind::damaged, "data_folder", "the records can't be read",
+                    "check the disk, or empty the folder so that this machine joins as a new holder"};
+  const int from = descriptor(file);
+  if (from < 0) return fault;
+  Bytes bytes, part(read_size, '\0');
+  while (true) {
+    const ssize_t count = ::pread(from, part.data(), part.size(), static_cast<off_t>(bytes.size()));
+    if (count == 0) return bytes;
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) return fault;
+    bytes.append(part, 0, static_cast<std::size_t>(count));
+  }
+}
+
+bool PosixVolume::create(const std::string& file) {
+  // The name may still stand for a file in use after a rename that was kept in part, so it is never emptied in place.
+  remove(file);
+  const int made = ::open(path(file).c_str(), open_flags | O_CREAT | O_EXCL, 0600);
+  if (made < 0) return false;
+  open_[file] = made;
+  return true;
+}
+
+bool PosixVolume::remove(const std::string& file) {
+  close(file);
+  return ::unlink(path(file).c_str()) == 0;
+}
+
+bool PosixVolume::write(const std::string& file, View bytes) {
+  const int to = descriptor(file);
+  if (to < 0) return false;
+  while (!bytes.empty()) {
+    const ssize_t count = ::write(to, bytes.data(), bytes.size());
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(count));
+  }
+  return true;
+}
+
+bool PosixVolume::cut(const std::string& file, std::size_t size) {
+  const int of = descriptor(file);
+  return of >= 0 && ::ftruncate(of, static_cast<off_t>(size)) == 0;
+}
+
+bool PosixVolume::sync(const std::string& file) {
+  const int of = descriptor(file);
+  return of >= 0 && ::fdatasync(of) == 0;
+}
+
+bool PosixVolume::rename(const std::string& from, const std::string& to) {
+  if (::rename(path(from).c_str(), path(to).c_str()) != 0) return false;
+  close(to);
+  if (auto moved = open_.find(from); moved != open_.end()) {
+    open_[to] = moved->second;
+    open_.erase(moved);
+  }
+  return true;
+}
+
+bool PosixVolume::sync_folder() {
+  const int folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) return false;
+  const bool good = ::fsync(folder) == 0;
+  ::close(folder);
+  return good;
+}
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/host/posix_volume.hpp
@@ -0,0 +1,34 @@
+// The files of a data folder on a real disk.
+#pragma once
+#include <map>
+
+#include "seams/disk.hpp"
+
+namespace mothwalk {
+
+class PosixVolume : public Volume {
+ public:
+  explicit PosixVolume(std::string folder) : folder_(std::move(folder)) {}
+  ~PosixVolume() override;
+  PosixVolume(const PosixVolume&) = delete;
+  PosixVolume& operator=(const PosixVolume&) = delete;
+  bool open(const std::string& file) override;
+  Result<Bytes> read(const std::string& file) override;
+  bool create(const std::string& file) override;
+  bool remove(const std::string& file) override;
+  bool write(const std::string& file, View bytes) override;
+  bool cut(const std::string& file, std::size_t size) override;
+  bool sync(const std::string& file) override;
+  bool rename(const std::string& from, const std::string& to) override;
+  bool sync_folder() override;
+
+ private:
+  std::string path(const std::string& file) const { return folder_ + "/" + file; }
+  int descriptor(const std::string& file);  // opens the file where it is not open; negative where that fails
+  void close(const std::string& file);
+
+  std::string folder_;
+  std::map<std::string, int> open_;
+};
+
+}  // namespace mothwalk
--- /dev/null
+++ b/source/replication/log_files.cpp
@@ -0,0 +1,97 @@
+// The steps of each order.
+#include "replication/log_files.hpp"
+
+namespace mothwalk {
+
+namespace {
+const std::string current_file = "records", next_file = "records.new";
+}  // namespace
+
+bool LogFiles::open() {
+  if (!volume_.open(current_file)) return false;
+  failed_ = !volume_.sync(current_file) || !volume_.sync_folder();
+  return true;
+}
+
+Result<Bytes> LogFiles::read_all() {
+  auto bytes = volume_.read(current_file);
+  if (fault_of(bytes) == nullptr) synced_ = std::get<Bytes>(bytes).size();
+  return bytes;
+}
+
+std::vector<bool> LogFiles::execute(const std::deque<DiskOrder>& orders) {
+  std::vector<bool> results;
+  for (std::size_t index = 0; index < orders.size();) {
+    const DiskOrder& order = orders[index];
+    switch (order.kind) {
+      case DiskOrder::Kind::append:
+        index = append_run(orders, index, results);
+        continue;
+      case DiskOrder::Kind::cut:
+        results.push_back(cut(order.size));
+        break;
+      case DiskOrder::Kind::begin_next:
+        results.push_back(begin_next());
+        break;
+      case DiskOrder::Kind::write_next:
+        results.push_back(write_next(order.bytes));
+        break;
+      case DiskOrder::Kind::switch_to_next:
+        results.push_back(switch_to_next());
+        break;
+    }
+    ++index;
+  }
+  return results;
+}
+
+std::size_t LogFiles::append_run(const std::deque<DiskOrder>& orders, std::size_t first, std::vector<bool>& results) {
+  Bytes gathered;
+  std::size_t end = first;
+  for (; end < orders.size() && orders[end].kind == DiskOrder::Kind::append; ++end) gathered += orders[end].bytes;
+  results.insert(results.end(), end - first, append(gathered));
+  return end;
+}
+
+bool LogFiles::append(View bytes) {
+  if (failed_ || bytes.empty()) return !failed_;
+  if (volume_.write(current_file, bytes) && volume_.sync(current_file)) {
+    synced_ += bytes.size();
+    return true;
+  }
+  // The bytes may be on the disk, in part, or only in memory: a later start must not read them as if they were safe.
+  failed_ = true;
+  volume_.cut(current_file, synced_);
+  return false;
+}
+
+bool LogFiles::cut(std::size_t size) {
+  failed_ = failed_ || !volume_.cut(current_file, size);
+  if (!failed_) synced_ = size;
+  return !failed_;
+}
+
+bool LogFiles::begin_next() {
+  next_size_ = 0;
+  next_good_ = volume_.create(next_file);
+  return next_good_;
+}
+
+bool LogFiles::write_next(View bytes) {
+  if (!next_good_) return false;
+  next_good_ = volume_.write(next_file, bytes) && volume_.sync(next_file);
+  next_size_ += bytes.size();
+  if (!next_good_) volume_.remove(next_file);
+  return next_good_;
+}
+
+bool LogFiles::switch_to_next() {
+  if (!next_good_) return false;
+  next_good_ = false;
+  // From the rename on it is not known which of the two files a loss of power leaves, until the folder is synced.
+  failed_ = !volume_.rename(next_file, current_file) || !volume_.sync_folder();
+  if (!failed_) synced_ = next_size_;
+  return !failed_;
+}
+
+}  // namespace mothwalk
--- a/source/replication/record_file.cpp
+++ b/source/replication/record_file.cpp
@@ -1,4 +1,5 @@
-// Framing: a mark, the length, a CRC-32 over length and payload, then the payload.
+// Framing: a mark, the payload's length, the synced length, a CRC-32 over both and the payload, then the payload. Files
+// of earlier versions have frames without a synced length, each of which stands for all bytes before it.
 #include "replication/record_file.hpp"
 
 #include <boost/crc.hpp>
@@ -6,65 +7,89 @@
 namespace mothwalk {
 namespace {
 
-constexpr View mark = "MWK1";
-constexpr std::size_t head_size = 12;
+constexpr View mark = "MWK2", earlier_mark = "MWK1";
+constexpr std::size_t length_at = 4, length_size = 4, synced_size = 8, checksum_size = 4;
 
-void put_number(Bytes& out, std::uint32_t value) {
-  for (int shift = 0; shift < 32; shift += 8) out.push_back(static_cast<char>((value >> shift) & 255));
+void put_number(Bytes& out, std::uint64_t value, std::size_t size) {
+  for (std::size_t index = 0; index < size; ++index) out.push_back(static_cast<char>((value >> (8 * index)) & 255));
 }
 
-std::uint32_t get_number(View bytes, std::size_t at) {
-  std::uint32_t value = 0;
-  for (int index = 3; index >= 0; --index)
-    value = (value << 8) | static_cast<unsigned char>(bytes[at + static_cast<std::size_t>(index)]);
+std::uint64_t get_number(View bytes, std::size_t at, std::size_t size) {
+  std::uint64_t value = 0;
+  for (std::size_t index = size; index > 0; --index)
+    value = (value << 8) | static_cast<unsigned char>(bytes[at + index - 1]);
   return value;
 }
 
-std::uint32_t checksum(View length, View payload) {
+std::uint32_t checksum(View lengths, View payload) {
   boost::crc_32_type crc;
-  crc.process_bytes(length.data(), length.size());
+  crc.process_bytes(lengths.data(), lengths.size());
   crc.process_bytes(payload.data(), payload.size());
   return crc.checksum();
 }
 
-std::optional<View> frame_at(View bytes, std::size_t at) {
-  if (bytes.size() - at < head_size || bytes.substr(at, mark.size()) != mark) return std::nullopt;
-  const std::size_t length = get_number(bytes, at + 4);
-  if (bytes.size() - at - head_size < length) return std::nullopt;
-  const View payload = bytes.substr(at + head_size, length);
-  if (checksum(bytes.substr(at + 4, 4), payload) != get_number(bytes, at + 8)) return std::nullopt;
-  return payload;
+struct Frame {
+  std::size_t size = 0;  // of the whole frame, in bytes
+  std::uint64_t synced = 0;
+  View payload;
+};
+
+std::optional<Frame> frame_at(View bytes, std::size_t at) {
+  const View rest = bytes.substr(at);
+  const bool earlier = rest.starts_with(earlier_mark);
+  if (!earlier && !rest.starts_with(mark)) return std::nullopt;
+  const std::size_t lengths = length_size + (earlier ? 0 : synced_size);
+  const std::size_t head = length_at + lengths + checksum_size;
+  if (rest.size() < head) return std::nullopt;
+  const std::size_t length = get_number(rest, length_at, length_size);
+  if (rest.size() - head < length) return std::nullopt;
+  Frame frame;
+  frame.size = head + length;
+  frame.synced = earlier ? at : get_number(rest, length_at + length_size, synced_size);
+  frame.payload = rest.substr(head, length);
+  const std::uint64_t stated = get_number(rest, length_at + lengths, checksum_size);
+  if (checksum(rest.substr(length_at, lengths), frame.payload) != stated) return std::nullopt;
+  return frame;
+}
+
+// Whether a sound frame behind the broken place states that the place had been synced.
+bool synced_beyond(View bytes, std::size_t broken) {
+  const View shared_part = mark.substr(0, 3);
+  for (std::size_t next = bytes.find(shared_part, broken + 1); next != View::npos;
+       next = bytes.find(shared_part, next + 1)) {
+    const auto frame = frame_at(bytes, next);
+    if (frame && frame->synced > broken) return true;
+  }
+  return false;
 }
 
 }  // namespace
 
-Bytes frame_entry(const DiskEntry& entry) {
+Bytes frame_entry(const DiskEntry& entry, std::uint64_t synced) {
   const Bytes payload = to_cbor(entry);
-  Bytes length, out(mark);
-  put_number(length, static_cast<std::uint32_t>(payload.size()));
-  out += length;
-  put_number(out, checksum(length, payload));
-  return out + payload;
+  Bytes lengths;
+  put_number(lengths, payload.size(), length_size);
+  put_number(lengths, synced, synced_size);
+  Bytes frame(mark);
+  frame += lengths;
+  put_number(frame, checksum(lengths, payload), checksum_size);
+  return frame + payload;
 }
 
 ReadFile read_frames(View bytes) {
   ReadFile file;
   std::size_t at = 0;
   while (at < bytes.size()) {
-    const auto payload = frame_at(bytes, at);
+    const auto frame = frame_at(bytes, at);
     std::optional<DiskEntry> entry;
-    if (payload) entry = from_cbor<DiskEntry>(*payload);
+    if (frame) entry = from_cbor<DiskEntry>(frame->payload);
     if (!entry) break;
     file.entries.push_back(std::move(*entry));
-    at += head_size + payload->size();
+    at += frame->size;
   }
   file.sound_bytes = at;
   file.torn = at < bytes.size();
-  for (std::size_t next = bytes.find(mark, at + 1); file.torn && next != View::npos; next = bytes.find(mark, next + 1))
-    if (frame_at(bytes, next)) {
-      file.damaged = true;
-      break;
-    }
+  file.damaged = file.torn && synced_beyond(bytes, at);
   return file;
 }
 
--- a/source/replication/record_file.hpp
+++ b/source/replication/record_file.hpp
@@ -1,5 +1,6 @@
-// The holder's append-only file: framed records with checksums. Reading cuts a torn tail and tells damage in the middle
-// apart from it by looking for sound frames behind the broken one.
+// The holder's append-only file: framed records with checksums. Each frame states up to which length the file was
+// synced when the frame was made. A loss of power may keep any part of what was not synced, also a later write without
+// an earlier one; so a broken frame is damage only if a sound frame behind it states that its place had been synced.
 #pragma once
 #include "replication/messages.hpp"
 
@@ -21,10 +22,12 @@
 struct ReadFile {
   std::vector<DiskEntry> entries;
   std::size_t sound_bytes = 0;
-  bool torn = false, damaged = false;
+  bool torn = false;     // the bytes from sound_bytes on were never synced as far as the file tells, and are to be cut
+  bool damaged = false;  // synced bytes are broken: nothing of the file can be relied on
 };
 
-Bytes frame_entry(const DiskEntry& entry);
+// `synced` is the length in bytes up to which the file was synced when the frame was made.
+Bytes frame_entry(const DiskEntry& entry, std::uint64_t synced);
 ReadFile read_frames(View bytes);
 
 }  // namespace mothwalk
--- a/source/replication/replica.cpp
+++ b/source/replication/replica.cpp
@@ -79,7 +79,7 @@
   Held& held = held_[store.slot];
   auto found = held.records.find(store.change.key);
   const Stamp have = found == held.records.end() ? Stamp{} : found->second.stamp;
-  if (have >= store.change.stamp) return append({}, [answer] { answer(StoreReply{"stored", {}, {}, {}}); });
+  if (have >= store.change.stamp) return log_.when_synced([answer] { answer(StoreReply{"stored", {}, {}, {}}); });
   if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}, {}});
   apply(held, store.change);
   const bool roster_change = store.change.key == "roster" && store.change.head;
--- a/source/replication/replicated_store.cpp
+++ b/source/replication/replicated_store.cpp
@@ -11,7 +11,6 @@
 namespace {
 using std::chrono::milliseconds;
 constexpr Span tick_span = milliseconds(100);
-constexpr Span stall_span = milliseconds(1000);
 constexpr std::size_t most_removed_lots = 200;
 
 bool newsy(View key) {
@@ -21,14 +20,14 @@
 
 ReplicatedStore::ReplicatedStore(Messenger& messenger, SharedState& shared_state, Disk& disk, RandomSource& random,
                                  Member self, std::vector<Address> seeds, Report report,
-                                 std::optional<bool> first_start)
+                                 std::optional<bool> first_start, std::size_t disk_limit)
     : messenger_(messenger),
       shared_state_(shared_state),
-      disk_(disk),
       random_(random),
       self_(std::move(self)),
       seeds_(std::move(seeds)),
       report_(std::move(report)),
+      log_(disk, messenger.timers(), log_contents(), disk_limit),
       first_start_(first_start) {
   messenger_.on_ask<Who>([this](const Address&, Who, Answer<WhoReply> answer) { on_who(std::move(answer)); });
   messenger_.on_ask<Found>([this](const Address&, Found message, Answer<WhoReply> answer) {
@@ -80,33 +79,28 @@
 
 void ReplicatedStore::start() {
   started_ = messenger_.timers().now();
-  // The file is written anew at every start: it drops what is torn, and the identity is on disk before any promise.
-  const Bytes whole = snapshot();
-  file_bytes_ = file_base_ = whole.size();
-  appending_.push_back(started_);
-  disk_.rewrite(whole, [this](bool good) {
-    appending_.pop_front();
-    if (!good) return report_.fatal();
-    tick();
-  });
+  log_.start(file_);
+  auto durable = [this] {
+    durable_ = true;
+  };
+  if (file_.sound_bytes == 0)
+    persist(DiskEntry{.what = "identity", .holder = identity_, .address = self_.address}, durable);
+  else
+    log_.when_synced(durable);
+  tick();
 }
 
 void ReplicatedStore::tick() {
   const Moment now = messenger_.timers().now();
   ++ticks_;
-  const bool stalled = !appending_.empty() && now - appending_.front() > stall_span;
-  if (stalled && !shared_state_.stalled.load())
-    report_.note("The disk does not answer; this holder gives up what it owns.");
-  shared_state_.stalled = stalled;
-  if (stalled)
-    for (std::uint32_t slot = 0; slot < slot_count; ++slot)
-      if (owned_[slot].state != Owned::State::none) step_down(slot, milliseconds(1000));
+  watch_disk();
   const auto configuration = shared_state_.configuration.get();
   if (const Roster& told = lots_only() ? configuration->lot_roster : configuration->roster;
       told.version > roster_.version)
     adopt(told);
+  const bool stalled = shared_state_.stalled.load();
   if (roster_.seats.empty()) {
-    if (!lots_only()) first_start_ ? gather() : found();
+    if (!lots_only() && durable_) first_start_ ? gather() : found();
   } else if (!stalled && now - started_ > milliseconds(1000) && roster_.seated(identity_)) {
     const auto members = shared_state_.members.get();
     for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
@@ -126,10 +120,24 @@
       lot_roster_duty();
     }
   }
-  rewrite_when_long();
+  log_.tick();
   messenger_.timers().after(tick_span, [this] { tick(); });
 }
 
+// A holder that can make nothing safe owns nothing, and says so in its beats, until its disk has recovered.
+void ReplicatedStore::watch_disk() {
+  durable_ = durable_ || log_.rewrites() > 0;
+  const bool stalled = log_.stalled();
+  if (stalled && !shared_state_.stalled.load())
+    report_.note(log_.failed() ? "The disk takes nothing more; this holder gives up what it owns."
+                               : "The disk does not answer; this holder gives up what it owns.");
+  if (!stalled && shared_state_.stalled.load()) report_.note("The disk answers again.");
+  shared_state_.stalled = stalled;
+  if (!stalled) return;
+  for (std::uint32_t slot = 0; slot < slot_count; ++slot)
+    if (owned_[slot].state != Owned::State::none) step_down(slot, milliseconds(1000));
+}
+
 void ReplicatedStore::publish() {
   Ownership ownership;
   for (std::uint32_t slot = 0; slot < slot_count; ++slot)
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -7,7 +7,7 @@
 
 #include "replication/founding.hpp"
 #include "replication/messages.hpp"
-#include "replication/record_file.hpp"
+#include "replication/record_log.hpp"
 
 namespace mothwalk {
 
@@ -16,18 +16,18 @@
   struct Report {
     std::function<void(View)> note = [](View) {
     };
-    std::function<void()> fatal = [] {
-    };  // a sync failed: this holder must end
   };
   // first_start: whether this is the first life of the whole fleet, as the host was told; absent where the host is told
   // nothing, and then the three seeds are holders that found among themselves.
   ReplicatedStore(Messenger& messenger, SharedState& shared_state, Disk& disk, RandomSource& random, Member self,
-                  std::vector<Address> seeds, Report report, std::optional<bool> first_start = std::nullopt);
+                  std::vector<Address> seeds, Report report, std::optional<bool> first_start = std::nullopt,
+                  std::size_t disk_limit = 0);
   // Reads the file; false with a fault where the data can't be used.
   Result<Done> load();
   HolderId identity() const { return identity_; }
   void start();
-  std::uint64_t syncs() const { return syncs_; }
+  std::uint64_t syncs() const { return log_.appends(); }
+  const RecordLog& log() const { return log_; }
   std::uint64_t commits() const { return commits_; }
   std::size_t removed_lots() const;
 
@@ -38,7 +38,7 @@
     Epoch promised, installed;
     HolderId promised_to;
     std::uint64_t digest = 0;
-    std::size_t removed_lots = 0;
+    std::size_t removed_lots = 0, bytes = 0;  // bytes: of all records, about
   };
   struct Pending {
     Write write;
@@ -83,9 +83,11 @@
   void raise_promise(std::uint32_t slot, Epoch epoch, const HolderId& owner);
 
   void persist(DiskEntry entry, std::function<void()> then);
-  void append(Bytes bytes, std::function<void()> then);
-  void rewrite_when_long();
-  Bytes snapshot() const;
+  RecordLog::Contents log_contents();
+  std::vector<DiskEntry> slot_entries(std::uint32_t slot) const;
+  Result<Done> replay(DiskEntry entry);
+  void take_new_identity();
+  void watch_disk();
   void put_record(Held& held, Record record);
   void erase_record(Held& held, const std::string& key);
   void put_copies(Held& held, std::vector<Record> records);
@@ -140,7 +142,6 @@
 
   Messenger& messenger_;
   SharedState& shared_state_;
-  Disk& disk_;
   RandomSource& random_;
   Member self_;
   std::vector<Address> seeds_;
@@ -150,9 +151,10 @@
   std::vector<Held> held_{slot_count};
   std::vector<Owned> owned_{slot_count};
   Moment started_;
-  std::size_t file_bytes_ = 0, file_base_ = 0;
-  std::deque<Moment> appending_;
-  std::uint64_t syncs_ = 0, commits_ = 0, ticks_ = 0;
+  RecordLog log_;
+  ReadFile file_;         // as it was found, without its entries
+  bool durable_ = false;  // whether the identity is known to be on the disk
+  std::uint64_t commits_ = 0, ticks_ = 0;
   std::optional<bool> first_start_;
   bool founding_ = false;
   std::map<HolderId, Seat> candidates_;  // for the first roster, as the seeds told, and since when they are these
--- a/source/replication/slot_records.cpp
+++ b/source/replication/slot_records.cpp
@@ -9,7 +9,11 @@
 void ReplicatedStore::put_record(Held& held, Record record) {
   if (record.written == Stamp{}) record.written = record.stamp;
   Record& place = held.records[record.key];
-  if (!place.key.empty()) held.digest ^= record_hash(place);
+  if (!place.key.empty()) {
+    held.digest ^= record_hash(place);
+    held.bytes -= size_of(place);
+  }
+  held.bytes += size_of(record);
   if (record.key.starts_with("lot/"))
     held.removed_lots += static_cast<std::size_t>(record.removed) - static_cast<std::size_t>(place.removed);
   held.digest ^= record_hash(record);
@@ -20,6 +24,7 @@
   auto found = held.records.find(key);
   if (found == held.records.end()) return;
   held.digest ^= record_hash(found->second);
+  held.bytes -= size_of(found->second);
   if (lot_key(key)) held.removed_lots -= found->second.removed;
   held.records.erase(found);
 }
--- a/source/seams/seams.hpp
+++ b/source/seams/seams.hpp
@@ -3,6 +3,7 @@
 // daemon and the simulator run the same duty objects.
 #pragma once
 #include "coding/fields.hpp"
+#include "seams/disk.hpp"
 
 namespace mothwalk {
 
@@ -38,16 +39,6 @@
   virtual void send(const Address& to, Envelope envelope) = 0;
 };
 
-class Disk {
- public:
-  virtual ~Disk() = default;
-  virtual Result<Bytes> read_all() = 0;
-  // Appends and syncs; the callback says whether the bytes are safe. Calls finish in the order given.
-  virtual void append(Bytes bytes, std::function<void(bool)> done) = 0;
-  // Replaces the whole file (new file, sync, rename, folder sync).
-  virtual void rewrite(Bytes bytes, std::function<void(bool)> done) = 0;
-};
-
 class RandomSource {
  public:
   virtual ~RandomSource() = default;
--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -51,16 +51,6 @@
     report.note = [this](View sentence) {
       cluster_.world.history(name + " kept: " + std::string(sentence));
     };
-    report.fatal = [this] {
-      cluster_.world.history(name + " ends: its disk failed");
-      // The platform restarts it with an empty disk, as it would replace the drive, or with room made on a full one.
-      kill(!keeps_disk);
-      keeps_disk = false;
-      disk_.failing = false;
-      cluster_.world.after(std::chrono::seconds(2), [this] {
-        if (!alive()) start();
-      });
-    };
     duties_->kept = std::make_unique<ReplicatedStore>(messenger("store"), *shared_state_, disk_, world.random, self,
                                                       seeds, std::move(report), first_start);
     if (auto loaded = duties_->kept->load(); fault_of(loaded)) {
--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -100,7 +100,6 @@
   ReplicatedStore* kept() { return duties_ ? duties_->kept.get() : nullptr; }
   std::uint64_t frames = 0, bytes = 0, bytes_in = 0;  // sent; what was taken while the world measures
   Span clock{};                                       // how far its wall clock is off
-  bool keeps_disk = false;   // its disk is full, not broken: it ends and returns with its records
   Moment undisturbed_since;  // since when nothing was done to it
 
  private:
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -367,9 +367,17 @@
     });
   });
   add(
-      "disk-error", "a sync fails; the drive is replaced by an empty one",
+      "disk-error", "a drive takes nothing more for 2 s and is then replaced by an empty one",
       [](SimulatedCluster& cluster) {
-        cluster.world.after(seconds(4), [&cluster] { pick(cluster, true).disk().failing = true; });
+        cluster.world.after(seconds(4), [&cluster] {
+          Machine& machine = pick(cluster, true);
+          cluster.world.history(machine.name + "'s drive breaks");
+          machine.disk().set_failing(true);
+          cluster.world.after(seconds(2), [&cluster, &machine] {
+            machine.disk().set_failing(false);
+            kill_and_restart(cluster, machine, true, seconds(2));
+          });
+        });
       },
       seconds(24));
   add(
@@ -527,11 +535,20 @@
           }
         });
       });
-  add("disk-full", "a holder's disk is full: the daemon ends, and returns with its records when there is room",
+  add("disk-full", "a holder's disk takes nothing more for 4 s: the daemon goes on, and owns again when there is room",
       [](SimulatedCluster& cluster) {
         every(cluster, seconds(7), 2, [&cluster](int) {
-          Machine& machine = pick(cluster, true);
-          machine.keeps_disk = machine.disk().failing = true;
+          Machine& machine = owner_of(cluster, "lane/extra");
+          const std::uint64_t life = machine.incarnation();
+          cluster.world.history(machine.name + "'s disk is full");
+          machine.disk().set_failing(true);
+          cluster.world.after(seconds(4), [&machine] { machine.disk().set_failing(false); });
+          cluster.world.after(seconds(6), [&cluster, &machine, life] {
+            if (machine.incarnation() != life)
+              cluster.broken.push_back("a full disk ended " + machine.name);
+            else if (machine.shared_state().stalled.load())
+              cluster.broken.push_back("a disk with room again is still given up by " + machine.name);
+          });
         });
       });
   add("disk-unreadable", "a holder's records can't be read at two starts; its identity must not change",
--- /dev/null
+++ b/source/simulate/simulated_volume.cpp
@@ -0,0 +1,154 @@
+// Files as they are seen by a process, and as a loss of power leaves them.
+#include "simulate/simulated_volume.hpp"
+
+#include <algorithm>
+
+namespace mothwalk::simulate {
+
+namespace {
+enum class Kept { whole, torn, missing };
+
+Kept chance(RandomSource& random) {
+  return static_cast<Kept>(random.below(3));
+}
+
+void put(Bytes& content, std::size_t offset, View bytes) {
+  if (content.size() < offset + bytes.size()) content.resize(offset + bytes.size(), '\0');
+  content.replace(offset, bytes.size(), bytes);
+}
+}  // namespace
+
+void SimulatedVolume::set_name(const std::string& name, FilePointer file) {
+  unsynced_names_.push_back(NameChange{name, file});
+  if (file)
+    names_[name] = std::move(file);
+  else
+    names_.erase(name);
+}
+
+bool SimulatedVolume::open(const std::string& file) {
+  return names_.contains(file) || create(file);
+}
+
+Result<Bytes> SimulatedVolume::read(const std::string& file) {
+  auto found = names_.find(file);
+  if (unreadable || found == names_.end())
+    return Fault{FaultKind::damaged, "data_folder", "the records can't be read", "check the disk"};
+  return found->second->content;
+}
+
+bool SimulatedVolume::create(const std::string& file) {
+  if (!begin_operation()) return false;
+  if (names_.contains(file)) set_name(file, nullptr);
+  set_name(file, std::make_shared<File>());
+  return true;
+}
+
+bool SimulatedVolume::remove(const std::string& file) {
+  if (!begin_operation() || !names_.contains(file)) return false;
+  set_name(file, nullptr);
+  return true;
+}
+
+bool SimulatedVolume::write(const std::string& file, View bytes) {
+  auto found = names_.find(file);
+  if (!begin_operation() || found == names_.end()) return false;
+  File& to = *found->second;
+  const std::size_t used = total();
+  const std::size_t room = capacity == 0 ? bytes.size() : capacity - std::min(used, capacity);
+  const View fitting = bytes.substr(0, std::min(room, bytes.size()));
+  to.unsynced.push_back(Change{to.content.size(), Bytes(fitting), false});
+  to.content += fitting;
+  return fitting.size() == bytes.size();
+}
+
+bool SimulatedVolume::cut(const std::string& file, std::size_t size) {
+  auto found = names_.find(file);
+  if (!begin_operation() || found == names_.end()) return false;
+  File& of = *found->second;
+  of.content.resize(std::min(of.content.size(), size));
+  of.unsynced.push_back(Change{size, {}, true});
+  return true;
+}
+
+bool SimulatedVolume::sync(const std::string& file) {
+  auto found = names_.find(file);
+  if (!begin_operation() || found == names_.end()) return false;
+  found->second->synced = found->second->content;
+  found->second->unsynced.clear();
+  return true;
+}
+
+bool SimulatedVolume::rename(const std::string& from, const std::string& to) {
+  auto found = names_.find(from);
+  if (!begin_operation() || found == names_.end()) return false;
+  set_name(to, found->second);
+  set_name(from, nullptr);
+  return true;
+}
+
+bool SimulatedVolume::sync_folder() {
+  if (!begin_operation()) return false;
+  synced_names_ = names_;
+  unsynced_names_.clear();
+  return true;
+}
+
+void SimulatedVolume::lose_power(File& file, RandomSource& random) {
+  file.content = file.synced;
+  for (const auto& change : file.unsynced) {
+    const Kept kept = chance(random);
+    if (kept == Kept::missing) continue;
+    if (change.cut)
+      file.content.resize(std::min(file.content.size(), change.offset));
+    else
+      put(file.content, change.offset,
+          kept == Kept::whole ? View(change.bytes)
+                              : View(change.bytes).substr(0, random.below(change.bytes.size() + 1)));
+  }
+  file.synced = file.content;
+  file.unsynced.clear();
+}
+
+void SimulatedVolume::lose_power(RandomSource& random) {
+  names_ = synced_names_;
+  for (auto& change : unsynced_names_) {
+    if (random.below(2) == 0) continue;
+    if (change.file)
+      names_[change.name] = change.file;
+    else
+      names_.erase(change.name);
+  }
+  std::set<File*> seen;
+  for (auto& [name, file] : names_)
+    if (seen.insert(file.get()).second) lose_power(*file, random);
+  synced_names_ = names_;
+  unsynced_names_.clear();
+  stop_after = UINT64_MAX;
+}
+
+void SimulatedVolume::wipe() {
+  names_.clear();
+  synced_names_.clear();
+  unsynced_names_.clear();
+}
+
+void SimulatedVolume::damage(const std::string& file, std::size_t at) {
+  auto found = names_.find(file);
+  if (found == names_.end() || at >= found->second->content.size()) return;
+  for (Bytes* bytes : {&found->second->content, &found->second->synced})
+    if (at < bytes->size()) (*bytes)[at] = static_cast<char>((*bytes)[at] ^ 0x5a);
+}
+
+std::size_t SimulatedVolume::size(const std::string& file) const {
+  auto found = names_.find(file);
+  return found == names_.end() ? 0 : found->second->content.size();
+}
+
+std::size_t SimulatedVolume::total() const {
+  std::size_t bytes = 0;
+  for (const auto& [name, file] : names_) bytes += file->content.size();
+  return bytes;
+}
+
+}  // namespace mothwalk::simulate
--- a/source/simulate/world.cpp
+++ b/source/simulate/world.cpp
@@ -89,9 +89,29 @@
   return id;
 }
 
-void SimulatedDisk::order(bool whole, Bytes bytes, std::function<void(bool)> done) {
-  world_.point(whole ? "rewrite" : "append", place_);
-  orders_.push_back(Order{whole, std::move(bytes), std::move(done)});
+void SimulatedDisk::own(LifePointer life) {
+  life_ = std::move(life);
+  busy_ = false;
+  orders_.clear();
+  syncing_.clear();
+  files_ = std::make_unique<LogFiles>(volume_);
+  files_->open();
+}
+
+Result<Bytes> SimulatedDisk::read_all() {
+  if (unreadable > 0) return Fault{FaultKind::damaged, "data_folder", "the records can't be read", "check the disk"};
+  return files_->read_all();
+}
+
+void SimulatedDisk::point(const DiskOrder& order, bool done) {
+  if (order.kind == DiskOrder::Kind::append) world_.point(done ? "synced" : "append", place_);
+  if (order.kind == DiskOrder::Kind::write_next) world_.point(done ? "rewritten" : "rewrite", place_);
+  if (order.kind == DiskOrder::Kind::switch_to_next) world_.point(done ? "switched" : "switch", place_);
+}
+
+void SimulatedDisk::order(DiskOrder order) {
+  point(order, false);
+  orders_.push_back(std::move(order));
   if (!busy_) begin();
 }
 
@@ -107,39 +127,25 @@
 void SimulatedDisk::complete() {
   if (stalled) return world_.at(std::chrono::milliseconds(50), life_, [this] { complete(); });
   const LifePointer life = life_;
-  while (!syncing_.empty()) {
-    const Order order = std::move(syncing_.front());
-    syncing_.pop_front();
-    if (!failing) put(order);
-    if (!failing) world_.point(order.whole ? "rewritten" : "synced", place_);
-    order.done(!failing);
+  const std::deque<DiskOrder> executed = std::exchange(syncing_, {});
+  const std::vector<bool> results = files_->execute(executed);
+  for (std::size_t index = 0; index < executed.size(); ++index) {
+    if (results[index]) point(executed[index], true);
+    executed[index].done(results[index]);
     if (!life->alive) return;
   }
   busy_ = false;
   if (!orders_.empty()) begin();
 }
 
-void SimulatedDisk::put(const Order& order) {
-  if (order.whole)
-    synced_ = order.bytes;
-  else
-    synced_ += order.bytes;
-}
-
-// A process dies: of the sync under way some orders may have reached the disk, the next one in part; a rewrite reaches
-// it whole or not at all, by its rename.
+// Of the sync under way the first few steps may have been made; what they left unsynced is lost in any part.
 void SimulatedDisk::tear() {
-  if (syncing_.empty() || world_.random.uniform() > torn) return;
-  for (std::size_t reached = world_.random.below(syncing_.size() + 1); reached > 0; --reached) {
-    put(syncing_.front());
-    syncing_.pop_front();
+  constexpr std::size_t steps_of_an_order = 4;
+  if (!syncing_.empty()) {
+    volume_.stop_after = volume_.operations + world_.random.below(steps_of_an_order * syncing_.size() + 1);
+    files_->execute(std::exchange(syncing_, {}));
   }
-  if (!syncing_.empty() && !syncing_.front().whole && !syncing_.front().bytes.empty())
-    synced_ += syncing_.front().bytes.substr(0, world_.random.below(syncing_.front().bytes.size()));
-}
-
-void SimulatedDisk::damage() {
-  if (synced_.size() > 200) synced_[synced_.size() / 3] = static_cast<char>(synced_[synced_.size() / 3] ^ 0x5a);
+  volume_.lose_power(world_.random);
 }
 
 }  // namespace mothwalk::simulate
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -5,7 +5,9 @@
 #include <queue>
 
 #include "coding/json.hpp"
+#include "replication/log_files.hpp"
 #include "seams/seams.hpp"
+#include "simulate/simulated_volume.hpp"
 
 namespace mothwalk::simulate {
 
@@ -105,47 +107,38 @@
   Id last_ = 0;
 };
 
-// A disk outlives the processes that use it. What is not synced when a process dies is lost, save for a torn piece.
+// A disk outlives the processes that use it. A process that dies leaves it as a loss of power does: any part of what
+// was not synced may be there or not.
 class SimulatedDisk : public Disk {
  public:
   SimulatedDisk(World& world, std::string place) : world_(world), place_(std::move(place)) {}
-  void own(LifePointer life) {
-    life_ = std::move(life);
-    busy_ = false;
-    orders_.clear();
-    syncing_.clear();
-  }
-  Result<Bytes> read_all() override {
-    if (unreadable > 0) return Fault{FaultKind::damaged, "data_folder", "the records can't be read", "check the disk"};
-    return synced_;
-  }
-  void append(Bytes bytes, std::function<void(bool)> done) override { order(false, std::move(bytes), std::move(done)); }
-  void rewrite(Bytes bytes, std::function<void(bool)> done) override { order(true, std::move(bytes), std::move(done)); }
-  void wipe() { synced_.clear(); }
-  void damage();
+  void own(LifePointer life);
+  Result<Bytes> read_all() override;
+  void order(DiskOrder order) override;
+  void tear();  // the process has died
+  void wipe() { volume_.wipe(); }
+  void damage() { volume_.damage("records", size() / 3); }
+  // While it is full or broken nothing can be written. Full is a state, and so is a broken drive until it is replaced.
+  void set_failing(bool failing) { volume_.failing = failing; }
+  void set_capacity(std::size_t bytes) { volume_.capacity = bytes; }
+  std::size_t size() const { return volume_.size("records"); }
+  std::size_t total() const { return volume_.total(); }
+
   Span sync_time = std::chrono::microseconds(400);
-  bool stalled = false, failing = false;
+  bool stalled = false;
   int unreadable = 0;  // so many starts find a disk that can't be read
-  double torn = 0.3;
-  void tear();
-  std::size_t size() const { return synced_.size(); }
 
  private:
-  void order(bool whole, Bytes bytes, std::function<void(bool)> done);
-  struct Order {
-    bool whole;
-    Bytes bytes;
-    std::function<void(bool)> done;
-  };
   void begin();
   void complete();
-  void put(const Order& order);
+  void point(const DiskOrder& order, bool done);
   World& world_;
   std::string place_;
   LifePointer life_;
-  Bytes synced_;
+  SimulatedVolume volume_;
+  std::unique_ptr<LogFiles> files_;
   bool busy_ = false;
-  std::deque<Order> orders_, syncing_;  // waiting, and in the sync under way
+  std::deque<DiskOrder> orders_, syncing_;  // waiting, and in the sync under way
 };
 
 }  // namespace mothwalk::simulate
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -42,10 +42,16 @@
   REQUIRE(fault_of(disk.open()) == nullptr);
   CHECK(std::get<Bytes>(disk.read_all()) == "old");
   int good = 0;
-  disk.rewrite("fresh", [&](bool done) { good += done; });
-  disk.append(" and more", [&](bool done) { good += done; });
+  auto count = [&](bool done) {
+    good += done;
+  };
+  disk.order(DiskOrder{DiskOrder::Kind::begin_next, {}, 0, count});
+  disk.order(DiskOrder{DiskOrder::Kind::write_next, "fresh", 0, count});
+  disk.order(DiskOrder{DiskOrder::Kind::switch_to_next, {}, 0, count});
+  disk.order(DiskOrder{DiskOrder::Kind::append, " and more", 0, count});
   disk.stop();
-  CHECK(good == 2);
+  CHECK(good == 4);
+  CHECK(std::get<Bytes>(disk.read_all()) == "fresh and more");
   FileDisk again(folder.path, [](Task task) { task(); });
   CHECK(fault_of(again.open()) != nullptr);  // the first still holds the folder
 }
--- /dev/null
+++ b/tests/log_files_test.cpp
@@ -0,0 +1,225 @@
+// The record file and its rewriting at every point where the power may go, and on disks that are full or broken.
+#include <catch2/catch.hpp>
+
+#include "replication/record_log.hpp"
+#include "simulate/world.hpp"
+
+using namespace mothwalk;
+using namespace mothwalk::simulate;
+
+namespace {
+
+constexpr std::uint64_t chances = 24;  // draws of what a loss of power keeps, at each point
+
+DiskEntry change_of(int number) {
+  DiskEntry entry;
+  entry.what = "change";
+  entry.slot = static_cast<std::uint32_t>(number) % slot_count;
+  entry.change.key = "lane/" + std::to_string(number);
+  entry.change.full = true;
+  entry.change.head = std::to_string(number) + Bytes(300, 'x');
+  return entry;
+}
+
+// A writer of changes whose memory is the set of the numbers written, by slot.
+struct Writer {
+  explicit Writer(SimulatedVolume& volume) : volume_(volume), files_(volume) {}
+
+  struct DirectDisk : Disk {  // executes each order at once, or the ones that have gathered
+    explicit DirectDisk(LogFiles& files) : files_(files) {}
+    Result<Bytes> read_all() override { return files_.read_all(); }
+    void order(DiskOrder order) override { orders.push_back(std::move(order)); }
+    bool run() {
+      const std::deque<DiskOrder> batch = std::exchange(orders, {});
+      const std::vector<bool> results = files_.execute(batch);
+      for (std::size_t index = 0; index < batch.size(); ++index) batch[index].done(results[index]);
+      return !batch.empty();
+    }
+    LogFiles& files_;
+    std::deque<DiskOrder> orders;
+  };
+
+  RecordLog::Contents contents() {
+    RecordLog::Contents contents;
+    contents.head = [] {
+      return std::vector<DiskEntry>{DiskEntry{.what = "identity", .holder = HolderId("mine")}};
+    };
+    contents.slot = [this](std::uint32_t slot) {
+      std::vector<DiskEntry> entries;
+      for (const int number : numbers)
+        if (change_of(number).slot == slot) entries.push_back(change_of(number));
+      return entries;
+    };
+    contents.size = [this] {
+      return numbers.size() * 350;
+    };
+    return contents;
+  }
+
+  // Opens what is there. False where the file is damaged.
+  bool open() {
+    if (!files_.open()) return true;
+    auto file = log.load();
+    REQUIRE(fault_of(file) == nullptr);
+    ReadFile& read = std::get<ReadFile>(file);
+    for (const auto& entry : read.entries)
+      if (entry.what == "change") numbers.insert(std::stoi(entry.change.key.substr(5)));
+    log.start(read);
+    return !read.damaged;
+  }
+
+  void write(int number) {
+    numbers.insert(number);
+    log.append(change_of(number), [this, number] { safe.insert(number); });
+  }
+
+  SimulatedVolume& volume_;
+  LogFiles files_;
+  DirectDisk disk{files_};
+  World world{3};
+  SimulatedTimers timers{world, std::make_shared<Life>()};
+  RecordLog log{disk, timers, contents(), 0};
+  std::set<int> numbers, safe;
+};
+
+void pass_time(Writer& writer) {
+  writer.world.run_until(writer.world.now() + std::chrono::milliseconds(1100));
+}
+
+// Changes, several to a sync, a full disk on the way, and the rewrite that brings it back.
+void play(Writer& writer) {
+  int number = 0;
+  auto write = [&](int count) {
+    for (int index = 0; index < count; ++index) writer.write(++number);
+  };
+  write(2);
+  writer.disk.run();
+  write(3);
+  writer.disk.run();
+  writer.volume_.capacity = writer.volume_.total() + 100;
+  write(2);
+  writer.disk.run();
+  writer.volume_.capacity = 0;
+  pass_time(writer);
+  writer.log.tick();
+  for (int round = 0; writer.disk.run() && round < 200; ++round)
+    if (round % 3 == 0) write(2);
+  write(2);
+  writer.disk.run();
+}
+
+}  // namespace
+
+TEST_CASE("whatever a loss of power keeps, at each step of writing and rewriting, all that was safe is there") {
+  std::uint64_t steps = 0;
+  {
+    SimulatedVolume volume;
+    Writer writer(volume);
+    REQUIRE(writer.open());
+    play(writer);
+    CHECK(writer.log.rewrites() == 1);
+    CHECK_FALSE(writer.log.failed());
+    steps = volume.operations;
+  }
+  REQUIRE(steps > 60);
+  std::size_t switched = 0;
+  for (std::uint64_t step = 0; step <= steps; ++step)
+    for (std::uint64_t chance = 1; chance <= chances; ++chance) {
+      SimulatedVolume volume;
+      SeededRandom random(step * 1000 + chance);
+      std::set<int> safe;
+      {
+        Writer writer(volume);
+        volume.stop_after = step;
+        writer.open();
+        play(writer);
+        safe = writer.safe;
+        switched += writer.log.rewrites();
+      }
+      volume.lose_power(random);
+      Writer again(volume);
+      INFO("step " << step << ", chance " << chance);
+      REQUIRE(again.open());
+      REQUIRE(std::includes(again.numbers.begin(), again.numbers.end(), safe.begin(), safe.end()));
+      again.write(1000);
+      again.disk.run();
+      REQUIRE(again.safe.contains(1000));
+      volume.lose_power(random);
+      Writer third(volume);
+      REQUIRE(third.open());
+      REQUIRE(third.numbers.contains(1000));
+    }
+  CHECK(switched > 0);
+}
+
+TEST_CASE("after a failed sync nothing is said to be safe until the state stands in a new file") {
+  SimulatedVolume volume;
+  Writer writer(volume);
+  REQUIRE(writer.open());
+  writer.write(1);
+  writer.disk.run();
+  volume.failing = true;
+  writer.write(2);
+  writer.disk.run();
+  CHECK(writer.log.stalled());
+  CHECK_FALSE(writer.log.has_room());
+  volume.failing = false;
+  writer.write(3);
+  writer.disk.run();
+  CHECK(writer.safe == std::set<int>{1});
+  pass_time(writer);
+  writer.log.tick();
+  while (writer.disk.run()) {}
+  CHECK_FALSE(writer.log.stalled());
+  CHECK(writer.log.rewrites() == 1);
+  writer.write(4);
+  writer.disk.run();
+  CHECK(writer.safe == std::set<int>{1, 4});
+  Writer again(volume);
+  REQUIRE(again.open());
+  CHECK(again.numbers == std::set<int>{1, 2, 3, 4});
+}
+
+TEST_CASE("a rewrite goes on in pieces of bounded size, and appends are safe between them") {
+  SimulatedVolume volume;
+  Writer writer(volume);
+  REQUIRE(writer.open());
+  int number = 0;
+  while (writer.log.file_size() < (25u << 20)) writer.write(++number);
+  writer.numbers.clear();  // most of what was written has been removed since
+  for (int kept = 1; kept <= 9000; ++kept) writer.numbers.insert(kept);
+  writer.disk.run();
+  writer.log.tick();
+  std::size_t pieces = 0, largest = 0;
+  for (int turn = 0; !writer.disk.orders.empty(); ++turn) {
+    for (const auto& order : writer.disk.orders) largest = std::max(largest, order.bytes.size());
+    ++pieces;
+    const int between = 100000 + turn;
+    writer.write(between);
+    writer.disk.run();
+    REQUIRE(writer.safe.contains(between));
+  }
+  CHECK(writer.log.rewrites() == 1);
+  CHECK(pieces > 3);
+  CHECK(largest <= (1u << 20) + 1000);
+  CHECK(writer.log.file_size() < (5u << 20));
+  Writer again(volume);
+  REQUIRE(again.open());
+  CHECK(again.numbers == writer.numbers);
+}
+
+TEST_CASE("a sound file that is not long is not written again at a start") {
+  SimulatedVolume volume;
+  {
+    Writer writer(volume);
+    REQUIRE(writer.open());
+    for (int number = 1; number <= 100; ++number) writer.write(number);
+    writer.disk.run();
+  }
+  const std::uint64_t before = volume.operations;
+  Writer again(volume);
+  REQUIRE(again.open());
+  again.log.tick();
+  CHECK_FALSE(again.disk.run());
+  CHECK(volume.operations - before == 2);  // a sync of the file and one of its folder
+}
