--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -175,6 +175,7 @@
   const Id id = ++last_;
   auto attempt = std::make_shared<Attempt>();
   attempt->request = request;
+  attempt->by = place_;
   attempt->watcher = std::move(watcher);
   attempt->runner = cluster_.runner_at(request.to);
   for (const auto& header : request.headers) {
@@ -259,7 +260,8 @@
   runner.items += attempt->item;
   runner.most_items = std::max(runner.most_items, runner.items);
   attempt->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
-  cluster.world.write({{"what", "run"}, {"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}});
+  cluster.world.write(
+      {{"what", "run"}, {"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}, {"by", attempt->by}});
 }
 
 void SimulatedExchange::begin(Id id, const AttemptPointer& attempt) {
--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -47,7 +47,7 @@
     std::shared_ptr<AttemptWatcher> watcher;
     RunnerModel* runner = nullptr;
     std::uint64_t runner_life = 0;
-    std::string id, run;
+    std::string id, run, by;  // by: the machine that sent it
     std::uint32_t pieces = 0, given = 0;
     bool began = false, ended = false, any_piece = false, item = false, held = false;
     std::deque<Task> kept;   // what has come while the attempt was held
