--- a/source/replication/hand_over.cpp
+++ b/source/replication/hand_over.cpp
@@ -54,13 +54,20 @@
         } else {
           if (reply->roster.version > roster_.version) adopt(reply->roster);
           if (reply->epoch > now_owned.epoch) now_owned.epoch = reply->epoch;
-          if (reply->epoch >= epoch) return step_down(slot, milliseconds(200 + random_.below(600)));
+          if (reply->epoch >= epoch) return step_down(slot, refused_pause(now_owned));
         }
       }
       if (round->left == 0) step_down(slot, milliseconds(100 + random_.below(300)));
     });
 }
 
+// A seat that is new to a slot learns the epoch in force by its first refusal and may go on at once; further refusals
+// mean that another one is taking the slot as well.
+Span ReplicatedStore::refused_pause(Owned& owned) {
+  if (owned.refusals++ == 0) return Span{};
+  return milliseconds(200 + random_.below(600));
+}
+
 // Fetches what did not fit into the promises' replies; then the slot's content is known.
 void ReplicatedStore::taken(std::uint32_t slot, Epoch epoch, TakingPointer taking) {
   if (owned_[slot].state != Owned::State::taking || owned_[slot].epoch != epoch) return;
@@ -164,6 +171,7 @@
                  return;
                }
                owned.state = Owned::State::owned;
+               owned.refusals = 0;
                publish();
                std::vector<const Record*> news;
                for (const auto& [key, record] : held_[slot].records) news.push_back(&record);
--- a/source/replication/replicated_store.cpp
+++ b/source/replication/replicated_store.cpp
@@ -121,7 +121,8 @@
       repair();
       forget_removed_lots();
     }
-    if (!lots_only() && ticks_ % 3 == 0) {
+    // A roster that is being changed is looked at on each tick: until it stands no further holder may go.
+    if (!lots_only() && (ticks_ % 3 == 0 || !unsettled_.empty())) {
       roster_duty();
       lot_roster_duty();
     }
@@ -178,6 +179,12 @@
   for (auto& each : confirms) each(false);
 }
 
+ReplicatedStore::SlotView ReplicatedStore::slot_view(std::uint32_t slot) const {
+  const Owned& owned = owned_[slot];
+  return SlotView{held_[slot].installed, owned.state == Owned::State::owned ? owned.epoch : Epoch{},
+                  held_[slot].digest};
+}
+
 std::size_t ReplicatedStore::removed_lots() const {
   std::size_t count = 0;
   for (const auto& held : held_) count += held.removed_lots;
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -30,6 +30,13 @@
   std::uint64_t syncs() const { return syncs_; }
   std::uint64_t commits() const { return commits_; }
   std::size_t removed_lots() const;
+  // What an observer may compare between replicas: a slot's last whole hand-over, its digest and its epoch as owner.
+  struct SlotView {
+    Epoch installed, owned;  // owned: zero where another replica owns the slot
+    std::uint64_t digest = 0;
+  };
+  SlotView slot_view(std::uint32_t slot) const;
+  const Roster& roster() const { return roster_; }
 
  private:
   using Records = std::map<std::string, Record>;
@@ -55,7 +62,8 @@
     Version roster;
     Moment not_before;
     std::map<std::string, Queue> queues;
-    std::set<HolderId> whole;  // the seats that hold the hand-over
+    std::set<HolderId> whole;    // the seats that hold the hand-over
+    std::uint32_t refusals = 0;  // of takings in a row, by seats that had promised a higher epoch
     bool confirming = false;
     std::vector<std::function<void(bool)>> confirm_now, confirm_next;
   };
@@ -116,6 +124,7 @@
   void install_at_returned();
   void install_at(const Seat& seat, std::uint32_t slot, Epoch epoch, Version roster, TakingPointer taking, int times);
   void retirement(const Retirement& asked, Answer<RetirementReply> answer);
+  Span refused_pause(Owned& owned);
   void step_down(std::uint32_t slot, Span pause);
   void publish();
   void write(Write write, Answer<WriteReply> answer);
@@ -128,6 +137,21 @@
   void repair();
   void roster_duty();
   void lot_roster_duty();
+  void stop_watching(const std::string& key);
+  enum class SeatState {
+    there,
+    retired,
+    missing,
+    lost,
+    wiped
+  };                // in the order in which seats are given up, the last one first
+  struct Watched {  // what a roster's duty has seen of its holders, by identity
+    std::map<HolderId, Moment> missing_since, first_seen;
+  };
+  SeatState seat_state(const Seat& seat, Watched& watched, Moment newest) const;
+  bool retired(const Address& address) const;
+  std::vector<const Member*> spares(const Members& members, const Roster& current, const std::string& keeps,
+                                    Watched& watched, Moment* newest) const;
   std::optional<Roster> next_roster(const std::string& key, const Roster& current, const std::string& keeps);
   void change_when_settled(const std::string& key, const Roster& current, Roster next);
   void change_roster(const std::string& key, Roster next);
@@ -157,12 +181,10 @@
   bool founding_ = false;
   std::map<HolderId, Seat> candidates_;  // for the first roster, as the seeds told, and since when they are these
   Moment candidates_since_;
-  std::set<std::string> changing_;  // the keys of rosters whose change is under way
-  struct Watched {                  // what a roster's duty has seen of its holders, by identity
-    std::map<HolderId, Moment> missing_since, first_seen;
-  };
-  std::map<std::string, Watched> watched_;
-  struct Copied {  // the slots seen whole on every seat under a version of a roster
+  std::set<std::string> unsettled_;         // the keys of rosters that wait for their slots before they can change
+  std::set<std::string> changing_;          // the keys of rosters whose change is under way
+  std::map<std::string, Watched> watched_;  // by the roster's key
+  struct Copied {                           // the slots seen whole on every seat under a version of a roster
     Version roster;
     std::set<std::uint32_t> slots;
   };
--- a/source/replication/roster_changes.cpp
+++ b/source/replication/roster_changes.cpp
@@ -10,7 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 constexpr Span replace_after = std::chrono::seconds(10);
-constexpr Span replaced_after = milliseconds(1000);  // where another holder came meanwhile
+constexpr Span replaced_after = milliseconds(1000);  // where another holder came about then
+// A successor may stand before the end of its forerunner's session is noticed, or be started before it by plan.
+constexpr Span successor_window = seconds(6);
 constexpr Span lots_founding_pause = milliseconds(1500);
 constexpr std::size_t wanted_seats = 5, fewest_seats = 3;
 }  // namespace
@@ -19,17 +21,22 @@
 // the next roster meets any majority that a change was acknowledged by.
 void ReplicatedStore::roster_duty() {
   const std::uint32_t slot = slot_of("roster");
-  if (owned_[slot].state != Owned::State::owned) return void(watched_.erase("roster"));
+  if (owned_[slot].state != Owned::State::owned) return stop_watching("roster");
   if (changing_.contains("roster")) return;
   if (!held_[slot].records.contains("roster")) return change_roster("roster", roster_);
   if (auto next = next_roster("roster", roster_, self_.keeps)) change_when_settled("roster", roster_, std::move(*next));
 }
 
+void ReplicatedStore::stop_watching(const std::string& key) {
+  watched_.erase(key);
+  unsettled_.erase(key);
+}
+
 // The roster of those that hold lots alone: a key of the control state, founded once there are such holders.
 void ReplicatedStore::lot_roster_duty() {
   const std::string key(lot_roster_key);
   const std::uint32_t slot = slot_of(key);
-  if (self_.keeps != "control" || owned_[slot].state != Owned::State::owned) return void(watched_.erase(key));
+  if (self_.keeps != "control" || owned_[slot].state != Owned::State::owned) return stop_watching(key);
   if (changing_.contains(key)) return;
   if (auto found = held_[slot].records.find(key); found != held_[slot].records.end()) {
     auto current = from_json<Roster>(found->second.head);
@@ -51,59 +58,82 @@
   if (!first.seats.empty()) change_roster(key, std::move(first));
 }
 
-// The roster with one seat more or less, where the members call for it.
-std::optional<Roster> ReplicatedStore::next_roster(const std::string& key, const Roster& current,
-                                                   const std::string& keeps) {
-  Watched& watched = watched_[key];
+// Whether a seat's holder is to be replaced, and how surely.
+ReplicatedStore::SeatState ReplicatedStore::seat_state(const Seat& seat, Watched& watched, Moment newest) const {
   const auto members = shared_state_.members.get();
+  const Moment now = messenger_.timers().now();
+  const Member* member = members->holder(seat.holder);
+  const bool there = member != nullptr && !member->stalled;
+  if (there) {
+    watched.missing_since.erase(seat.holder);
+    return retired(seat.address) ? SeatState::retired : SeatState::there;
+  }
+  const Moment since = watched.missing_since.try_emplace(seat.holder, now).first->second;
+  // A wiped machine is back under another identity, so its old seat has nobody to wait for.
+  auto at_address = members->all.find(seat.address);
+  if (member == nullptr && at_address != members->all.end() && !at_address->second.holder.empty())
+    return SeatState::wiped;
+  // A holder that came about when this one went missing stands in for it.
+  if (now - since > replace_after || (now - since > replaced_after && newest + successor_window >= since))
+    return SeatState::lost;
+  return SeatState::missing;
+}
+
+bool ReplicatedStore::retired(const Address& address) const {
   const auto configuration = shared_state_.configuration.get();
+  auto found = configuration->holders.find(address.text);
+  return found != configuration->holders.end() && found->second.spec.retired;
+}
+
+// Live holders of the group without a seat, those of zones with the fewest seats first. Tells when the last holder came
+// that was never seen before. To who has just taken the duty over all are new: it can't tell, and dropping a seat that
+// would have come back costs little.
+std::vector<const Member*> ReplicatedStore::spares(const Members& members, const Roster& current,
+                                                   const std::string& keeps, Watched& watched, Moment* newest) const {
   const Moment now = messenger_.timers().now();
-  auto belongs = [&](const Member& member) {
-    return !member.holder.empty() && member.keeps == keeps;
-  };
-  auto retired = [&](const Address& address) {
-    auto found = configuration->holders.find(address.text);
-    return found != configuration->holders.end() && found->second.spec.retired;
-  };
-  Moment newest;  // when the last holder came that was never seen before
-  for (const auto& [address, member] : members->all)
-    if (belongs(member)) newest = std::max(newest, watched.first_seen.try_emplace(member.holder, now).first->second);
-  std::vector<const Member*> spares;
   std::map<ZoneId, std::size_t> seats_in;
-  const Seat* gone = nullptr;
-  int most_gone = 0;
-  for (const auto& seat : current.seats) {
-    ++seats_in[seat.zone];
-    const Member* member = members->holder(seat.holder);
-    const bool there = member != nullptr && !member->stalled;
-    if (there) watched.missing_since.erase(seat.holder);
-    const Moment since = there ? now : watched.missing_since.try_emplace(seat.holder, now).first->second;
-    // A wiped machine is back under another identity, so its old seat has nobody to wait for. A holder that came after
-    // one went missing stands in for it.
-    auto at_address = members->all.find(seat.address);
-    const bool wiped = member == nullptr && at_address != members->all.end() && !at_address->second.holder.empty();
-    const bool late = !there && (now - since > replace_after || (now - since > replaced_after && newest > since));
-    const int how = wiped ? 3 : retired(seat.address) ? 2 : late ? 1 : 0;
-    if (how > most_gone) {
-      gone = &seat;
-      most_gone = how;
-    }
+  for (const auto& seat : current.seats) ++seats_in[seat.zone];
+  std::vector<const Member*> list;
+  for (const auto& [address, member] : members.all) {
+    if (member.holder.empty() || member.keeps != keeps) continue;
+    const bool seated = current.seated(member.holder);
+    *newest = std::max(*newest, watched.first_seen.try_emplace(member.holder, now).first->second);
+    if (!seated && !member.stalled && !retired(address)) list.push_back(&member);
   }
-  for (const auto& [address, member] : members->all)
-    if (belongs(member) && !member.stalled && !current.seated(member.holder) && !retired(address))
-      spares.push_back(&member);
-  std::sort(spares.begin(), spares.end(), [&](const Member* left, const Member* right) {
+  std::sort(list.begin(), list.end(), [&](const Member* left, const Member* right) {
     return std::make_tuple(seats_in[left->zone], left->address) <
            std::make_tuple(seats_in[right->zone], right->address);
   });
+  return list;
+}
+
+// The roster with one seat more or less, where the members call for it. A seat whose holder is lost is dropped before
+// another one is added, and none is added while one is missing and may be lost: with the dead seat the majority would
+// be larger, and no holder more could go. A retired holder that still is there keeps its seat until its successor has
+// one.
+std::optional<Roster> ReplicatedStore::next_roster(const std::string& key, const Roster& current,
+                                                   const std::string& keeps) {
+  Watched& watched = watched_[key];
+  const auto members = shared_state_.members.get();
+  Moment newest;
+  const std::vector<const Member*> spare = spares(*members, current, keeps, watched, &newest);
+  const Seat* gone = nullptr;
+  SeatState worst = SeatState::there;
+  for (const auto& seat : current.seats)
+    if (const SeatState state = seat_state(seat, watched, newest); state > worst) {
+      gone = &seat;
+      worst = state;
+    }
   Roster next = current;
   next.version = current.version.next();
+  if (worst == SeatState::missing) return std::nullopt;
   const std::size_t left = current.seats.size() - (gone != nullptr);
-  const bool may_drop = gone != nullptr && left >= fewest_seats;
-  if (may_drop && (left >= wanted_seats || spares.empty()))
+  const bool dead = worst > SeatState::missing;
+  const bool may_drop = gone != nullptr && (left >= fewest_seats || (dead && !spare.empty() && left >= 2));
+  if (may_drop && (dead || left >= wanted_seats || spare.empty()))
     std::erase_if(next.seats, [&](const Seat& seat) { return seat.holder == gone->holder; });
-  else if (!spares.empty() && left < wanted_seats)
-    next.seats.push_back(Seat{spares[0]->holder, spares[0]->address, spares[0]->zone, spares[0]->name});
+  else if (!spare.empty() && left < wanted_seats)
+    next.seats.push_back(Seat{spare[0]->holder, spare[0]->address, spare[0]->zone, spare[0]->name});
   else
     return std::nullopt;
   return next;
@@ -111,14 +141,20 @@
 
 void ReplicatedStore::change_when_settled(const std::string& key, const Roster& current, Roster next) {
   changing_.insert(key);
+  unsettled_.insert(key);
   struct Count {
     std::set<std::uint32_t> covered;
     std::size_t left = 0;
     bool over = false;
   };
   auto count = std::make_shared<Count>();
-  count->left = current.seats.size();
-  for (const auto& seat : current.seats)
+  // Who is not there owns nothing; waiting for its answer would only delay the next question.
+  const auto members = shared_state_.members.get();
+  std::vector<Seat> seats = current.seats;
+  std::erase_if(seats, [&](const Seat& seat) { return members->holder(seat.holder) == nullptr; });
+  count->left = seats.size();
+  if (seats.empty()) changing_.erase(key);
+  for (const auto& seat : seats)
     messenger_.ask(seat.address, Settled{current.version}, peer_timeout,
                    [this, count, key, next, version = current.version](Result<SettledReply> result) {
                      --count->left;
@@ -126,6 +162,7 @@
                      if (auto* reply = std::get_if<SettledReply>(&result))
                        count->covered.insert(reply->slots.begin(), reply->slots.end());
                      count->over = count->covered.size() == slot_count;
+                     if (count->over) unsettled_.erase(key);
                      if (count->over && (key != "roster" || roster_.version == version))
                        return change_roster(key, next);
                      if (count->over || count->left == 0) changing_.erase(key);
--- a/source/simulate/main.cpp
+++ b/source/simulate/main.cpp
@@ -24,7 +24,7 @@
 
 int load(const std::string& what) {
   std::cerr << "simulate: " << what << "\n"
-            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform] "
+            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform|farm] "
                "[--threads N] [--history] [--closing] [--list]\n"
             << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
             << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
@@ -64,7 +64,7 @@
     } else
       return load("a flag is not known");
   }
-  if (shape != "small" && shape != "altiplano" && shape != "sestavna" && shape != "platform")
+  if (shape != "small" && shape != "altiplano" && shape != "sestavna" && shape != "platform" && shape != "farm")
     return load("the shape '" + shape + "' is not known");
   if (bench == "circle") return bench_circle(shape, seed), 0;
   if (bench == "model") return bench_model(seed), 0;
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -722,6 +722,7 @@
                                              {"mixed", {5000, 40}},
                                              {"total-loss", {9000, 80}},
                                              {"mixed-then-total-loss", {9000, 100}}};
+  for (auto& scenario : loss_scenarios()) list.push_back(std::move(scenario));
   for (auto& scenario : list)
     if (auto found = limits.find(scenario.name); found != limits.end()) scenario.limits = found->second;
   return list;
--- a/source/simulate/scenarios.hpp
+++ b/source/simulate/scenarios.hpp
@@ -25,6 +25,8 @@
 };
 
 const std::vector<Scenario>& scenarios();
+// Losses that follow one another as soon as the platform allows it; each ends with the loss of a disk and of all power.
+std::vector<Scenario> loss_scenarios();
 const Scenario* find_scenario(const std::string& name);
 // One numbered point of a kind, and what is done there to the machine that passes it.
 struct Strike {
--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -131,9 +131,24 @@
   return shape;
 }
 
+Shape farm_shape() {
+  Shape shape = small_shape();
+  shape.name = "farm";
+  shape.told_first_start = true;
+  shape.machines.clear();
+  const std::vector<std::string> zones{"north", "south", "west"};
+  add_machines(shape, 3, zones, 3);
+  for (auto& machine : shape.machines) machine.keeps = "control";
+  add_machines(shape, 3, zones, 0);
+  add_machines(shape, 3, zones, 3);
+  for (std::size_t index = 6; index < shape.machines.size(); ++index) shape.machines[index].keeps = "lots";
+  return shape;
+}
+
 Shape shape_named(const std::string& name, double share) {
   if (name == "small") return small_shape();
   if (name == "platform") return platform_shape();
+  if (name == "farm") return farm_shape();
   return name == "altiplano" ? altiplano_shape(share) : name == "sestavna" ? sestavna_shape(share) : thin_shape();
 }
 
--- a/source/stand_ins/shapes.hpp
+++ b/source/stand_ins/shapes.hpp
@@ -56,6 +56,7 @@
 Shape altiplano_shape(double share);
 Shape sestavna_shape(double share);
 Shape platform_shape();  // as the users' platform has it: control state on edge machines' small disks, lots on others
+Shape farm_shape();      // the same with three holders of control state and three of lots, the fewest that bear a loss
 
 Shape shape_named(const std::string& name, double share);
 
