--- a/source/simulate/loss_scenarios.cpp
+++ b/source/simulate/loss_scenarios.cpp
@@ -238,6 +238,7 @@
   made.load = seconds(26);
   made.settle = seconds(45);
   made.limits = Limits{30000, 400};
+  made.closes = true;
   auto list = std::make_shared<Strikes>(std::move(strikes));
   made.faults = [list](SimulatedCluster& cluster) {
     auto losses = std::make_shared<Losses>(cluster);
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -784,7 +784,7 @@
   };
   scenario.faults(cluster);
   Limits limits = scenario.limits;
-  if (closing) {
+  if (closing && !scenario.closes) {
     limits = Limits{std::max<std::int64_t>(limits.result_lag, 9000),
                     std::max<std::int64_t>(limits.refused_per_thousand, 150)};
     world.after(scenario.load - seconds(3), [&cluster, seed] {
