--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -741,6 +741,7 @@
                                              {"mixed", {5000, 40}},
                                              {"total-loss", {9000, 80}},
                                              {"mixed-then-total-loss", {9000, 100}}};
+  for (auto& scenario : loss_scenarios()) list.push_back(std::move(scenario));
   for (auto& scenario : list)
     if (auto found = limits.find(scenario.name); found != limits.end()) scenario.limits = found->second;
   for (auto& scenario : control_scenarios()) list.push_back(std::move(scenario));
@@ -803,7 +804,7 @@
   };
   scenario.faults(cluster);
   Limits limits = scenario.limits;
-  if (closing) {
+  if (closing && !scenario.closes) {
     limits = Limits{std::max<std::int64_t>(limits.result_lag, 9000),
                     std::max<std::int64_t>(limits.refused_per_thousand, 150)};
     world.after(scenario.load - seconds(3), [&cluster, seed] {
--- a/source/simulate/scenarios.hpp
+++ b/source/simulate/scenarios.hpp
@@ -22,9 +22,12 @@
   std::function<void(SimulatedCluster&)> faults;  // called when the load begins
   Span load = std::chrono::seconds(20), settle = std::chrono::seconds(35);
   Limits limits{1000, 0};  // what the judge allows a run
+  bool closes = false;     // it ends with a closing fault of its own, and another one would be more than may be lost
 };
 
 const std::vector<Scenario>& scenarios();
+// Losses that follow one another as soon as the platform allows it; each ends with the loss of a disk and of all power.
+std::vector<Scenario> loss_scenarios();
 const Scenario* find_scenario(const std::string& name);
 // One numbered point of a kind, and what is done there to the machine that passes it.
 struct Strike {
