Front: an operator's order is not carried out when the operator has left before it was read

Cause: a machine that was frozen reads, when it wakes, the orders that wait in its sockets. Their operators have closed the connections, sent the same orders to other daemons and perhaps later ones; an evacuation's begin or end, which has no identity, then came after those.

Now the front looks whether the operator's side is closed before it hands an order on (one system call an order, operators' side alone). The histories' operators close their connections likewise.

--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -1,6 +1,10 @@
 // Sessions: reading with limits, answering in whole or in pieces, and noticing callers that leave.
 #include "host/front.hpp"
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -198,6 +202,7 @@
         (front_.to_control_side_ ? front_.to_control_side_(reader_->method, reader_->target, reader_->headers)
                                  : for_lots(reader_->method, reader_->target, reader_->headers));
     if (to_control) {
+      if (!callers_ && caller_left()) return close();
       ControlRequest control{std::move(reader_->method), std::move(reader_->target), std::move(reader_->body), callers_,
                              std::move(reader_->headers)};
       // Another thread gets no share in this session, which must end on its own thread.
@@ -222,6 +227,14 @@
       live_ = false;
   }
 
+  // An operator that closed the connection before its order was read (this process may have been frozen) has sent it to
+  // another daemon by now, and may have sent later ones: the order is not to come after those.
+  bool caller_left() {
+    char next = 0;
+    const auto count = ::recv(socket_.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
+
   // The status line and what this side says of the connection.
   std::string& start_head(int status) {
     keep_ = keep_ && !front_.router_.draining();
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -274,6 +274,25 @@
   CHECK(fixture.controls.size() == 1);
 }
 
+TEST_CASE("an order is not carried out whose operator has left before it was read") {
+  Fixture fixture;
+  tcp::acceptor probe(fixture.context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  const tcp::endpoint operators = probe.local_endpoint();
+  probe.close();
+  REQUIRE(fault_of(fixture.front.listen(Address("127.0.0.1:" + std::to_string(operators.port())), false)) == nullptr);
+  const std::string order = "POST /order HTTP/1.1\r\nHost: here\r\nContent-Length: 2\r\n\r\n{}";
+  tcp::socket left(fixture.context), waits(fixture.context);
+  left.connect(operators);
+  say(left, order);
+  left.close();
+  fixture.settle();
+  CHECK(fixture.controls.empty());
+  waits.connect(operators);
+  say(waits, order);
+  fixture.until(waits, "good");
+  CHECK(fixture.controls.size() == 1);
+}
+
 TEST_CASE("a caller that takes nothing holds its runner up, and both go on when it takes its answer") {
   Fixture fixture;
   auto caller = fixture.call(get);
--- a/tests/platform_operator_history.cpp
+++ b/tests/platform_operator_history.cpp
@@ -61,7 +61,7 @@
     auto finish = [over, then](OperatorReply reply) {
       if (!std::exchange(*over, true)) then(std::move(reply));
     };
-    surfaces_.send(any_machine(), request, finish);
+    surfaces_.send(any_machine(), request, finish, over);
     world_.after(patience, [finish] { finish({}); });
   }
 
--- a/tests/platform_operators.hpp
+++ b/tests/platform_operators.hpp
@@ -28,11 +28,12 @@
 
   // Sends a call to a machine. Where it is down, or its answer is lost, or it goes down before it answers, the answer
   // never comes; callers have their own time limit.
-  void send(Machine& machine, OperatorRequest request, OperatorAnswer answer) {
+  // The flag, where one is given, says that the operator has left: a machine doesn't carry out what it reads later.
+  void send(Machine& machine, OperatorRequest request, OperatorAnswer answer, std::shared_ptr<const bool> left = {}) {
     World& world = cluster_.world;
     if (!machine.alive()) return;
-    world.at(network_delay, machine.life(), [this, &machine, request, answer] {
-      if (machine.control_messenger() == nullptr) return;
+    world.at(network_delay, machine.life(), [this, &machine, request, answer, left] {
+      if (machine.control_messenger() == nullptr || (left && *left)) return;
       ControlRequest call{request.method, request.target, request.body, false, request.headers};
       surface(machine).handle(std::move(call), [this, answer](ControlReply reply) {
         OperatorReply given{reply.status, reply.raw ? *reply.raw : json::serialize(reply.body)};
