--- /dev/null
+++ b/tests/order_history_test.cpp
@@ -0,0 +1,59 @@
+// The identities of orders that were taken: what is known, what is too old, what a gap hides, and how they are bounded.
+#include <catch2/catch.hpp>
+
+#include "coding/cbor.hpp"
+#include "coding/digest.hpp"
+#include "control/order_history.hpp"
+
+using namespace mothwalk;
+
+namespace {
+
+OrderIdentity order(std::uint64_t base, std::uint64_t number, const std::string& content = "a") {
+  return OrderIdentity{base, number, digest_of(content)};
+}
+
+// Revisions from the base up, in steps of two.
+std::vector<Bytes> chain(std::uint64_t base, std::size_t count) {
+  std::vector<Bytes> entries;
+  for (std::size_t index = 0; index < count; ++index, base += 2) entries.push_back(to_cbor(order(base, base + 2)));
+  return entries;
+}
+
+}  // namespace
+
+TEST_CASE("order history: taken, passed over, taken by another content, and older than what is known") {
+  const OrderHistory history(chain(10, 5), 20);
+  CHECK(history.find(order(10, 12)) == OrderOutcome::taken);
+  CHECK(history.find(order(18, 20)) == OrderOutcome::taken);
+  CHECK(history.find(order(10, 12, "b")) == OrderOutcome::not_taken);
+  CHECK(history.find(order(9, 12)) == OrderOutcome::not_taken);
+  CHECK(history.find(order(12, 13)) == OrderOutcome::not_taken);
+  CHECK(history.find(order(2, 11)) == OrderOutcome::not_taken);
+  CHECK(history.find(order(8, 10)) == OrderOutcome::unknown);
+  CHECK(history.find(order(0, 3)) == OrderOutcome::unknown);
+}
+
+TEST_CASE("order history: a change without an identity hides all that is older") {
+  auto entries = chain(0, 5);  // up to 10
+  const auto newer = chain(14, 2);
+  entries.insert(entries.end(), newer.begin(), newer.end());
+  CHECK(OrderHistory(entries, 18).find(order(14, 16)) == OrderOutcome::taken);
+  CHECK(OrderHistory(entries, 18).find(order(8, 10)) == OrderOutcome::unknown);
+  CHECK(OrderHistory(entries, 18).find(order(10, 14)) == OrderOutcome::unknown);
+  CHECK(OrderHistory(entries, 20).find(order(16, 18)) == OrderOutcome::unknown);
+  CHECK(OrderHistory({}, 0).find(order(0, 1)) == OrderOutcome::not_taken);
+}
+
+TEST_CASE("order history: it is compacted to the newest, and a digest is of the whole content") {
+  const auto entries = chain(0, OrderHistory::most_remembered);
+  const std::uint64_t current = 2 * OrderHistory::most_remembered;
+  const auto kept = OrderHistory::compacted(entries, order(current, current + 1));
+  CHECK(kept.size() == OrderHistory::least_remembered);
+  const OrderHistory history(kept, current + 1);
+  CHECK(history.find(order(current, current + 1)) == OrderOutcome::taken);
+  CHECK(history.find(order(current - 2, current)) == OrderOutcome::taken);
+  CHECK(history.find(order(0, 2)) == OrderOutcome::unknown);
+  CHECK(digest_of("abc").size() == 16);
+  CHECK(digest_of(std::string(100000, 'x') + "a") != digest_of(std::string(100000, 'x') + "b"));
+}
--- a/tests/platform_orders_test.cpp
+++ b/tests/platform_orders_test.cpp
@@ -33,6 +33,28 @@
     CHECK(operators.status(replace_request(number - 1, number, "first")) == 200);
 }
 
+TEST_CASE("orders: beyond what is remembered one is left unclear, never refused, and the record stays bounded",
+          "[orders]") {
+  OperatorCluster operators(27);
+  REQUIRE(start_and_wait(operators.cluster));
+  constexpr std::uint64_t changes = OrderHistory::most_remembered + 10;
+  Machine& machine = *operators.cluster.machines[0];
+  for (std::uint64_t number = 1; number <= changes; ++number)
+    REQUIRE(operators.surfaces.call(machine, replace_request(number - 1, number, "first")).status == 200);
+  CHECK(operators.status(replace_request(0, 1, "first")) == 504);
+  CHECK(operators.status(replace_request(0, 1, "other")) == 504);
+  const std::uint64_t known = changes - OrderHistory::least_remembered + 1;
+  CHECK(operators.status(replace_request(known - 1, known, "first")) == 200);
+  CHECK(operators.status(replace_request(known - 1, known, "other")) == 412);
+  std::uint64_t entries = 0;
+  machine.client()->read(
+      std::string(configuration_key), seconds(2),
+      [&](Result<ReadReply> result) { entries = std::get<ReadReply>(result).entries; }, true);
+  operators.world.run_until(operators.world.now() + seconds(2));
+  CHECK(entries >= OrderHistory::least_remembered);
+  CHECK(entries < OrderHistory::most_remembered);
+}
+
 TEST_CASE("orders: of two under one number and base one is confirmed, the other is refused", "[orders]") {
   OperatorCluster operators(22);
   REQUIRE(start_and_wait(operators.cluster));
