Simulated disk: torn writes keep any part; what a failed sync left is not read again

A test for the cut after a failed sync (the next process read the bytes as safe when the cut was taken out of LogFiles), and a volume whose torn writes have holes before what was kept.

--- a/source/simulate/simulated_volume.cpp
+++ b/source/simulate/simulated_volume.cpp
@@ -73,7 +73,7 @@
 
 bool SimulatedVolume::sync(const std::string& file) {
   auto found = names_.find(file);
-  if (!begin_operation() || found == names_.end()) return false;
+  if (!begin_operation() || sync_failing || found == names_.end()) return false;
   found->second->synced = found->second->content;
   found->second->unsynced.clear();
   return true;
@@ -99,12 +99,15 @@
   for (const auto& change : file.unsynced) {
     const Kept kept = chance(random);
     if (kept == Kept::missing) continue;
-    if (change.cut)
+    if (change.cut) {
       file.content.resize(std::min(file.content.size(), change.offset));
-    else
-      put(file.content, change.offset,
-          kept == Kept::whole ? View(change.bytes)
-                              : View(change.bytes).substr(0, random.below(change.bytes.size() + 1)));
+      continue;
+    }
+    // Pages reach the disk in any order: of a torn write a part from anywhere is there, before it a hole.
+    const std::size_t size = change.bytes.size();
+    const std::size_t first = kept == Kept::torn ? random.below(size + 1) : 0;
+    const std::size_t length = kept == Kept::torn ? random.below(size - first + 1) : size;
+    put(file.content, change.offset + first, View(change.bytes).substr(first, length));
   }
   file.synced = file.content;
   file.unsynced.clear();
--- a/source/simulate/simulated_volume.hpp
+++ b/source/simulate/simulated_volume.hpp
@@ -29,6 +29,7 @@
 
   bool unreadable = false;                // reads fail
   bool failing = false;                   // nothing can be written or synced any more
+  bool sync_failing = false;              // writes succeed, syncs don't
   std::size_t capacity = 0;               // bytes that all files may have together; zero: no bound
   std::uint64_t operations = 0;           // writes, syncs and changes of names so far
   std::uint64_t stop_after = UINT64_MAX;  // operations from this number on do nothing and fail
--- a/tests/log_files_test.cpp
+++ b/tests/log_files_test.cpp
@@ -180,6 +180,22 @@
   CHECK(again.numbers == std::set<int>{1, 2, 3, 4});
 }
 
+TEST_CASE("what a failed sync left in the file is not read by the next process as if it were safe") {
+  SimulatedVolume volume;
+  Writer writer(volume);
+  REQUIRE(writer.open());
+  writer.write(1);
+  writer.disk.run();
+  volume.sync_failing = true;
+  writer.write(2);
+  writer.disk.run();
+  CHECK(writer.safe == std::set<int>{1});
+  volume.sync_failing = false;
+  Writer again(volume);
+  REQUIRE(again.open());
+  CHECK(again.numbers == std::set<int>{1});
+}
+
 TEST_CASE("a rewrite goes on in pieces of bounded size, and appends are safe between them") {
   SimulatedVolume volume;
   Writer writer(volume);
