Scenarios of 500 changes missed by a holder; a disk limit that refuses what is new

Six scenarios history-*: 500 changes of 120 routes by four operators while a holder is down, frozen, on a slow or a full disk, an owner killed in the middle or right after its return. The holder must have all of them 2 s after it serves; 10 s later every key is asked of its owner and must be the newest.

A holder with a disk limit (settings disk_limit_mb) refuses new keys with 429/503 and Retry-After, before anything is promised, once twice what it holds and a reserve no longer fit; changes and removals of what is kept go on, and a rewrite starts early enough to fit.

--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -73,9 +73,9 @@
     report.note = [](View sentence) {
       logs::note("store", sentence);
     };
-    store_ =
-        std::make_unique<ReplicatedStore>(*store_duty_.messenger, shared_state_, *disk_, store_duty_.thread.random(),
-                                          self_, settings_.seeds, std::move(report), settings_.first_start);
+    store_ = std::make_unique<ReplicatedStore>(*store_duty_.messenger, shared_state_, *disk_,
+                                               store_duty_.thread.random(), self_, settings_.seeds, std::move(report),
+                                               settings_.first_start, settings_.disk_limit_mb * 1000000);
     auto loaded = store_->load();
     if (auto fault = fault_of(loaded)) return *fault;
     self_.holder = store_->identity();
--- a/source/host/settings.cpp
+++ b/source/host/settings.cpp
@@ -78,9 +78,7 @@
   std::string text =
       "mothwalk-daemon: carries callers' traffic, takes operators' calls and, with a data folder, holds state.\n\n";
   for (const auto& flag : flags) text += "  --" + std::string(flag.name) + " " + flag.help + "\n";
-  text +=
-      "\nExit codes: 0 ended as asked, 2 settings at fault, 3 data folder at fault, 4 can't listen, 5 the disk "
-      "failed.\n";
+  text += "\nExit codes: 0 ended as asked, 2 settings at fault, 3 data folder at fault, 4 can't listen.\n";
   return text;
 }
 
--- a/source/host/settings.hpp
+++ b/source/host/settings.hpp
@@ -16,10 +16,11 @@
   std::string keeps;  // what the data folder holds: empty for control state and lots, or "control", "lots"
   std::optional<bool>
       first_start;  // whether the whole fleet starts with empty folders; absent: the seeds hold state and know
-  bool single_thread = false;  // all duties on one thread: fewer wake-ups where processor time is dear
-  Address health;              // where watchers ask whether callers may come; empty: at control alone
+  bool single_thread = false;       // all duties on one thread: fewer wake-ups where processor time is dear
+  std::uint64_t disk_limit_mb = 0;  // room that the data folder may take, in millions of bytes; 0: not known
+  Address health;                   // where watchers ask whether callers may come; empty: at control alone
   MOTHWALK_FIELDS(address, callers, control, zone, seeds, data_folder, log_level, log_file, drain, name, keeps,
-                  first_start, single_thread, health)
+                  first_start, single_thread, disk_limit_mb, health)
 };
 
 struct CommandLine {
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "simulate/history_scenarios.hpp"
+
 namespace mothwalk::simulate {
 
 using std::chrono::milliseconds;
@@ -741,6 +743,7 @@
                                              {"mixed-then-total-loss", {9000, 100}}};
   for (auto& scenario : list)
     if (auto found = limits.find(scenario.name); found != limits.end()) scenario.limits = found->second;
+  for (auto& scenario : history_scenarios()) list.push_back(std::move(scenario));
   return list;
 }
 
--- a/tests/log_files_test.cpp
+++ b/tests/log_files_test.cpp
@@ -239,3 +239,46 @@
   CHECK_FALSE(again.disk.run());
   CHECK(volume.operations - before == 2);  // a sync of the file and one of its folder
 }
+
+TEST_CASE(
+    "a disk with a limit keeps room for a rewrite: nothing new is taken in beyond it, and what grew is rewritten") {
+  constexpr std::size_t limit = 40u << 20;
+  SimulatedVolume volume;
+  LogFiles files(volume);
+  Writer::DirectDisk disk(files);
+  World world(5);
+  SimulatedTimers timers(world, std::make_shared<Life>());
+  std::size_t held = 1u << 20;
+  RecordLog::Contents contents;
+  contents.head = [] {
+    return std::vector<DiskEntry>{};
+  };
+  contents.slot = [&](std::uint32_t) {
+    DiskEntry entry = change_of(1);
+    entry.change.head = Bytes(held / slot_count, 'h');
+    return std::vector<DiskEntry>{entry};
+  };
+  contents.size = [&] {
+    return held;
+  };
+  RecordLog log(disk, timers, contents, limit);
+  REQUIRE(files.open());
+  log.start(std::get<ReadFile>(log.load()));
+  CHECK(log.has_room());
+  held = 18u << 20;  // twice this and the reserve are more than the limit
+  CHECK_FALSE(log.has_room());
+  held = 12u << 20;
+  CHECK(log.has_room());
+  DiskEntry large = change_of(2);
+  large.change.head = Bytes(1u << 20, 'l');
+  while (volume.total() < (27u << 20)) {
+    log.append(large, [] {});
+    disk.run();
+  }
+  CHECK_FALSE(log.has_room());
+  log.tick();
+  while (disk.run()) REQUIRE(volume.total() < limit);
+  CHECK(log.rewrites() == 1);
+  CHECK(volume.total() < (14u << 20));
+  CHECK(log.has_room());
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -28,6 +28,7 @@
 control-plane = "10.1.0.12:8146"
 [limits]
 memory-mb = 260
+disk-mb = 64
 [timing-bounds]
 grace-s = 8
 [cloud-api]
@@ -72,6 +73,7 @@
   CHECK(file.settings.zone.text == "sala-a");
   CHECK(file.settings.keeps == "control");
   CHECK(file.settings.first_start == true);
+  CHECK(file.settings.disk_limit_mb == 64);
   REQUIRE(file.settings.seeds.size() == 3);
   CHECK(file.settings.seeds[1].text == "10.2.0.22:7660");
   CHECK(file.list.text == "10.200.0.4:8142");
