--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "simulate/control_scenarios.hpp"
+#include "simulate/history_scenarios.hpp"
 
 namespace mothwalk::simulate {
 
@@ -745,6 +746,7 @@
   for (auto& scenario : list)
     if (auto found = limits.find(scenario.name); found != limits.end()) scenario.limits = found->second;
   for (auto& scenario : control_scenarios()) list.push_back(std::move(scenario));
+  for (auto& scenario : history_scenarios()) list.push_back(std::move(scenario));
   return list;
 }
 
