--- a/source/host/tcp_wire.cpp
+++ b/source/host/tcp_wire.cpp
@@ -13,6 +13,13 @@
 constexpr std::size_t longest_queue = 96u << 20;
 }  // namespace
 
+std::optional<std::size_t> frame_length(View head) {
+  std::size_t length = 0;
+  for (const char byte : head) length = length << 8 | static_cast<unsigned char>(byte);
+  if (head.size() != frame_head_bytes || length == 0 || length > longest_frame) return std::nullopt;
+  return length;
+}
+
 std::optional<tcp::endpoint> endpoint_of(const Address& address) {
   const auto colon = address.text.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
@@ -41,7 +48,7 @@
 struct TcpWire::Incoming {
   explicit Incoming(tcp::socket given) : socket(std::move(given)) {}
   tcp::socket socket;
-  std::array<unsigned char, 4> head{};
+  std::array<char, frame_head_bytes> head{};
   Bytes body;
 };
 
@@ -80,13 +87,12 @@
       incoming->socket, asio::buffer(incoming->head),
       [this, incoming](const boost::system::error_code& error, std::size_t) {
         if (error) return;
-        const std::size_t length = static_cast<std::size_t>(incoming->head[0]) << 24 |
-                                   static_cast<std::size_t>(incoming->head[1]) << 16 |
-                                   static_cast<std::size_t>(incoming->head[2]) << 8 | incoming->head[3];
-        if (length == 0 || length > longest_frame) {
+        const auto claimed = frame_length(View(incoming->head.data(), incoming->head.size()));
+        if (!claimed) {
           ++counts_.foreign;
           return note_("A peer sent a frame of a foreign form; the stream is closed.");
         }
+        const std::size_t length = *claimed;
         // The body grows as bytes arrive, so that a bare claim of length takes no memory.
         incoming->body.clear();
         auto more = std::make_shared<std::function<void()>>();
--- a/source/host/tcp_wire.hpp
+++ b/source/host/tcp_wire.hpp
@@ -43,6 +43,11 @@
   WireCounts counts_;
 };
 
+// A frame is its length in four bytes, the highest first, and an envelope in CBOR. No length is told where the head
+// claims one that no frame has.
+inline constexpr std::size_t frame_head_bytes = 4;
+std::optional<std::size_t> frame_length(View head);
+
 std::optional<boost::asio::ip::tcp::endpoint> endpoint_of(const Address& address);
 
 }  // namespace mothwalk
--- a/source/replication/record_file.cpp
+++ b/source/replication/record_file.cpp
@@ -38,13 +38,16 @@
 
 }  // namespace
 
-Bytes frame_entry(const DiskEntry& entry) {
-  const Bytes payload = to_cbor(entry);
+Bytes frame_payload(View payload) {
   Bytes length, out(mark);
   put_number(length, static_cast<std::uint32_t>(payload.size()));
   out += length;
   put_number(out, checksum(length, payload));
-  return out + payload;
+  return out.append(payload);
+}
+
+Bytes frame_entry(const DiskEntry& entry) {
+  return frame_payload(to_cbor(entry));
 }
 
 ReadFile read_frames(View bytes) {
--- a/source/replication/record_file.hpp
+++ b/source/replication/record_file.hpp
@@ -24,6 +24,8 @@
   bool torn = false, damaged = false;
 };
 
+// A frame with the payload given, as it stands in the file.
+Bytes frame_payload(View payload);
 Bytes frame_entry(const DiskEntry& entry);
 ReadFile read_frames(View bytes);
 
--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -10,6 +10,10 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+constexpr Span longest_repeat = milliseconds(400);  // after a message, in which it may come a second time
+}  // namespace
+
 // ---- machines
 
 Machine::Machine(SimulatedCluster& cluster, std::string given_name, std::string given_zone, bool disk,
@@ -157,9 +161,13 @@
   }
   if (world.is_cut(name, zone, target->name, target->zone)) return;
   if (world.loss > 0 && world.random.uniform() < world.loss) return;
-  world.at(world.delay(zone, target->zone), target->life(), [target, form] {
+  auto arrive = [target, form] {
     if (auto read = from_cbor<Envelope>(*form)) target->take(std::move(*read));
-  });
+  };
+  world.at(world.delay(zone, target->zone), target->life(), arrive);
+  if (world.repeats > 0 && world.random.uniform() < world.repeats)
+    world.at(Span(static_cast<std::int64_t>(world.random.below(static_cast<std::size_t>(longest_repeat.count())))),
+             target->life(), arrive);
 }
 
 void Machine::take(Envelope envelope) {
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -337,6 +337,14 @@
       for (auto& machine : cluster.machines) machine->joined();
     });
   });
+  add("repeat", "one message in four comes a second time, behind later ones", [](SimulatedCluster& cluster) {
+    cluster.world.repeats = 0.25;
+    cluster.operator_change("lane/repeated", R"({"path":"/repeated","kind":"model"})");
+    every(cluster, seconds(2), 5, [&cluster](int turn) {
+      cluster.operator_change("lane/repeated",
+                              R"({"path":"/repeated","kind":"model","retries":)" + std::to_string(turn) + "}");
+    });
+  });
   add("freeze", "machines freeze for longer than a lease and wake", [](SimulatedCluster& cluster) {
     every(cluster, seconds(4), 4,
           [&cluster](int turn) { freeze(cluster, pick(cluster, turn % 2 == 0), milliseconds(2500 + 500 * turn)); });
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -56,7 +56,8 @@
   };
   std::map<std::string, Traffic> traffic;
   bool measuring = false;
-  double loss = 0;  // share of messages between machines that vanish
+  double loss = 0;     // share of messages between machines that vanish
+  double repeats = 0;  // share of messages between machines that come a second time, behind later ones
 
   void write(json::object line);
   const std::vector<json::object>& ledger() const { return ledger_; }
--- /dev/null
+++ b/tests/foreign_peers_test.cpp
@@ -0,0 +1,168 @@
+// Peers that repeat, reorder or mix up their messages, and peers that speak for another life or protocol: what they say
+// changes nothing.
+#include <catch2/catch.hpp>
+
+#include "replication/replicated_store.hpp"
+#include "simulate/cluster.hpp"
+
+using namespace mothwalk;
+using namespace mothwalk::simulate;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+class Catcher : public Wire {
+ public:
+  void send(const Address&, Envelope envelope) override { sent.push_back(std::move(envelope)); }
+  std::vector<Envelope> sent;
+};
+
+const Address self("10.0.0.1:1"), peer("10.0.0.2:1"), other("10.0.0.3:1");
+
+// A daemon's life, with a call to the peer under way.
+struct Asking {
+  World world{1};
+  SimulatedTimers timers{world, std::make_shared<Life>()};
+  Catcher wire;
+  Messenger messenger;
+  std::vector<std::string> heard;
+
+  explicit Asking(std::uint64_t incarnation) : messenger(wire, timers, self, incarnation, "news") {
+    messenger.ask(peer, Compare{}, seconds(1), [this](Result<CompareReply> result) {
+      const auto* fault = fault_of(result);
+      heard.push_back(fault == nullptr ? "answer" : fault->field);
+    });
+  }
+  Envelope reply(const Address& from) const {
+    Envelope envelope;
+    envelope.from = from;
+    envelope.incarnation = 1;
+    envelope.slice = envelope.sender = "news";
+    envelope.kind = "reply";
+    envelope.call = wire.sent.front().call;
+    envelope.reply = true;
+    envelope.body = to_cbor(CompareReply{});
+    return envelope;
+  }
+};
+}  // namespace
+
+TEST_CASE("an answer counts once, and from the peer that was asked alone") {
+  Asking asking(5);
+  asking.messenger.take(asking.reply(other));
+  CHECK(asking.heard.empty());
+  asking.messenger.take(asking.reply(peer));
+  asking.messenger.take(asking.reply(peer));
+  asking.world.run_until(asking.world.now() + seconds(2));
+  CHECK(asking.heard == std::vector<std::string>{"answer"});
+}
+
+TEST_CASE("an answer to a call of an earlier life is no answer to a call of this one") {
+  SeededRandom random(4);
+  Asking before(new_incarnation(milliseconds(1000), random)), now(new_incarnation(milliseconds(1300), random));
+  now.messenger.take(before.reply(peer));
+  CHECK(now.heard.empty());
+  now.messenger.take(now.reply(peer));
+  CHECK(now.heard == std::vector<std::string>{"answer"});
+}
+
+TEST_CASE("a message of another protocol reaches no duty, and a call is refused by a fault") {
+  World world(1);
+  SimulatedTimers timers(world, std::make_shared<Life>());
+  Catcher wire;
+  SharedState shared_state;
+  SimulatedDisk disk(world, "here");
+  disk.own(std::make_shared<Life>());
+  Messenger messenger(wire, timers, self, 1, "store");
+  Member member;
+  member.address = self;
+  ReplicatedStore store(messenger, shared_state, disk, world.random, member, {}, ReplicatedStore::Report{});
+  REQUIRE(fault_of(store.load()) == nullptr);
+  store.start();
+  world.run_until(world.now() + milliseconds(10));
+  const std::size_t size = disk.size();
+  const Roster roster{Version{9}, {Seat{store.identity(), self, ZoneId("h")}}};
+  auto send = [&](View kind, const Bytes& body, std::uint64_t call, std::uint32_t protocol) {
+    Envelope envelope;
+    envelope.from = peer;
+    envelope.slice = envelope.sender = "store";
+    envelope.kind = std::string(kind);
+    envelope.call = call;
+    envelope.body = body;
+    envelope.protocol = protocol;
+    messenger.take(std::move(envelope));
+    world.run_until(world.now() + milliseconds(10));
+  };
+  RosterNews news;
+  news.roster = roster;
+  Promise promise;
+  promise.target = store.identity();
+  promise.owner = HolderId("theirs");
+  promise.slot = 3;
+  promise.epoch = Epoch{7};
+  promise.roster = roster;
+  for (const std::uint32_t protocol : {0u, protocol_number - 1, protocol_number + 1, 0xffffffffu}) {
+    wire.sent.clear();
+    send(RosterNews::kind, to_cbor(news), 0, protocol);
+    send(Promise::kind, to_cbor(promise), 8, protocol);
+    CHECK(disk.size() == size);
+    CHECK(shared_state.control_seats.get()->empty());
+    std::size_t refusals = 0;
+    for (const auto& envelope : wire.sent) {
+      if (!envelope.reply) continue;
+      ++refusals;
+      CHECK((envelope.kind == "fault" && envelope.call == 8));
+      CHECK(from_cbor<WireFault>(envelope.body)->field == "protocol");
+    }
+    CHECK(refusals == 1);
+  }
+  // The same in the protocol of this daemon is taken.
+  send(RosterNews::kind, to_cbor(news), 0, protocol_number);
+  CHECK(disk.size() > size);
+}
+
+TEST_CASE("messages that come twice and out of their order change nothing and lose nothing") {
+  World world(12);
+  SimulatedCluster cluster(world, shape_named("small", 1.0));
+  cluster.start();
+  for (int count = 0; count < 400 && !cluster.ready(); ++count) world.run_until(world.now() + milliseconds(100));
+  REQUIRE(cluster.ready());
+  world.repeats = 1;
+  int acknowledged = 0, taken = 0;
+  // Each lane's next change is sent once the one before it is acknowledged.
+  std::function<void(int)> change = [&](int number) {
+    const std::string lane = "lane-" + std::to_string(number % 4);
+    cluster.apply("lane/" + lane,
+                  R"({"path":"/)" + lane + R"(","kind":"model","waiting_room":)" + std::to_string(number + 1) + "}",
+                  [&, number](Stamp) {
+                    ++acknowledged;
+                    if (number < 16) change(number + 4);
+                  });
+  };
+  for (int number = 0; number < 4; ++number) change(number);
+  for (int number = 0; number < 20; ++number)
+    world.after(milliseconds(100) * number, [&, number] {
+      cluster.control(
+          *cluster.machines[static_cast<std::size_t>(number) % 9], "PUT", "/lots/lot-" + std::to_string(number),
+          R"({"lane":"lines","items":["x","y"]})", [&](int status, const std::string&) { taken += status == 200; },
+          true);
+    });
+  world.run_until(world.now() + seconds(12));
+  CHECK(acknowledged == 20);
+  CHECK(taken == 20);
+  CHECK(cluster.broken == std::vector<std::string>{});
+  for (int number = 0; number < 4; ++number)
+    CHECK(cluster.any_alive()
+              .shared_state()
+              .configuration.get()
+              ->lanes.at("lane-" + std::to_string(number))
+              .spec.waiting_room == static_cast<std::uint32_t>(17 + number));
+  for (int number = 0; number < 20; ++number) {
+    std::string page;
+    cluster.control(
+        *cluster.machines[0], "GET", "/lots/lot-" + std::to_string(number) + "/results", "",
+        [&](int, const std::string& text) { page = text; }, true);
+    world.run_until(world.now() + seconds(1));
+    CHECK(std::get<json::value>(parse_json(page)).at("results").as_array().size() == 2);
+  }
+}
