--- a/source/replication/record_file.cpp
+++ b/source/replication/record_file.cpp
@@ -65,15 +65,18 @@
 
 }  // namespace
 
-Bytes frame_entry(const DiskEntry& entry, std::uint64_t synced) {
-  const Bytes payload = to_cbor(entry);
+Bytes frame_payload(View payload, std::uint64_t synced) {
   Bytes lengths;
   put_number(lengths, payload.size(), length_size);
   put_number(lengths, synced, synced_size);
   Bytes frame(mark);
   frame += lengths;
   put_number(frame, checksum(lengths, payload), checksum_size);
-  return frame + payload;
+  return frame.append(payload);
+}
+
+Bytes frame_entry(const DiskEntry& entry, std::uint64_t synced) {
+  return frame_payload(to_cbor(entry), synced);
 }
 
 ReadFile read_frames(View bytes) {
--- a/source/replication/record_file.hpp
+++ b/source/replication/record_file.hpp
@@ -26,7 +26,9 @@
   bool damaged = false;  // synced bytes are broken: nothing of the file can be relied on
 };
 
-// `synced` is the length in bytes up to which the file was synced when the frame was made.
+// A frame with the payload given, as it stands in the file. `synced` is the length in bytes up to which the file was
+// synced when the frame was made.
+Bytes frame_payload(View payload, std::uint64_t synced);
 Bytes frame_entry(const DiskEntry& entry, std::uint64_t synced);
 ReadFile read_frames(View bytes);
 
