Call numbers differ between the lives of a daemon: no late answer settles another call

Cause: Messenger counted its calls from 0 in each life and matched answers by number and address alone. Change: the first number of a life comes from the random part of its incarnation.

--- a/source/sessions/messenger.hpp
+++ b/source/sessions/messenger.hpp
@@ -12,13 +12,21 @@
   MOTHWALK_FIELDS(kind, field, message, remedy)
 };
 
+// The low bits of an incarnation are random.
+inline constexpr std::uint64_t random_part_of_incarnation = 0xfffff;
+
 template <class Reply>
 using Answer = std::function<void(Result<Reply>)>;
 
 class Messenger {
  public:
   Messenger(Wire& wire, Timers& timers, Address self, std::uint64_t incarnation, std::string slice)
-      : wire_(wire), timers_(timers), self_(std::move(self)), incarnation_(incarnation), slice_(std::move(slice)) {}
+      : wire_(wire),
+        timers_(timers),
+        self_(std::move(self)),
+        incarnation_(incarnation),
+        slice_(std::move(slice)),
+        last_call_(first_call(incarnation)) {}
   const Address& self() const { return self_; }
   std::uint64_t incarnation() const { return incarnation_; }
   const std::string& slice() const { return slice_; }
@@ -84,6 +92,11 @@
     std::function<void(Result<Bytes>)> then;
     Timers::Id timer = 0;
   };
+  // A peer may answer late, when the caller has started again: calls of another life have other numbers.
+  static constexpr std::uint64_t first_call(std::uint64_t incarnation) {
+    constexpr int calls_apart = 12;  // bits
+    return (incarnation & random_part_of_incarnation) << calls_apart;
+  }
   void send(const Address& to, View kind, std::uint64_t call, Bytes body);
   void reply(const Address& to, const std::string& slice, std::uint64_t call, View kind, Bytes body);
   void finish(std::uint64_t call, Result<Bytes> result);
@@ -93,7 +106,7 @@
   Address self_;
   std::uint64_t incarnation_;
   std::string slice_;
-  std::uint64_t last_call_ = 0;
+  std::uint64_t last_call_;
   std::map<std::uint64_t, Waiting> waiting_;
   std::map<std::string, std::function<void(const Envelope&)>> handlers_;
 };
--- a/source/sessions/shared_state.cpp
+++ b/source/sessions/shared_state.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "sessions/messenger.hpp"
+
 namespace mothwalk {
 
 const Member* Members::holder(const HolderId& id) const {
@@ -12,7 +14,7 @@
 }
 
 std::uint64_t new_incarnation(Span wall, RandomSource& random) {
-  return static_cast<std::uint64_t>(wall.count() / 1000) << 20 | (random.next() & 0xfffff);
+  return static_cast<std::uint64_t>(wall.count() / 1000) << 20 | (random.next() & random_part_of_incarnation);
 }
 
 std::uint32_t slot_of(View key) {
