--- a/tests/model/planted_faults.hpp
+++ b/tests/model/planted_faults.hpp
@@ -17,15 +17,20 @@
   order_identity_ignored,  // a change that is sent again is taken for another one
 };
 
-inline constexpr std::pair<View, PlantedFault> planted_faults[] = {
-    {"none", PlantedFault::none},
-    {"epoch-check-off", PlantedFault::epoch_check_off},
-    {"installed-ignored", PlantedFault::installed_ignored},
-    {"old-roster-majority", PlantedFault::old_roster_majority},
-    {"stale-home", PlantedFault::stale_home},
-    {"sync-not-awaited", PlantedFault::sync_not_awaited},
-    {"wiped-keeps-identity", PlantedFault::wiped_keeps_identity},
-    {"order-identity-ignored", PlantedFault::order_identity_ignored}};
+struct FaultPlan {
+  View name;
+  PlantedFault fault;
+  View shape;  // where it is looked for
+};
+inline constexpr FaultPlan planted_faults[] = {
+    {"none", PlantedFault::none, ""},
+    {"epoch-check-off", PlantedFault::epoch_check_off, "steady"},
+    {"installed-ignored", PlantedFault::installed_ignored, "removal"},
+    {"old-roster-majority", PlantedFault::old_roster_majority, "roster-change"},
+    {"stale-home", PlantedFault::stale_home, "home-cut"},
+    {"sync-not-awaited", PlantedFault::sync_not_awaited, "steady"},
+    {"wiped-keeps-identity", PlantedFault::wiped_keeps_identity, "steady"},
+    {"order-identity-ignored", PlantedFault::order_identity_ignored, "steady"}};
 
 // What a request asked for, as its reply is read later.
 struct Request {
