--- a/tests/model/cluster.cpp
+++ b/tests/model/cluster.cpp
@@ -131,8 +131,8 @@
   for (const auto& each : machines_) setups.push_back(each->setup);
   const Roster roster = first_roster(setups, names);
   for (const auto& seat : roster.seats) {
-    Bytes image = frame_entry(DiskEntry{.what = "identity", .holder = seat.holder, .address = seat.address});
-    image += frame_entry(DiskEntry{.what = "roster", .roster = roster});
+    Bytes image = frame_entry(DiskEntry{.what = "identity", .holder = seat.holder, .address = seat.address}, 0);
+    image += frame_entry(DiskEntry{.what = "roster", .roster = roster}, 0);
     at(seat.address)->disk.put(std::move(image));
   }
 }
--- a/tests/model/disk.cpp
+++ b/tests/model/disk.cpp
@@ -1,6 +1,9 @@
 // Grouped syncs, crashes with any subset of the sync under way, and the decoded content.
 #include "model/disk.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace mothwalk::model {
 
 void DecodedFile::apply(const DiskEntry& entry) {
@@ -35,7 +38,9 @@
 
 void DecodedFile::apply(View bytes) {
   if (bytes.empty()) return;
-  for (const auto& entry : read_frames(bytes).entries) apply(entry);
+  const ReadFile file = read_frames(bytes);
+  if (file.damaged) return;
+  for (const auto& entry : file.entries) apply(entry);
   digest = hash_of(bytes, digest);
 }
 
@@ -55,16 +60,11 @@
   synced_file_.apply(synced_);
 }
 
-void ModelDisk::order(bool whole, Bytes bytes, std::function<void(bool)> done) {
-  if (whole) ordered_ = DecodedFile{};
-  ordered_.apply(bytes);
-  if (acknowledges_early) {
-    waiting_.push_back(Order{whole, std::move(bytes), [](bool) {
-                             }});
-    scheduler_.after(Span{0}, process_, [done = std::move(done)] { done(true); });
-  } else {
-    waiting_.push_back(Order{whole, std::move(bytes), std::move(done)});
-  }
+void ModelDisk::order(DiskOrder order) {
+  if (order.kind == DiskOrder::Kind::append) ordered_.apply(order.bytes);
+  if (acknowledges_early)
+    scheduler_.after(Span{0}, process_, [done = std::exchange(order.done, [](bool) {})] { done(true); });
+  waiting_.push_back(std::move(order));
   if (!busy_) begin();
 }
 
@@ -77,7 +77,7 @@
 void ModelDisk::complete() {
   const ProcessPointer process = process_;
   while (!syncing_.empty()) {
-    const Order order = std::move(syncing_.front());
+    const DiskOrder order = std::move(syncing_.front());
     syncing_.pop_front();
     write(order);
     order.done(true);
@@ -87,34 +87,37 @@
   if (!waiting_.empty()) begin();
 }
 
-void ModelDisk::write(const Order& order) {
-  if (order.whole) {
-    synced_ = order.bytes;
-    synced_file_ = DecodedFile{};
-  } else {
+void ModelDisk::write(const DiskOrder& order) {
+  using Kind = DiskOrder::Kind;
+  if (order.kind == Kind::append) {
     synced_ += order.bytes;
+    return synced_file_.apply(order.bytes);
   }
-  synced_file_.apply(order.bytes);
+  if (order.kind == Kind::cut) synced_.resize(std::min(order.size, synced_.size()));
+  if (order.kind == Kind::begin_next) next_.clear();
+  if (order.kind == Kind::write_next) next_ += order.bytes;
+  if (order.kind != Kind::switch_to_next) return;
+  synced_ = std::exchange(next_, {});
+  synced_file_ = DecodedFile{};
+  synced_file_.apply(synced_);
 }
 
 void ModelDisk::crash(std::uint32_t mask) {
   std::size_t hole = 0;
   for (std::size_t index = 0; index < syncing_.size(); ++index) {
-    const Order& order = syncing_[index];
+    const DiskOrder& order = syncing_[index];
+    const bool appends = order.kind == DiskOrder::Kind::append;
     if ((mask >> (index % 16) & 1) == 0) {
-      if (order.whole) break;  // what follows would be in the new file
+      if (!appends) break;  // the steps of a rewrite and a cut are made in their order
       hole += order.bytes.size();
       continue;
     }
-    if (hole > 0 && !order.whole) synced_.append(hole, '\0');
-    hole = 0;
-    if (order.whole)
-      synced_ = order.bytes;
-    else
-      synced_ += order.bytes;
+    if (appends) synced_.append(std::exchange(hole, 0), '\0');
+    write(order);
   }
   syncing_.clear();
   waiting_.clear();
+  next_.clear();
   synced_file_ = DecodedFile{};
   synced_file_.apply(synced_);
 }
@@ -123,7 +126,7 @@
   Bytes kept;
   if (keep_identity)
     for (const auto& entry : read_frames(synced_).entries)
-      if (entry.what == "identity" || entry.what == "roster") kept += frame_entry(entry);
+      if (entry.what == "identity" || entry.what == "roster") kept += frame_entry(entry, 0);
   put(std::move(kept));
 }
 
--- a/tests/model/disk.hpp
+++ b/tests/model/disk.hpp
@@ -27,8 +27,7 @@
  public:
   explicit ModelDisk(Scheduler& scheduler) : scheduler_(scheduler) {}
   Result<Bytes> read_all() override { return synced_; }
-  void append(Bytes bytes, std::function<void(bool)> done) override { order(false, std::move(bytes), std::move(done)); }
-  void rewrite(Bytes bytes, std::function<void(bool)> done) override { order(true, std::move(bytes), std::move(done)); }
+  void order(DiskOrder order) override;
 
   void attach(ProcessPointer process);
   // The process died: of the orders whose sync is under way, bit n of the mask says whether the n-th is kept. One that
@@ -42,22 +41,16 @@
   bool acknowledges_early = false;  // a planted fault: says that bytes are safe before they are
 
  private:
-  struct Order {
-    bool whole = false;
-    Bytes bytes;
-    std::function<void(bool)> done;
-  };
-  void order(bool whole, Bytes bytes, std::function<void(bool)> done);
   void begin();
   void complete();
-  void write(const Order& order);
+  void write(const DiskOrder& order);
 
   Scheduler& scheduler_;
   ProcessPointer process_;
-  Bytes synced_;
+  Bytes synced_, next_;  // the file, and the one that is to take its place
   DecodedFile ordered_, synced_file_;
   bool busy_ = false;
-  std::deque<Order> waiting_, syncing_;
+  std::deque<DiskOrder> waiting_, syncing_;
 };
 
 }  // namespace mothwalk::model
--- a/tests/model/operators.cpp
+++ b/tests/model/operators.cpp
@@ -132,7 +132,9 @@
   if (machine == nullptr) return again();
   ConfigurationChange change;
   change.identity = OrderIdentity{operation.base, operation.base + 1, digest_of(operation.value)};
-  change.make = [operation](const FleetConfiguration&) -> Result<Bytes> { return operation.value; };
+  change.make = [operation](const FleetConfiguration&) -> Result<Bytes> {
+    return operation.value;
+  };
   machine->fleet_calls()->change(std::move(change), change_limit, [this, running, life, again](Result<Version> result) {
     if (running->over || running->life != life) return;
     ++running->life;
--- a/tests/model/planted_faults.cpp
+++ b/tests/model/planted_faults.cpp
@@ -2,6 +2,7 @@
 #include "model/planted_faults.hpp"
 
 #include "coding/cbor.hpp"
+#include "control/order_history.hpp"
 #include "news/news.hpp"
 
 namespace mothwalk::model {
@@ -32,8 +33,16 @@
   if (envelope.kind == Write::kind) change_body<Write>(envelope, [](Write& write) { write.token.clear(); });
 }
 
+// The numbers and bases of the orders that were taken stay, and their digests are lost.
 void forget_taken_orders(Envelope& envelope) {
-  change_body<ReadReply>(envelope, [](ReadReply& reply) { reply.record.entries.clear(); });
+  change_body<ReadReply>(envelope, [](ReadReply& reply) {
+    if (reply.record.key != configuration_key) return;
+    for (auto& entry : reply.record.entries)
+      if (auto order = from_cbor<OrderIdentity>(entry)) {
+        order->digest.clear();
+        entry = to_cbor(*order);
+      }
+  });
 }
 
 template <class Message, class Reply>
