Freshness by reach to a majority: a home without one accepts no beat, leases are sought widely

Cause: News compared with the home alone, and a home cut off from the other control daemons kept its sessions without giving a lease; after a second the daemon served statically. A control daemon that is heard but hears nobody stayed the owner of its slots, so orders were not acknowledged.

--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -215,6 +215,7 @@
             : "No control daemon in touch with a majority answers; the newest configuration known stays in force.";
     if (!state.empty() && state != last_state) logs::note("news", state);
     if (!state.empty()) last_state = state;
+    if (!shared_state_.has_lease(now) && now - seeds_read_ > std::chrono::seconds(1)) read_seeds_again();
     if (drain_until.microseconds > 0) return drain(now - drain_began >= drain_least, now > drain_until);
     timer.expires_after(std::chrono::milliseconds(200));
     timer.async_wait([&](const boost::system::error_code&) { watch(); });
@@ -227,7 +228,10 @@
   std::function<void()> wait = [&] {
     signals.async_wait([&](const boost::system::error_code& error, int signal) {
       if (error) return;
-      if (signal == SIGHUP) return wait();
+      if (signal == SIGHUP) {
+        read_seeds_again();
+        return wait();
+      }
       if (drain_until.microseconds > 0) return main_.stop();
       logs::note("daemon", "Draining: new requests are refused, open ones end.");
       shared_state_.draining = true;
@@ -242,6 +246,21 @@
   return exit_code_;
 }
 
+void Daemon::read_seeds_again() {
+  seeds_read_ = steady_now();
+  if (!place_) return;
+  auto seeds = seeds_read_again(settings_, place_->settings());
+  if (auto fault = fault_of(seeds)) {
+    const std::string why = fault->field + ": " + fault->message;
+    if (why != refused_settings_) logs::warn("daemon", "The settings were read again and are refused: " + why + ".");
+    refused_settings_ = why;
+    return;
+  }
+  refused_settings_.clear();
+  auto& read = std::get<std::vector<Address>>(seeds);
+  if (read != *shared_state_.seeds.get()) shared_state_.seeds.set(std::move(read));
+}
+
 void Daemon::drain(bool long_enough, bool over) {
   auto count = [this, long_enough, over] {
     if (long_enough && front_) front_->close();
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -36,6 +36,8 @@
   Result<Done> listen();
   void handle(ControlRequest request, ControlAnswer answer);
   json::value load();
+  // Takes over the seeds that the place names now; without a lease that is tried again each second.
+  void read_seeds_again();
   void drain(bool long_enough, bool over);
 
   Settings settings_;
@@ -74,6 +76,8 @@
   std::atomic<std::uint64_t> syncs_{0}, commits_{0};
   boost::asio::steady_timer drain_timer_{main_};
   std::function<void()> drain_again_;
+  std::string refused_settings_;  // why the settings were refused when they were last read again
+  Moment seeds_read_;
   int exit_code_ = 0;
 };
 
--- a/source/host/settings.cpp
+++ b/source/host/settings.cpp
@@ -148,4 +148,14 @@
   return line;
 }
 
+Result<std::vector<Address>> seeds_read_again(const Settings& running, const Result<Settings>& again) {
+  if (auto fault = fault_of(again)) return *fault;
+  const Settings& settings = std::get<Settings>(again);
+  if (settings.address != running.address || settings.zone != running.zone)
+    return Fault{FaultKind::invalid, "settings", "they describe another daemon than this one",
+                 "start this daemon again to move it"};
+  if (settings.seeds.empty()) return Fault{FaultKind::invalid, "seeds", "no seed is given", "name up to three daemons"};
+  return settings.seeds;
+}
+
 }  // namespace mothwalk
--- a/source/host/settings.hpp
+++ b/source/host/settings.hpp
@@ -22,6 +22,10 @@
                   first_start, single_thread, health)
 };
 
+// The seeds of settings that were read again while the daemon runs. Settings that are faulty, or that describe another
+// daemon than the running one, are refused whole.
+Result<std::vector<Address>> seeds_read_again(const Settings& running, const Result<Settings>& again);
+
 struct CommandLine {
   Settings settings;
   bool help = false, version = false, check = false;
--- a/source/news/news.cpp
+++ b/source/news/news.cpp
@@ -92,15 +92,32 @@
     if (const Span lease = majority_lease(); lease > Span{}) shared_state_.lease_until = (now + lease).microseconds;
   } else if (!members->home.empty()) {
     compare(members->home);
+    renew_lease();
   }
-  // A gap between two ticks means that this process was frozen: the search for a lease begins anew.
+  note_search();
+  messenger_.timers().after(round_span, [this] { tick(); });
+}
+
+// A lease that the home has not renewed in time is sought at the next few other candidates, and so on each round, so
+// that all of them were asked well before this daemon counts as standing alone.
+void News::renew_lease() {
+  const Span left = Moment{shared_state_.lease_until.load()} - messenger_.timers().now();
+  if (left > renewal_margin) return void(search_turn_ = 0);
+  auto candidates = control_candidates(shared_state_, messenger_.self(), ZoneId{});
+  for (const auto& seed : *shared_state_.seeds.get()) add_candidate(candidates, seed, messenger_.self());
+  for (std::size_t count = 0; count < std::min(search_width, candidates.size()); ++count)
+    compare(candidates[search_turn_++ % candidates.size()]);
+}
+
+// A gap between two ticks means that this process was frozen: the search for a lease begins anew.
+void News::note_search() {
+  const Moment now = messenger_.timers().now();
   const bool frozen = now.microseconds - shared_state_.news_tick.load() > 3 * round_span.count();
   if (shared_state_.has_lease(now))
     shared_state_.lease_sought = -1;
   else if (shared_state_.lease_sought.load() < 0 || frozen)
     shared_state_.lease_sought = now.microseconds;
   shared_state_.news_tick = now.microseconds;
-  messenger_.timers().after(round_span, [this] { tick(); });
 }
 
 void News::compare(const Address& peer) {
--- a/source/news/news.hpp
+++ b/source/news/news.hpp
@@ -67,8 +67,12 @@
  private:
   static constexpr Span round_span = std::chrono::milliseconds(200);
   static constexpr Span lease_span = std::chrono::milliseconds(800);
+  static constexpr Span renewal_margin = std::chrono::milliseconds(300);  // what is left of a lease that is sought anew
   static constexpr std::size_t fan_out = 3;
+  static constexpr std::size_t search_width = 3;  // control daemons that are asked at once for a lease
   void tick();
+  void renew_lease();
+  void note_search();
   void compare(const Address& peer);
   void finish(const Address& peer, Moment began, Span lease);
   bool take(std::vector<NewsItem> items, bool spread);
@@ -84,6 +88,7 @@
   ConfigurationView view_;
   std::map<Address, Moment> compared_;  // when the last whole comparison with that control daemon began
   std::set<Address> comparing_;
+  std::size_t search_turn_ = 0;
 };
 
 }  // namespace mothwalk
--- a/source/routes/router.cpp
+++ b/source/routes/router.cpp
@@ -216,7 +216,7 @@
   const bool first = record.configuration == nullptr;
   // A daemon that has just started takes the configuration in within a second or two: requests may wait for it a
   // little.
-  if (shared_state_.lease_until.load() >= 0) {
+  if (shared_state_.was_fresh()) {
     auto configuration = shared_state_.configuration.get();
     std::string name;
     const Lane* lane = configuration->lane_for(record.request.target, &name, record.facts.host);
@@ -309,8 +309,7 @@
   const auto configuration = shared_state_.configuration.get();
   // A lapsed lease is sought for a moment; when no control daemon can be had, the newest configuration known stays in
   // force.
-  const bool awake = now - Moment{shared_state_.news_tick.load()} < milliseconds(600);
-  const bool may_send = shared_state_.has_lease(now) || (awake && shared_state_.stands_alone(now));
+  const bool may_send = shared_state_.may_serve(now);
   std::set<std::string> full;
   for (const auto& place : std::vector<Place>(waiting_.begin(), waiting_.end())) {
     auto found = table_.find(std::get<Id>(place));
--- a/source/sessions/sessions.cpp
+++ b/source/sessions/sessions.cpp
@@ -6,25 +6,13 @@
 namespace mothwalk {
 
 Sessions::Sessions(Messenger& messenger, SharedState& shared_state, Member self, std::vector<Address> seeds)
-    : messenger_(messenger), shared_state_(shared_state), self_(std::move(self)), seeds_(std::move(seeds)) {
+    : messenger_(messenger), shared_state_(shared_state), self_(std::move(self)) {
+  shared_state_.seeds.set(std::move(seeds));
   messenger_.on_ask<Beat>([this](const Address& from, Beat beat, Answer<BeatReply> answer) {
     if (beat.member.address != from)
       return answer(Fault{FaultKind::invalid, "member.address", "the beat comes from another address than it names",
                           "give each daemon the address that it is reached by"});
-    BeatReply reply;
-    if (control()) {
-      Session& session = sessions_[from];
-      const bool fresh = session.member != beat.member;
-      session = Session{std::move(beat.member), messenger_.timers().now()};
-      if (fresh) rebuild();
-      reply.accepted = true;
-    }
-    reply.changed = beat.digest != digest_;
-    if (!reply.accepted)
-      reply.members = known_control();
-    else if (reply.changed)
-      for (const auto& [address, member] : shared_state_.members.get()->all) reply.members.push_back(member);
-    answer(std::move(reply));
+    answer(take_beat(from, std::move(beat)));
   });
   messenger_.on_tell<Share>([this](const Address& from, Share share) {
     if (!share.member.keeps_control() || share.member.address != from || from == self_.address) return;
@@ -49,6 +37,43 @@
   tick();
 }
 
+// A home vouches for the table of members, so it has to be in touch with a majority. Before the first roster there is
+// none to be in touch with; that is believed only by a member that knows of no roster either.
+bool Sessions::may_be_home(const Member& member) const {
+  if (!control()) return false;
+  if (shared_state_.has_lease(messenger_.timers().now())) return true;
+  const bool knows_roster =
+      !shared_state_.configuration.get()->roster.seats.empty() || !shared_state_.control_seats.get()->empty();
+  return !knows_roster && member.roster == Version{};
+}
+
+// Whether this control daemon has been without contact to a majority for so long that it should own nothing. Others may
+// still hear it, and would otherwise wait for it as the owner of its slots.
+bool Sessions::out_of_contact() const {
+  if (!control() || shared_state_.configuration.get()->roster.seats.empty()) return false;
+  const Moment lapsed{shared_state_.lease_until.load()};
+  return messenger_.timers().now() - lapsed > contact_slack;
+}
+
+BeatReply Sessions::take_beat(const Address& from, Beat beat) {
+  BeatReply reply;
+  reply.accepted = may_be_home(beat.member);
+  if (reply.accepted) {
+    Session& session = sessions_[from];
+    const bool fresh = session.member != beat.member;
+    session = Session{std::move(beat.member), messenger_.timers().now()};
+    if (fresh) rebuild();
+  } else {
+    sessions_.erase(from);
+  }
+  reply.changed = beat.digest != digest_;
+  if (!reply.accepted)
+    reply.members = known_control();
+  else if (reply.changed)
+    for (const auto& [address, member] : shared_state_.members.get()->all) reply.members.push_back(member);
+  return reply;
+}
+
 bool Sessions::remember(const Member& member) {
   if (!member.keeps_control() || member.address == self_.address) return false;
   const bool fresh = !heard_.contains(member.address);
@@ -68,26 +93,16 @@
 }
 
 std::vector<Address> Sessions::candidates() const {
-  std::vector<Address> list;
-  auto add = [&](const Address& address) {
-    if (address != self_.address && std::find(list.begin(), list.end(), address) == list.end()) list.push_back(address);
-  };
-  const auto members = shared_state_.members.get();
-  for (const auto& [address, member] : members->all)
-    if (member.keeps_control() && member.zone == self_.zone) add(address);
-  for (const auto& [address, member] : members->all)
-    if (member.keeps_control()) add(address);
-  for (const auto& seat : shared_state_.configuration.get()->roster.seats) add(seat.address);
-  for (const auto& address : *shared_state_.control_seats.get()) add(address);
-  for (const auto& [address, heard] : heard_) add(address);
+  std::vector<Address> list = control_candidates(shared_state_, self_.address, self_.zone);
+  for (const auto& [address, heard] : heard_) add_candidate(list, address, self_.address);
   // A control daemon in touch with others goes back to the seeds now and then, so that no two parts stay apart.
   if (!control() || peers_.size() < 2 || ticks_ % ticks_to_seeds == 0)
-    for (const auto& seed : seeds_) add(seed);
+    for (const auto& seed : *shared_state_.seeds.get()) add_candidate(list, seed, self_.address);
   return list;
 }
 
 void Sessions::tick() {
-  self_.stalled = shared_state_.stalled.load();
+  self_.stalled = shared_state_.stalled.load() || out_of_contact();
   self_.roster = shared_state_.configuration.get()->roster.version;
   ++ticks_;
   std::erase_if(heard_, [now = messenger_.timers().now()](const auto& each) {
@@ -151,46 +166,61 @@
   shared_state_.members.set(std::move(members));
 }
 
+bool Sessions::has_home() const {
+  return !home_.empty() && messenger_.timers().now() - home_heard_ < stand_span;
+}
+
+void Sessions::lose_home(const Address& home) {
+  if (home != home_) return;
+  home_ = Address{};
+  turn_ = 0;
+}
+
+// Beats to the home or, without one, to the next few candidates at once, of whom the first to accept becomes the home.
 void Sessions::beat() {
-  if (asking_) return;
+  if (has_home()) return beat_to(home_);
   const auto list = candidates();
-  if (list.empty()) return;
-  const bool standing = !home_.empty() && messenger_.timers().now() - home_heard_ < stand_span;
-  const Address to = standing ? home_ : list[turn_++ % list.size()];
-  asking_ = true;
-  messenger_.ask(to, Beat{self_, digest_}, std::chrono::milliseconds(300), [this, to](Result<BeatReply> result) {
-    asking_ = false;
-    auto* reply = std::get_if<BeatReply>(&result);
-    if (reply == nullptr) {
-      if (to == home_) home_ = Address{};
-      return;
-    }
-    if (!reply->accepted) {
-      if (to == home_) home_ = Address{};
-      bool fresh = false;
-      for (const auto& member : reply->members) fresh = remember(member) || fresh;
-      if (!fresh) return;
-      turn_ = 0;
-      return beat();
-    }
-    if (reply->changed) {
-      Members members;
-      for (auto& member : reply->members) members.all[member.address] = std::move(member);
-      members.all[self_.address] = self_;
-      members.home = to;
-      for (const auto& [address, member] : members.all) members.control_daemons += member.keeps_control();
-      // The digest is that of the home's own list, so that the next beat asks only for changes.
-      publish(std::move(members));
-    }
-    if (home_ != to) turn_ = 0;
-    home_ = to;
-    home_heard_ = messenger_.timers().now();
-    if (shared_state_.members.get()->home != to) {
-      Members members = *shared_state_.members.get();
-      members.home = to;
-      shared_state_.members.set(std::move(members));
-    }
-  });
+  for (std::size_t count = 0; count < std::min(search_width, list.size()); ++count)
+    beat_to(list[turn_++ % list.size()]);
+}
+
+void Sessions::beat_to(const Address& to) {
+  if (!asking_.insert(to).second) return;
+  messenger_.ask(to, Beat{self_, digest_}, std::chrono::milliseconds(300),
+                 [this, to](Result<BeatReply> result) { finish_beat(to, std::move(result)); });
+}
+
+void Sessions::finish_beat(const Address& to, Result<BeatReply> result) {
+  asking_.erase(to);
+  auto* reply = std::get_if<BeatReply>(&result);
+  if (reply == nullptr) return lose_home(to);
+  if (reply->accepted) {
+    if (!has_home() || home_ == to) enter_home(to, *reply);
+    return;
+  }
+  const bool was_home = to == home_;
+  lose_home(to);
+  bool fresh = false;
+  for (const auto& member : reply->members) fresh = remember(member) || fresh;
+  if (fresh) turn_ = 0;
+  if ((was_home || fresh) && !has_home()) beat();
+}
+
+void Sessions::enter_home(const Address& home, BeatReply& reply) {
+  home_ = home;
+  home_heard_ = messenger_.timers().now();
+  turn_ = 0;
+  Members members = *shared_state_.members.get();
+  if (!reply.changed && members.home == home) return;
+  members.home = home;
+  if (!reply.changed) return shared_state_.members.set(std::move(members));
+  members.all.clear();
+  for (auto& member : reply.members) members.all[member.address] = std::move(member);
+  members.all[self_.address] = self_;
+  members.control_daemons = 0;
+  for (const auto& [address, member] : members.all) members.control_daemons += member.keeps_control();
+  // The digest is that of the home's own list, so that the next beat asks only for changes.
+  publish(std::move(members));
 }
 
 }  // namespace mothwalk
--- a/source/sessions/sessions.hpp
+++ b/source/sessions/sessions.hpp
@@ -1,5 +1,6 @@
 // Membership: a daemon is a member while its session with a control daemon (one that keeps control state) stands. A
 // member beats to its home control daemon; control daemons share their sessions with each other, and so all know all.
+// A control daemon that is not in touch with a majority of the roster accepts no beat: its members go to another home.
 // Any other daemon remembers the control daemons that it heard of and names them to who asks, so that the seeds may be
 // any.
 #pragma once
@@ -49,6 +50,8 @@
   static constexpr Span stand_span = std::chrono::milliseconds(900);
   static constexpr Span remembered_span = std::chrono::seconds(5);
   static constexpr std::uint64_t ticks_to_seeds = 10;
+  static constexpr Span contact_slack = std::chrono::milliseconds(300);  // past a lease, before slots are given up
+  static constexpr std::size_t search_width = 3;                         // candidates that are asked at once for a home
   struct Session {
     Member member;
     Moment heard;
@@ -62,7 +65,15 @@
   bool remember(const Member& member);
   std::vector<Member> known_control() const;
   void tick();
+  bool out_of_contact() const;
+  bool may_be_home(const Member& member) const;
+  BeatReply take_beat(const Address& from, Beat beat);
   void beat();
+  void beat_to(const Address& to);
+  void finish_beat(const Address& to, Result<BeatReply> result);
+  bool has_home() const;
+  void lose_home(const Address& home);
+  void enter_home(const Address& home, BeatReply& reply);
   void share();
   void rebuild();
   void publish(Members members);
@@ -71,7 +82,6 @@
   Messenger& messenger_;
   SharedState& shared_state_;
   Member self_;
-  std::vector<Address> seeds_;
   std::map<Address, Session> sessions_;
   std::map<Address, Peer> peers_;
   std::map<Address, Session> heard_;  // control daemons that this one was told of
@@ -79,7 +89,7 @@
   Moment home_heard_;
   std::size_t turn_ = 0;
   std::uint64_t ticks_ = 0;
-  bool asking_ = false;
+  std::set<Address> asking_;  // beats under way
   std::uint64_t digest_ = 0;
 };
 
--- a/source/sessions/shared_state.cpp
+++ b/source/sessions/shared_state.cpp
@@ -11,6 +11,25 @@
   return nullptr;
 }
 
+void add_candidate(std::vector<Address>& list, const Address& address, const Address& self) {
+  if (address != self && std::find(list.begin(), list.end(), address) == list.end()) list.push_back(address);
+}
+
+std::vector<Address> control_candidates(const SharedState& shared_state, const Address& self, const ZoneId& zone) {
+  std::vector<Address> list;
+  auto add = [&](const Address& address) {
+    add_candidate(list, address, self);
+  };
+  const auto members = shared_state.members.get();
+  for (const auto& [address, member] : members->all)
+    if (member.keeps_control() && member.zone == zone) add(address);
+  for (const auto& [address, member] : members->all)
+    if (member.keeps_control()) add(address);
+  for (const auto& seat : shared_state.configuration.get()->roster.seats) add(seat.address);
+  for (const auto& address : *shared_state.control_seats.get()) add(address);
+  return list;
+}
+
 std::uint64_t new_incarnation(Span wall, RandomSource& random) {
   return static_cast<std::uint64_t>(wall.count() / 1000) << 20 | (random.next() & 0xfffff);
 }
--- a/source/sessions/shared_state.hpp
+++ b/source/sessions/shared_state.hpp
@@ -34,7 +34,7 @@
   Address callers, control;  // HTTP sides
   std::uint64_t incarnation = 0;
   HolderId holder;       // empty where the daemon has no data folder
-  bool stalled = false;  // its disk does not answer, so it can own nothing
+  bool stalled = false;  // it can own nothing: its disk does not answer, or it lost contact to a majority
   Version roster;        // the roster version it knows; zero for none
   std::string version;   // of the program
   std::string keeps;     // what its folder holds: empty for control state and lots, or "control" or "lots" alone
@@ -69,6 +69,7 @@
 
 struct SharedState {
   Shared<std::vector<Address>> control_seats;  // those that this daemon's folder knows, before any news comes
+  Shared<std::vector<Address>> seeds;          // as the settings name them now
   Shared<Members> members;
   Shared<ConfigurationView> configuration;
   Shared<Ownership> owned;
@@ -79,11 +80,18 @@
   std::atomic<bool> stalled{false};
   std::atomic<bool> draining{false};
   bool has_lease(Moment now) const { return lease_until.load() >= now.microseconds; }
+  bool was_fresh() const { return lease_until.load() >= 0; }  // once at least in this life
   // A lapsed lease was sought in vain for so long that the newest configuration known stays in force.
   bool stands_alone(Moment now) const {
     const std::int64_t sought = lease_sought.load();
     return sought >= 0 && now - Moment{sought} > std::chrono::milliseconds(1000);
   }
+  // Whether requests may be served by the configuration known here: under a lease, or statically. A process that was
+  // frozen, and whose news has not run since, does neither.
+  bool may_serve(Moment now) const {
+    const bool awake = now - Moment{news_tick.load()} < std::chrono::milliseconds(600);
+    return has_lease(now) || (was_fresh() && awake && stands_alone(now));
+  }
   void take_totals(const std::string& kind, KindTotals totals) {
     auto all = *load.get();
     all[kind] = std::move(totals);
@@ -91,6 +99,14 @@
   }
 };
 
+// The daemons that may be, or may name, a control daemon in touch with a majority, the likeliest first: control members
+// of the given zone, other control members, the roster's seats, seats known from the data folder. Seeds are not among
+// them.
+std::vector<Address> control_candidates(const SharedState& shared_state, const Address& self, const ZoneId& zone);
+
+// Adds an address that is not yet in the list and is not this daemon's own.
+void add_candidate(std::vector<Address>& list, const Address& address, const Address& self);
+
 // The number of a process's life: of the wall clock, so that later lives mostly have higher ones, and of random, so
 // that a clock set back never makes two lives look the same.
 std::uint64_t new_incarnation(Span wall, RandomSource& random);
