--- a/source/routes/router_admission.cpp
+++ b/source/routes/router_admission.cpp
@@ -10,7 +10,7 @@
   const bool first = record.configuration == nullptr;
   // A daemon that has just started takes the configuration in within a second or two: requests may wait for it a
   // little.
-  if (shared_state_.lease_until.load() >= 0) {
+  if (shared_state_.was_fresh()) {
     auto configuration = shared_state_.configuration.get();
     std::string name;
     const Lane* lane = configuration->lane_for(record.request.target, &name, record.facts.host);
--- a/source/routes/router_sending.cpp
+++ b/source/routes/router_sending.cpp
@@ -35,8 +35,7 @@
   const auto configuration = shared_state_.configuration.get();
   // A lapsed lease is sought for a moment; when no control daemon can be had, the newest configuration known stays in
   // force.
-  const bool awake = now - Moment{shared_state_.news_tick.load()} < awake_span;
-  const bool may_send = shared_state_.has_lease(now) || (awake && shared_state_.stands_alone(now));
+  const bool may_send = shared_state_.may_serve(now);
   std::set<std::string> full;
   for (const auto& place : std::vector<Place>(waiting_.begin(), waiting_.end())) {
     auto found = table_.find(std::get<Id>(place));
