--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -39,6 +39,21 @@
   return slots == 0 ? 0 : busy / slots;
 }
 
+bool CircleDuty::State::shaken(const std::string& runner, Span ramp, Moment now) const {
+  const auto found = failed.find(runner);
+  return found != failed.end() && now - found->second < ramp;
+}
+
+// Where half of the members or more have failed of late, and take only the share of their ramp, as many others stand in
+// for them: the law sees the load too late, and counts their slots as whole.
+std::size_t CircleDuty::substitutes_for(const std::vector<RunnerId>& members, const State& state, Span ramp,
+                                        Moment now) {
+  const auto shaken = static_cast<std::size_t>(std::count_if(
+      members.begin(), members.end(), [&](const RunnerId& member) { return state.shaken(member.text, ramp, now); }));
+  const std::size_t wanted = members.size() - std::min(members.size(), state.substitutes);
+  return shaken * 2 >= wanted ? shaken : 0;
+}
+
 CircleDuty::CircleDuty(Messenger& messenger, SharedState& shared_state)
     : messenger_(messenger), shared_state_(shared_state) {
   messenger_.on_tell<LoadReport>([this](const Address& from, LoadReport load) {
@@ -198,7 +213,7 @@
     highest = std::max({lowest, std::min(needed, highest), highest - std::min(wanted, highest)});
   }
   Circle next = before;
-  std::size_t size = before.members.size();
+  std::size_t size = before.members.size() - std::min(before.members.size(), state.substitutes);
   std::string reason;
   if (record == configuration->circles.end()) {
     // Nothing is known yet: all but the reserve, and the law shrinks it on what it sees.
@@ -213,7 +228,7 @@
     const bool early = recent_load > circle.high_water && now - state.last_cycle >= early_gap;
     if (!blind && !state.writing && (early || now - state.last_cycle >= circle.cycle)) {
       const double seen = early ? recent_load : mean_load;
-      size = state.law.step(seen, circle.target, before.members.size(), lowest, highest, missing == 0 && !early);
+      size = state.law.step(seen, circle.target, size, lowest, highest, missing == 0 && !early);
       next.load = seen;
       next.law = state.law.size;
       next.error = state.law.last_error;
@@ -224,7 +239,8 @@
     }
     if (size > highest && lots_wait) size = highest;
   }
-  size = std::clamp(size, lowest, std::max(lowest, able.size()));
+  if (!circle.all && !state.writing) state.substitutes = substitutes_for(before.members, state, circle.ramp, now);
+  size = std::clamp(size + state.substitutes, lowest, std::max(lowest, able.size()));
   std::vector<std::string> chosen = match_members(*configuration, able, current, size, before, demand);
   next.members.clear();
   for (const auto& name : chosen) next.members.push_back(RunnerId(name));
@@ -235,15 +251,14 @@
     const std::uint64_t generation = configuration->runners.at(name).spec.generation;
     auto known = before.generations.find(name);
     const bool anew = before.has(name) && (known == before.generations.end() ? 0 : known->second) != generation;
-    const auto failed = state.failed.find(name);
     if (anew) state.entered[name] = now;
     const Moment since = state.entered.try_emplace(name, now).first->second;
-    const bool shaken = failed != state.failed.end() && now - failed->second < circle.ramp;
+    const bool shaken = state.shaken(name, circle.ramp, now);
     if (!shaken && !anew && (before.bears(name, generation) || now - since >= circle.ramp))
       next.warm.push_back(RunnerId(name));
     if (generation > 0) next.generations[name] = generation;
     Moment& ramped = state.ramped[name];
-    const Moment begins = shaken ? std::max(since, failed->second) : since;
+    const Moment begins = shaken ? std::max(since, state.failed.at(name)) : since;
     auto ramp = before.ramps.find(name);
     next.ramps[name] = ramp == before.ramps.end() ? 0 : ramp->second;
     if (begins > ramped + circle.ramp / 8 || ramp == before.ramps.end()) {
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -65,6 +65,9 @@
     Moment written;
     std::map<std::string, Moment> dark_until;
     Moment totals_told;
+    std::size_t substitutes = 0;  // members that stand in for others that failed of late
+    // Whether an attempt to the runner has failed within the last ramp.
+    bool shaken(const std::string& runner, Span ramp, Moment now) const;
   };
   void tick();
   void pass();
@@ -72,6 +75,7 @@
                const State& state, Circle& next) const;
   void run(const std::string& kind, const Kind& settings, State& state);
   bool dark(const State& state, const std::string& runner, Moment now) const;
+  static std::size_t substitutes_for(const std::vector<RunnerId>& members, const State& state, Span ramp, Moment now);
   // Members spread over the zones as the live work does; every zone with work has one before any has two.
   std::vector<std::string> match_members(const ConfigurationView& configuration, const std::set<std::string>& able,
                                          std::vector<std::string> members, std::size_t size, const Circle& before,
