--- a/source/lots/lot_results.cpp
+++ b/source/lots/lot_results.cpp
@@ -108,7 +108,7 @@
   // cut off and has not heard of its successor must not say so, or the placer would drop what the successor waits for.
   for (auto& [id, places] : unsure) {
     ++state->left;
-    confirm(slot_of(lot_record_key(id)), [state, places](bool good) {
+    confirm(slot_of(lot_record_key(id)), [state, places = places](bool good) {
       if (good) state->reply.heard.insert(state->reply.heard.end(), places.begin(), places.end());
       state->done();
     });
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -79,6 +79,22 @@
   CHECK(file.list.text == "10.200.0.4:8142");
 }
 
+TEST_CASE("platform: a grace that no clock can count is bounded, and one that is no number is refused") {
+  for (const char* grace : {"1e300", "inf", "1000000000000"}) {
+    auto read = read_node_text(replaced(node_file, "grace-s = 8", std::string("grace-s = ") + grace));
+    REQUIRE(fault_of(read) == nullptr);
+    CHECK(std::get<NodeFile>(read).settings.drain == std::chrono::hours(24));
+  }
+  for (const char* grace : {"-1e300", "-inf", "0"}) {
+    auto read = read_node_text(replaced(node_file, "grace-s = 8", std::string("grace-s = ") + grace));
+    REQUIRE(fault_of(read) == nullptr);
+    CHECK(std::get<NodeFile>(read).settings.drain == std::chrono::seconds(1));
+  }
+  auto no_number = read_node_text(replaced(node_file, "grace-s = 8", "grace-s = nan"));
+  REQUIRE(fault_of(no_number) != nullptr);
+  CHECK(fault_of(no_number)->field == "timing-bounds.grace-s");
+}
+
 TEST_CASE("platform: settings that can't be used name the field") {
   auto field = [](const std::string& text) {
     auto read = read_node_text(text);
