--- /dev/null
+++ b/tests/fuzz/entry.hpp
@@ -0,0 +1,8 @@
+// libFuzzer's entry point; included once by each target.
+#pragma once
+#include "fuzz.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  mothwalk::fuzz::run(mothwalk::View(reinterpret_cast<const char*>(data), size));
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz.hpp
@@ -0,0 +1,46 @@
+// What the fuzz targets share: a reader of inputs, and checks that end the run.
+#pragma once
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+
+#include "mothwalk.hpp"
+
+namespace mothwalk::fuzz {
+
+// Ends the run where a property of the reader does not hold; libFuzzer then keeps the input.
+inline void expect(bool holds, const char* property) {
+  if (holds) return;
+  std::fprintf(stderr, "does not hold: %s\n", property);
+  std::abort();
+}
+
+// Takes bytes off the front of an input; an input that has no more gives zeros and empty views.
+class Input {
+ public:
+  explicit Input(View bytes) : bytes_(bytes) {}
+  bool empty() const { return bytes_.empty(); }
+  std::size_t size() const { return bytes_.size(); }
+  std::uint8_t byte() {
+    const View one = take(1);
+    return one.empty() ? std::uint8_t{0} : static_cast<std::uint8_t>(one[0]);
+  }
+  std::uint16_t word() {
+    const unsigned high = byte();
+    return static_cast<std::uint16_t>(high << 8 | byte());
+  }
+  View take(std::size_t count) {
+    const View taken = bytes_.substr(0, count);
+    bytes_.remove_prefix(taken.size());
+    return taken;
+  }
+  View rest() { return take(bytes_.size()); }
+
+ private:
+  View bytes_;
+};
+
+// One input; defined by each target.
+void run(View bytes);
+
+}  // namespace mothwalk::fuzz
--- /dev/null
+++ b/tests/fuzz/make_corpus.cpp
@@ -0,0 +1,103 @@
+// Writes the examples of the binary inputs: a message of each kind with every field filled, and a record file.
+//   fuzz-corpus FOLDER   with a folder for each target in it
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "peer_messages.hpp"
+#include "replication/record_file.hpp"
+
+using namespace mothwalk;
+using namespace mothwalk::fuzz;
+
+namespace {
+// Something plausible in every field: names that the test fleet knows, one element in every list.
+template <class T>
+void fill(T& value) {
+  if constexpr (std::is_same_v<T, std::string>)
+    value = "lane/audits";
+  else if constexpr (is_name<T>::value)
+    value = T("10.0.0.1:7000");
+  else if constexpr (is_number<T>::value)
+    value.value = 3;
+  else if constexpr (std::is_same_v<T, Span>)
+    value = std::chrono::milliseconds(500);
+  else if constexpr (std::is_arithmetic_v<T>)
+    value = static_cast<T>(1);
+  else if constexpr (is_optional<T>::value)
+    fill(value.emplace());
+  else if constexpr (is_vector<T>::value)
+    fill(value.emplace_back());
+  else if constexpr (is_map<T>::value)
+    fill(value["model"]);
+  else
+    value.fields([](View, auto& field) { fill(field); });
+}
+
+template <class T>
+T filled() {
+  T value{};
+  fill(value);
+  return value;
+}
+
+void put_word(Bytes& out, std::size_t value) {
+  out.push_back(static_cast<char>(value >> 8));
+  out.push_back(static_cast<char>(value));
+}
+
+void save(const std::filesystem::path& folder, const std::string& name, const Bytes& bytes) {
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder / name, std::ios::binary) << bytes;
+}
+
+template <class Message>
+void save_message(const std::filesystem::path& folder, std::size_t number) {
+  const std::string name(Message::kind);
+  const Bytes body = to_cbor(filled<Message>());
+  Bytes input{static_cast<char>(number), '\0'};
+  put_word(input, body.size());
+  save(folder / "peer_messages", name, input + body);
+
+  auto envelope = filled<Envelope>();
+  envelope.kind = name;
+  envelope.slice = envelope.sender = name.substr(0, name.find('.'));
+  envelope.body = body;
+  const Bytes frame = to_cbor(envelope);
+  Bytes head(2, '\0');
+  put_word(head, frame.size());
+  save(folder / "peer_frames", name, head + frame);
+}
+
+template <class... Messages>
+void save_messages(const std::filesystem::path& folder, MessageTypes<Messages...>) {
+  std::size_t number = 0;
+  (save_message<Messages>(folder, number++), ...);
+}
+
+void save_record_files(const std::filesystem::path& folder) {
+  Bytes raw(1, '\0'), payloads(1, '\1');
+  for (const char* what : {"identity", "roster", "promise", "change", "install", "copies", "handover"}) {
+    auto entry = filled<DiskEntry>();
+    entry.what = what;
+    const Bytes payload = to_cbor(entry);
+    Bytes alone(1, '\1');
+    put_word(alone, payload.size());
+    save(folder / "record_file", what, alone + payload);
+    put_word(payloads, payload.size());
+    payloads += payload;
+    raw += frame_payload(payload);
+  }
+  save(folder / "record_file", "whole", payloads);
+  save(folder / "record_file", "raw", raw);
+}
+}  // namespace
+
+int main(int count, char** words) {
+  if (count != 2) {
+    std::cerr << "usage: fuzz-corpus FOLDER\n";
+    return 2;
+  }
+  save_messages(words[1], PeerMessages{});
+  save_record_files(words[1]);
+}
