--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -203,6 +203,8 @@
   auto totals = load->find(runner.kind.text);
   if (totals == load->end() || !state.outside_since) return 0;
   auto found = totals->second.runners.find(name);
+  // Totals from before it came out do not tell the prompts that were sent to it last.
+  if (totals->second.heard < *state.outside_since) return 0;
   const std::uint32_t taken =
       state.open + (found == totals->second.runners.end() ? 0 : found->second.open + found->second.foreign);
   std::uint32_t free = taken < runner.slots ? runner.slots - taken : 0;
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -200,3 +200,18 @@
     CHECK(most <= (cold ? 1u : 5u));
   }
 }
+
+TEST_CASE(
+    "a runner that has just come out of the circle gets no items before totals that were told after it came out") {
+  PlacerFixture fixture;
+  fixture.put("circle/model", R"({"placers":{"model-1":{"address":"10.0.0.2:1","incarnation":7,"term":2}},"term":2})");
+  fixture.wait(milliseconds(200));
+  fixture.offered.push_back(PlacerFixture::item());
+  fixture.tell(PendingItems{{{"model", 1}}, {}});
+  fixture.wait(milliseconds(500));
+  CHECK(fixture.exchange.attempts.empty());
+  fixture.shared_state.load.set({{"model", KindTotals{fixture.world.now(), {}}}});
+  fixture.tell(PendingItems{{{"model", 1}}, {}});
+  fixture.wait(milliseconds(300));
+  CHECK(fixture.exchange.attempts.size() == 1);
+}
