--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -102,7 +102,7 @@
   ReplicatedStore* kept() { return duties_ ? duties_->kept.get() : nullptr; }
   std::uint64_t frames = 0, bytes = 0, bytes_in = 0;  // sent; what was taken while the world measures
   Span clock{};                                       // how far its wall clock is off
-  Moment undisturbed_since;  // since when nothing was done to it
+  Moment undisturbed_since;                           // since when nothing was done to it
 
  private:
   struct Duties {
@@ -169,6 +169,7 @@
   };
   std::vector<Acknowledged> acknowledged;
   std::vector<std::string> broken;  // rules that the cluster itself watches
+  bool lost_totally = false;        // a closing fault took every machine down
   bool watched = true;              // whether it does
   void watch_rules();
 
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -122,6 +122,7 @@
 
 // Everything goes down at once. One holder may stay away, or come back empty.
 void total_loss(SimulatedCluster& cluster, bool one_away = false, bool one_empty = false) {
+  cluster.lost_totally = true;
   Machine* odd = one_away || one_empty ? &pick(cluster, true) : nullptr;
   for (auto& machine : cluster.machines) machine->kill(one_empty && machine.get() == odd);
   const Moment down = cluster.world.now();
@@ -555,6 +556,7 @@
           machine.disk().set_failing(true);
           cluster.world.after(seconds(4), [&machine] { machine.disk().set_failing(false); });
           cluster.world.after(seconds(6), [&cluster, &machine, life] {
+            if (cluster.lost_totally) return;  // it was the closing fault that ended it
             if (machine.incarnation() != life)
               cluster.broken.push_back("a full disk ended " + machine.name);
             else if (machine.shared_state().stalled.load())
