--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -148,7 +148,8 @@
   if (parts[1] == "load") return answer(ControlReply{200, own_load_(), false});
   if (parts[1] == "members") {
     json::array list;
-    for (const auto& [address, member] : shared_state_.members.get()->all) list.push_back(to_json(member));
+    for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
+      list.push_back(to_json(member));
     return answer(ControlReply{200, json::object{{"members", list}}, false});
   }
   if (parts[1] == "roster") return answer(ControlReply{200, to_json(shared_state_.configuration.get()->roster), false});
--- a/source/news/news.cpp
+++ b/source/news/news.cpp
@@ -104,7 +104,8 @@
   const Span left = Moment{shared_state_.lease_until.load()} - messenger_.timers().now();
   if (left > renewal_margin) return void(search_turn_ = 0);
   auto candidates = control_candidates(shared_state_, messenger_.self(), ZoneId{});
-  for (const auto& seed : *shared_state_.seeds.get()) add_candidate(candidates, seed, messenger_.self());
+  for (const auto snapshot = shared_state_.seeds.get(); const auto& seed : *snapshot)
+    add_candidate(candidates, seed, messenger_.self());
   for (std::size_t count = 0; count < std::min(search_width, candidates.size()); ++count)
     compare(candidates[search_turn_++ % candidates.size()]);
 }
--- a/source/replication/first_roster.cpp
+++ b/source/replication/first_roster.cpp
@@ -29,7 +29,7 @@
   if (founding_ || std::find(seeds_.begin(), seeds_.end(), self_.address) == seeds_.end()) return;
   if (messenger_.timers().now() - started_ < founding_pause) return;
   // Any member that knows of a roster vetoes: this folder then joins.
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     if (member.roster.value > 0) return;
   founding_ = true;
   auto replies = std::make_shared<std::vector<WhoReply>>();
@@ -63,7 +63,7 @@
 void ReplicatedStore::gather() {
   if (!*first_start_ || founding_ || seeds_.empty()) return;
   const Moment now = messenger_.timers().now();
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     if (member.roster.value > 0) return;
   founding_ = true;
   struct Round {
--- a/source/replication/founding.cpp
+++ b/source/replication/founding.cpp
@@ -26,7 +26,7 @@
 
 bool Founding::known() const {
   if (shared_state_.configuration.get()->roster.version.value > 0) return true;
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     if (member.roster.value > 0) return true;
   return false;
 }
--- a/source/replication/retirement.cpp
+++ b/source/replication/retirement.cpp
@@ -15,7 +15,7 @@
 
 Address ReplicatedStore::retiring_holder(const Retirement& asked, const Roster& roster) const {
   if (!asked.holder.empty() || asked.name.empty()) return asked.holder;
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     if (member.name == asked.name && member.keeps == "lots") return address;
   for (const auto& seat : roster.seats)
     if (seat.name == asked.name) return seat.address;
@@ -25,7 +25,7 @@
 std::set<Address> ReplicatedStore::remaining_holders(const Roster& roster, const Address& without) const {
   std::set<Address> remaining;
   for (const auto& seat : roster.seats) remaining.insert(seat.address);
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     if (member.keeps == "lots") remaining.insert(address);
   const auto configuration = shared_state_.configuration.get();
   std::erase_if(remaining, [&](const Address& address) {
--- a/source/replication/roster_changes.cpp
+++ b/source/replication/roster_changes.cpp
@@ -46,7 +46,7 @@
     return;
   }
   std::size_t seen = 0;
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     seen += member.keeps_lots() && !member.keeps_control();
   const Moment now = messenger_.timers().now();
   if (seen != newcomers_) newcomers_since_ = now;
--- a/source/routes/router_endings.cpp
+++ b/source/routes/router_endings.cpp
@@ -34,7 +34,7 @@
 }
 
 void Router::count_for_aims(const Record& record, bool answered) {
-  for (const auto& [name, aim] : shared_state_.configuration.get()->aims) {
+  for (const auto snapshot = shared_state_.configuration.get(); const auto& [name, aim] : snapshot->aims) {
     if (aim.spec.lane != record.lane_name) continue;
     AimCounts& counts = counts_.aims[name];
     ++counts.ended;
--- a/source/sessions/sessions.cpp
+++ b/source/sessions/sessions.cpp
@@ -70,7 +70,8 @@
   if (!reply.accepted)
     reply.members = known_control();
   else if (reply.changed)
-    for (const auto& [address, member] : shared_state_.members.get()->all) reply.members.push_back(member);
+    for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
+      reply.members.push_back(member);
   return reply;
 }
 
@@ -84,7 +85,7 @@
 
 std::vector<Member> Sessions::known_control() const {
   std::map<Address, Member> known;
-  for (const auto& [address, member] : shared_state_.members.get()->all)
+  for (const auto snapshot = shared_state_.members.get(); const auto& [address, member] : snapshot->all)
     if (member.keeps_control()) known[address] = member;
   for (const auto& [address, heard] : heard_) known.try_emplace(address, heard.member);
   std::vector<Member> list;
@@ -97,7 +98,8 @@
   for (const auto& [address, heard] : heard_) add_candidate(list, address, self_.address);
   // A control daemon in touch with others goes back to the seeds now and then, so that no two parts stay apart.
   if (!control() || peers_.size() < 2 || ticks_ % ticks_to_seeds == 0)
-    for (const auto& seed : *shared_state_.seeds.get()) add_candidate(list, seed, self_.address);
+    for (const auto snapshot = shared_state_.seeds.get(); const auto& seed : *snapshot)
+      add_candidate(list, seed, self_.address);
   return list;
 }
 
--- a/source/sessions/shared_state.cpp
+++ b/source/sessions/shared_state.cpp
@@ -28,8 +28,9 @@
     if (member.keeps_control() && member.zone == zone) add(address);
   for (const auto& [address, member] : members->all)
     if (member.keeps_control()) add(address);
-  for (const auto& seat : shared_state.configuration.get()->roster.seats) add(seat.address);
-  for (const auto& address : *shared_state.control_seats.get()) add(address);
+  for (const auto snapshot = shared_state.configuration.get(); const auto& seat : snapshot->roster.seats)
+    add(seat.address);
+  for (const auto snapshot = shared_state.control_seats.get(); const auto& address : *snapshot) add(address);
   return list;
 }
 
--- a/source/simulate/history_scenarios.cpp
+++ b/source/simulate/history_scenarios.cpp
@@ -120,7 +120,10 @@
 // Something is done to a holder, all changes are made, it is undone, and the holder must catch up. `after` comes right
 // after the undoing.
 void disturbed(SimulatedCluster& cluster, Disturb disturb, Disturb half_way, Disturb undo, Disturb after) {
-  auto history = std::make_shared<ChangeHistory>(cluster);
+  auto owned = std::make_shared<ChangeHistory>(cluster);
+  ChangeHistory* history = owned.get();
+  // An event that is never reached owns it: its own callbacks refer to it, and may not own it as well.
+  cluster.world.after(std::chrono::hours(24), [owned] {});
   Machine& machine = control_holder(cluster);
   cluster.world.after(seconds(1), [&cluster, history, &machine, disturb, half_way, undo, after] {
     disturb(cluster, machine);
