--- a/source/simulate/main.cpp
+++ b/source/simulate/main.cpp
@@ -23,12 +23,13 @@
 }
 
 int load(const std::string& what) {
-  std::cerr << "simulate: " << what << "\n"
-            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform|farm] "
-               "[--threads N] [--history] [--closing] [--list]\n"
-            << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
-            << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
-            << "Seeds go from 1 to 999999999; give a scenario that --list shows.\n";
+  std::cerr
+      << "simulate: " << what << "\n"
+      << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform|farm] "
+         "[--threads N] [--history] [--closing] [--list]\n"
+      << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
+      << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
+      << "Seeds go from 1 to 999999999; give a scenario that --list shows.\n";
   return 2;
 }
 
