--- a/source/replication/record_log.cpp
+++ b/source/replication/record_log.cpp
@@ -13,6 +13,11 @@
 constexpr Span stall_span = std::chrono::seconds(1);  // an unanswered order that is older means a stalled disk
 constexpr Span retry_pause = std::chrono::seconds(1);
 
+// Bytes of the limit that new state may not take.
+std::size_t reserve_of(std::size_t limit) {
+  return std::max(least_reserve, limit / 8);
+}
+
 bool belongs_to_slot(const DiskEntry& entry) {
   return entry.what != "identity" && entry.what != "roster";
 }
@@ -79,7 +84,7 @@
   if (failed_) return false;
   if (limit_ == 0) return true;
   // A rewrite needs room for a second file of all records, and both have to grow meanwhile.
-  const std::size_t reserve = std::max(least_reserve, limit_ / 8);
+  const std::size_t reserve = reserve_of(limit_);
   const std::size_t held = contents_.size();
   return 2 * held + reserve < limit_ && size_ + held + reserve / 2 < limit_;
 }
@@ -87,7 +92,7 @@
 bool RecordLog::rewrite_due() const {
   if (failed_) return timers_.now() >= rewrite_not_before_;
   const std::size_t held = contents_.size();
-  const std::size_t reserve = std::max(least_reserve, limit_ / 8);
+  const std::size_t reserve = reserve_of(limit_);
   const bool short_of_room = limit_ > 0 && size_ + held + reserve >= limit_ && size_ > held + held / 2;
   if (short_of_room) return timers_.now() >= rewrite_not_before_;
   return size_ >= rewrite_floor && size_ >= rewrite_growth * std::max(base_, held) &&
