Sight: what requests wait for, how attempts end, and each decision of a circle

Cause looked for: too little served on a grown fleet; logs and metrics could not tell a limit that leaves idle runners unused from runners that are full. Added, with no change of logic: the main obstacle of each request that waits, with counts and times by kind and obstacle (load call, one line a second while something is held up); ends of attempts by kind; each decision of a circle with its load and its members past their ramp. Ruled out by it: processor time, and the runners (five of 30 slots busy).

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -287,6 +287,11 @@
   if (same && reason == "cycle" && now - state.written < law_kept) return;
   state.written = now;
   next.reason = reason;
+  note("Kind '" + kind + "', " + reason + ": " + std::to_string(next.members.size()) + " members, " +
+       std::to_string(next.warm.size()) + " of them past their ramp, of " + std::to_string(able.size()) +
+       " able runners; " + std::to_string(next.dark.size()) + " dark, load " + std::to_string(load) + ", " +
+       std::to_string(live) + " live, " + std::to_string(queued) + " queued, items for " +
+       std::to_string(lots.at_once) + " slots.");
   write(kind, state, std::move(next));
 }
 
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -43,6 +43,8 @@
  public:
   CircleDuty(Messenger& messenger, SharedState& shared_state);
   void start();
+  std::function<void(View sentence)> note = [](View) {
+  };  // told about each decision
 
  private:
   struct Report {
--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -83,6 +83,9 @@
   if (keeps_control) {
     make_messenger(circle_duty_, "circle");
     circle_ = std::make_unique<CircleDuty>(*circle_duty_.messenger, shared_state_);
+    circle_->note = [](View sentence) {
+      logs::note("circle", sentence);
+    };
   }
   if (keeps_lots) {
     make_messenger(lots_duty_, "lots");
@@ -126,6 +129,9 @@
         })
                  : Front::ToControlSide());
     router_->serves_while_draining = place_ != nullptr;
+    router_->warn = [](View sentence) {
+      logs::warn("routes", sentence);
+    };
   }
   return listen();
 }
--- a/source/mothwalk.hpp
+++ b/source/mothwalk.hpp
@@ -1,6 +1,7 @@
 // The common header of the project: byte and view aliases, the small types for ids, versions and times, and the
 // typed faults that every part answers with. A fault names the field at fault, says what is wrong and what mends it.
 #pragma once
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstdint>
--- a/source/routes/router.cpp
+++ b/source/routes/router.cpp
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 constexpr Span tick_span = milliseconds(20);  // between looks at what waits or is held
 constexpr Span report_span = std::chrono::seconds(1), soon_span = milliseconds(80);
+constexpr std::uint64_t warned_wait_milliseconds = 100;  // of all requests together, in the time of a report
 }  // namespace
 
 Router::Router(Messenger& messenger, SharedState& shared_state, Exchange& exchange, RandomSource& random, Member self,
@@ -85,7 +86,10 @@
 
 void Router::set_state(Record& record, State state) {
   const Place place{record.lane.rank, record.arrived, record.id};
-  if (record.state == State::waiting && state != State::waiting) waiting_.erase(place);
+  if (record.state == State::waiting && state != State::waiting) {
+    waiting_.erase(place);
+    count_wait(record);
+  }
   if (state == State::waiting) waiting_.insert(place);
   if (record.held_since && state != State::relaying) {
     record.held_since.reset();
@@ -172,8 +176,36 @@
   record.caller = std::make_shared<DiscardingCaller>();
 }
 
+void Router::count_wait(const Record& record) {
+  const Span waited = messenger_.timers().now() - record.waiting_since;
+  if (record.obstacle == Obstacle::none || record.kinds.empty() || waited <= Span{}) return;
+  Waits& waits = counts_.waits[record.kinds.front() + " " + std::string(name_of(record.obstacle))];
+  ++waits.requests;
+  waits.milliseconds += static_cast<std::uint64_t>(waited.count() / 1000);
+}
+
+// What has held requests up since the last warning, where that is worth a line.
+void Router::warn_of_troubles() {
+  std::string sentence;
+  for (const auto& [what, waits] : counts_.waits) {
+    Waits& told = waits_told_[what];
+    const std::uint64_t requests = waits.requests - told.requests, span = waits.milliseconds - told.milliseconds;
+    if (span >= warned_wait_milliseconds)
+      sentence +=
+          " " + std::to_string(requests) + " requests waited " + std::to_string(span) + " ms for '" + what + "'.";
+    told = waits;
+  }
+  for (const auto& [what, count] : counts_.attempts_failed) {
+    std::uint64_t& told = attempts_failed_told_[what];
+    if (count > told) sentence += " " + std::to_string(count - told) + " attempts ended: " + what + ".";
+    told = count;
+  }
+  if (!sentence.empty()) warn(View(sentence).substr(1));
+}
+
 void Router::report_each() {
   answered_last_ = std::exchange(answered_now_, {});
+  warn_of_troubles();
   report();
   messenger_.timers().after(report_span, [this] { report_each(); });
 }
--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -34,9 +34,11 @@
   std::uint64_t arrived = 0, answered = 0, refused = 0, unknown = 0, broken = 0, callers_gone = 0, attempts = 0,
                 retries = 0, resumed = 0, left_dark = 0, own_zone = 0, other_zone = 0;
   std::map<std::string, std::uint64_t> refusals, unknowns, breaks;  // by reason
+  std::map<std::string, std::uint64_t> attempts_failed;             // by kind and how they ended
+  std::map<std::string, Waits> waits;                               // for a runner, by kind and main obstacle
   std::map<std::string, AimCounts> aims;
   MOTHWALK_FIELDS(arrived, answered, refused, unknown, broken, callers_gone, attempts, retries, resumed, left_dark,
-                  own_zone, other_zone, refusals, unknowns, breaks, aims)
+                  own_zone, other_zone, refusals, unknowns, breaks, attempts_failed, waits, aims)
 };
 
 class Router {
@@ -52,6 +54,8 @@
   CallerLimits limits() const { return shared_state_.configuration.get()->limits; }
   bool draining() const { return shared_state_.draining; }
   void even_over_all(bool even) { runner_table_.even_over_all = even; }  // bench only
+  std::function<void(View sentence)> warn = [](View) {
+  };                                   // told about what holds requests up, at most once a second
   bool serves_while_draining = false;  // requests over connections that are open still are served, not refused
 
  private:
@@ -69,6 +73,7 @@
     Demand demand;
     bool repeatable = false;
     Moment arrived, waiting_since, deadline, sent;
+    Obstacle obstacle = Obstacle::none;  // what kept it from a runner when it was last looked for one
     std::string kind, runner;
     Exchange::Id exchange = 0;
     std::uint64_t attempt = 0;
@@ -109,7 +114,7 @@
   void take_lane(Record& record, const std::string& name, const Lane& lane);
   static Demand demand_of(const Record& record);
   bool follow_configuration(Record& record, const std::shared_ptr<const ConfigurationView>& configuration, Moment now);
-  bool send_to_any(Record& record, const ConfigurationView& configuration, std::set<std::string>& full,
+  bool send_to_any(Record& record, const ConfigurationView& configuration, std::map<std::string, Obstacle>& full,
                    std::string* why);
   void share(Record& record);
   bool hopeless(const Record& record, Moment now) const;
@@ -132,6 +137,8 @@
   void refuse(Record& record, const std::string& reason, const std::string& message);
   void give_unknown(Record& record, int status, const std::string& reason, const std::string& message);
   void answer(Record& record, int status, const std::string& outcome, const Fault& fault, bool retry_after);
+  void count_wait(const Record& record);
+  void warn_of_troubles();
   void report();
   void report_each();
   // After which a refused caller may find room: what waits in its lane over what the lane answers in a second.
@@ -153,6 +160,8 @@
   std::optional<std::pair<Moment, Timers::Id>> deadline_timer_;
   std::map<std::string, std::map<std::string, double>> credits_;  // of the kinds of a lane that has several
   EntryCounts counts_;
+  std::map<std::string, Waits> waits_told_;  // as of the last warning
+  std::map<std::string, std::uint64_t> attempts_failed_told_;
   Id last_id_ = 0;
   double retry_tokens_ = 20;
   std::uint64_t last_attempt_ = 0;
--- a/source/routes/router_answers.cpp
+++ b/source/routes/router_answers.cpp
@@ -147,6 +147,7 @@
   auto found = table_.find(id);
   if (found == table_.end() || found->second.attempt != attempt) return;
   Record& record = found->second;
+  if (end != AttemptEnd::whole) ++counts_.attempts_failed[record.kind + " " + std::string(name_of(end))];
   if (record.state == State::relaying) {
     // A series of events that ends inside an event was broken off, however its end is framed.
     const bool whole = end == AttemptEnd::whole && !(record.events && !record.events->rest().empty());
--- a/source/routes/router_sending.cpp
+++ b/source/routes/router_sending.cpp
@@ -36,7 +36,7 @@
   // A lapsed lease is sought for a moment; when no control daemon can be had, the newest configuration known stays in
   // force.
   const bool may_send = shared_state_.may_serve(now);
-  std::set<std::string> full;
+  std::map<std::string, Obstacle> full;
   for (const auto& place : std::vector<Place>(waiting_.begin(), waiting_.end())) {
     auto found = table_.find(std::get<Id>(place));
     if (found == table_.end() || found->second.state != State::waiting) continue;
@@ -67,18 +67,22 @@
   return false;
 }
 
-// Sends the record to a runner of its kinds; `full` collects the kinds whose runners are all busy.
-bool Router::send_to_any(Record& record, const ConfigurationView& configuration, std::set<std::string>& full,
+// Sends the record to a runner of its kinds; `full` collects the kinds whose runners are all busy, and by what.
+bool Router::send_to_any(Record& record, const ConfigurationView& configuration, std::map<std::string, Obstacle>& full,
                          std::string* why) {
   for (const auto& kind : record.kinds) {
     *why = "busy";
-    if (full.contains(kind)) return false;
+    if (auto found = full.find(kind); found != full.end()) {
+      record.obstacle = found->second;
+      return false;
+    }
     if (auto runner = runner_table_.choose(configuration, kind, record.demand, record.tried, why)) {
       record.kind = kind;
       send(record, *runner, configuration);
       return true;
     }
-    if (*why == "busy" && record.tried.empty()) full.insert(kind);
+    record.obstacle = runner_table_.main_obstacle();
+    if (*why == "busy" && record.tried.empty()) full[kind] = record.obstacle;
     if (*why == "busy") return false;
   }
   return false;
--- a/source/routes/runner_table.cpp
+++ b/source/routes/runner_table.cpp
@@ -72,23 +72,25 @@
          static_cast<double>(runner_state.unread) / memory;
 }
 
-bool RunnerTable::takes(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle,
-                        const Demand& demand, Moment now) {
+Obstacle RunnerTable::obstacle_at(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle,
+                                  const Demand& demand, Moment now) {
   const bool warm = circle == nullptr || circle->bears(name, runner.generation);
   RunnerState& runner_state = runner_table_[name];
-  if (now < runner_state.not_before || (runner_state.failures > 0 && runner_state.open > 0)) return false;
-  if (kind.connections > 0 && runner_state.open >= std::max<std::size_t>(1, kind.connections / daemons())) return false;
+  if (now < runner_state.not_before) return runner_state.failures > 0 ? Obstacle::failing : Obstacle::resting;
+  if (runner_state.failures > 0 && runner_state.open > 0) return Obstacle::failing;
+  if (kind.connections > 0 && runner_state.open >= std::max<std::size_t>(1, kind.connections / daemons()))
+    return Obstacle::connections;
   if (kind.engine.memory_tokens > 0 && runner_state.taken() > 0) {
     const double used = static_cast<double>(runner_state.tokens + demand.tokens) +
                         mean_tokens_ * (runner_state.others + runner_state.items);
-    if (used > memory_share * static_cast<double>(kind.engine.memory_tokens)) return false;
+    if (used > memory_share * static_cast<double>(kind.engine.memory_tokens)) return Obstacle::memory;
   }
   const double limit = runner.slots * kind.overcommit;
   if (warm && runner_state.came_back && now - *runner_state.ramp_since >= kind.circle.ramp)
     runner_state.came_back = false;
   if (warm && !runner_state.came_back) {
     runner_state.ramp_since.reset();
-    return runner_state.taken() < limit;
+    return runner_state.taken() < limit ? Obstacle::none : Obstacle::slots;
   }
   if (circle != nullptr)
     if (auto ramp = circle->ramps.find(name); ramp != circle->ramps.end() && ramp->second != runner_state.ramp) {
@@ -107,7 +109,7 @@
   const auto order = duty_order(*members, "warm/" + name, runner.zone);
   std::size_t rank = 0;
   while (rank < order.size() && order[rank]->address != messenger_.self()) ++rank;
-  return runner_state.open < allowed / all + (rank < allowed % all ? 1 : 0);
+  return runner_state.open < allowed / all + (rank < allowed % all ? 1 : 0) ? Obstacle::none : Obstacle::ramp;
 }
 
 // An engine that reads a very long prompt gives no tokens to its other requests meanwhile. Such prompts go to a few
@@ -155,15 +157,19 @@
                               ? apart(configuration, kind_name, circle->second)
                               : none;
   bool warm_able = false, cold_able = false;
+  ObstacleTally obstacles;
   auto consider = [&](const std::string& name, const Circle* circle) {
     auto runner = configuration.runners.find(name);
-    if (runner == configuration.runners.end() || tried.contains(name)) return;
+    if (runner == configuration.runners.end()) return obstacles.add(Obstacle::not_listed);
+    if (tried.contains(name)) return obstacles.add(Obstacle::tried);
     const Runner& spec = runner->second.spec;
-    if (spec.leaving || configuration.evacuated(spec.zone)) return;
+    if (spec.leaving || configuration.evacuated(spec.zone)) return obstacles.add(Obstacle::not_listed);
     const RunnerState& runner_state = runner_table_[name];
     const bool is_cold = cold(runner_state, kind->second.spec, now);
     if (now >= runner_state.not_before) (is_cold ? cold_able : warm_able) = true;
-    if (!takes(name, spec, kind->second.spec, circle, demand, now) || (is_cold && now < runner_state.cold_next)) return;
+    const Obstacle obstacle = obstacle_at(name, spec, kind->second.spec, circle, demand, now);
+    if (obstacle != Obstacle::none) return obstacles.add(obstacle);
+    if (is_cold && now < runner_state.cold_next) return obstacles.add(Obstacle::cold);
     (is_cold ? colds : choices)
         .push_back(Choice{&runner->first, &spec, load(runner_state, spec, kind->second.spec), spec.zone == self_.zone,
                           set_apart.contains(name)});
@@ -174,6 +180,7 @@
   } else {
     for (const auto& member : circle->second.spec.members) consider(member.text, &circle->second.spec);
   }
+  main_obstacle_ = obstacles.main();
   *why = warm_able || cold_able ? "busy" : "none";
   // A cold runner falls over at little: it is asked where no warm one could be.
   if (choices.empty() && !warm_able) choices = std::move(colds);
--- a/source/routes/runner_table.hpp
+++ b/source/routes/runner_table.hpp
@@ -2,6 +2,7 @@
 // of their load, and the choice of a runner by it.
 #pragma once
 #include "circle/circle.hpp"
+#include "routes/obstacles.hpp"
 #include "seams/dialect.hpp"
 
 namespace mothwalk {
@@ -30,9 +31,10 @@
  public:
   RunnerTable(Messenger& messenger, SharedState& shared_state, RandomSource& random, Member self);
   // Chooses among the circle's members. The reason says why there is none: "circle" (none decided), "none" (no member
-  // is able to take anything), "busy".
+  // is able to take anything), "busy"; main_obstacle() then tells what most members lacked.
   std::optional<std::string> choose(const ConfigurationView& configuration, const std::string& kind,
                                     const Demand& demand, const std::set<std::string>& tried, std::string* why);
+  Obstacle main_obstacle() const { return main_obstacle_; }
   void sent(const std::string& runner, const Kind& kind, const Demand& demand);
   void read(const std::string& runner, const Demand& demand,
             bool first);  // something of its answer came, the first piece
@@ -59,8 +61,8 @@
   };
   void follow(const ConfigurationView& configuration);
   void failed(RunnerState& runner_state, Moment now);
-  bool takes(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle,
-             const Demand& demand, Moment now);
+  Obstacle obstacle_at(const std::string& name, const Runner& runner, const Kind& kind, const Circle* circle,
+                       const Demand& demand, Moment now);
   bool cold(const RunnerState& runner_state, const Kind& kind, Moment now) const {
     return kind.cold_rate > 0 && now < runner_state.cold_until;
   }
@@ -74,6 +76,7 @@
   Member self_;
   std::map<std::string, RunnerState> runner_table_;
   Stamp listing_;
+  Obstacle main_obstacle_ = Obstacle::none;
   std::size_t turn_ = 0, most_daemons_ = 1;
   double mean_tokens_ = 0, mean_prompt_ = 0;                              // of the requests that tell them
   std::map<std::string, std::pair<Stamp, std::set<std::string>>> apart_;  // by kind
--- a/source/seams/seams.hpp
+++ b/source/seams/seams.hpp
@@ -64,6 +64,11 @@
 
 enum class AttemptEnd { whole, not_sent, broken, late };  // not_sent: no byte can have reached the runner
 
+constexpr View name_of(AttemptEnd end) {
+  constexpr View names[] = {"whole", "not_sent", "broken", "late"};
+  return names[static_cast<std::size_t>(end)];
+}
+
 class AttemptWatcher {
  public:
   virtual ~AttemptWatcher() = default;
