--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -169,6 +169,13 @@
 
 // ---- attempts to runners
 
+SimulatedExchange::SimulatedExchange(SimulatedCluster& cluster, std::string place, std::string zone, LifePointer life)
+    : cluster_(cluster),
+      place_(std::move(place)),
+      zone_(std::move(zone)),
+      life_(std::move(life)),
+      connections_(cluster.world, life_) {}
+
 Exchange::Id SimulatedExchange::start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) {
   const Id id = ++last_;
   auto attempt = std::make_shared<Attempt>();
@@ -181,36 +188,83 @@
     if (header.name == "X-Mothwalk-Lot") attempt->item = true;
     if (header.name == "X-Pieces") attempt->pieces = static_cast<std::uint32_t>(std::stoul(header.value));
   }
+  attempt->decided = cluster_.world.now();
   attempts_[id] = attempt;
+  dispatch(id, attempt);
+  return id;
+}
+
+void SimulatedExchange::dispatch(Id id, const AttemptPointer& attempt) {
   World& world = cluster_.world;
+  const AttemptRequest& request = attempt->request;
   const bool reachable =
       attempt->runner != nullptr && !world.is_cut(place_, zone_, attempt->runner->name, attempt->runner->zone);
   if (!reachable) {
     world.at(request.connecting, life_, [this, id, attempt] { finish(id, attempt, AttemptEnd::not_sent); });
-    return id;
+    return;
   }
-  const Span way = world.delay(zone_, attempt->runner->zone);
-  if (attempt->runner->down) {
+  RunnerModel& runner = *attempt->runner;
+  const Span way = world.delay(zone_, runner.zone);
+  if (runner.down) {
     world.at(way * 2, life_, [this, id, attempt] { finish(id, attempt, AttemptEnd::not_sent); });
-    return id;
+    return;
   }
-  attempt->runner_life = attempt->runner->life;
+  attempt->runner_life = runner.life;
   guard(id, attempt, way * 2 + request.first_piece);
   world.point(attempt->item ? "attempt of an item" : "attempt", place_);
-  // The request leaves when the connection stands; once it is on its way it arrives even if the daemon dies meanwhile.
-  world.at(way, life_, [this, id, attempt, way, began = world.now()] {
-    if (!attempts_.contains(id)) return;
-    if (cluster_.world.now() - began > attempt->request.connecting) return finish(id, attempt, AttemptEnd::not_sent);
-    cluster_.world.after(way, [this, id, attempt, life = life_, &cluster = cluster_] {
-      if (life->alive) return arrive(id, attempt, life);
-      // Its daemon is dead, and the runner runs it for nobody.
-      RunnerModel& runner = *attempt->runner;
-      if (runner.life != attempt->runner_life || runner.mode != "sound" || runner.active >= runner.slots) return;
-      enter(cluster, attempt);
-      cluster.world.after(milliseconds(40), [attempt, &cluster] { free(cluster, attempt, "orphaned"); });
-    });
+  if (runner.connections.limited()) {
+    const std::string key = request.to.text + " " + request.runner;
+    attempt->connection = connections_.take_idle(key, request.repeatable);
+    attempt->over_kept_connection = attempt->connection != nullptr;
+    if (attempt->over_kept_connection) return transmit(id, attempt, way);
+    attempt->connection =
+        connections_.open(key, runner.connections, World::shortest_delay(zone_, runner.zone), request.connections);
+  }
+  world.at(way, life_, [this, id, attempt, way] { connected(id, attempt, way); });
+}
+
+void SimulatedExchange::connected(Id id, const AttemptPointer& attempt, Span way) {
+  if (!attempts_.contains(id)) return;
+  if (cluster_.world.now() - attempt->decided > attempt->request.connecting)
+    return finish(id, attempt, AttemptEnd::not_sent);
+  // The request may have been written before the reset came.
+  if (attempt->connection && !connections_.arrive(attempt->connection))
+    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
+  transmit(id, attempt, way);
+}
+
+// The request leaves when the connection stands; once it is on its way it arrives even if the daemon dies meanwhile.
+void SimulatedExchange::transmit(Id id, const AttemptPointer& attempt, Span way) {
+  cluster_.world.after(way, [this, id, attempt, life = life_, &cluster = cluster_] {
+    if (life->alive) return arrive(id, attempt, life);
+    // Its daemon is dead, and the runner runs it for nobody.
+    RunnerModel& runner = *attempt->runner;
+    if (runner.life != attempt->runner_life || runner.mode != "sound" || runner.active >= runner.slots) return;
+    enter(cluster, attempt);
+    cluster.world.after(milliseconds(40), [attempt, &cluster] { free(cluster, attempt, "orphaned"); });
   });
-  return id;
+}
+
+// The runner is gone. Where the connection was kept since an earlier request and no byte of an answer came, repeatable
+// work goes again over a fresh one, while the decision to send it is fresh.
+void SimulatedExchange::connection_lost(Id id, const AttemptPointer& attempt) {
+  const bool fresh = cluster_.world.now() - attempt->decided <= attempt->request.connecting;
+  if (!attempt->over_kept_connection || !attempt->request.repeatable || attempt->headed || !fresh)
+    return finish(id, attempt, AttemptEnd::broken);
+  connections_.close(attempt->connection);
+  connections_.close_idle(attempt->connection->key);
+  ++attempt->beat;  // its budgets are over
+  auto again = std::make_shared<Attempt>();
+  again->request = attempt->request;
+  again->watcher = attempt->watcher;
+  again->runner = attempt->runner;
+  again->id = attempt->id;
+  again->by = attempt->by;
+  again->pieces = attempt->pieces;
+  again->item = attempt->item;
+  again->decided = attempt->decided;
+  attempts_[id] = again;
+  dispatch(id, again);
 }
 
 void SimulatedExchange::guard(Id id, const AttemptPointer& attempt, Span budget) {
@@ -226,7 +280,7 @@
 void SimulatedExchange::arrive(Id id, const AttemptPointer& attempt, const LifePointer& life) {
   RunnerModel& runner = *attempt->runner;
   if (runner.life != attempt->runner_life || runner.down)
-    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
+    return give(id, attempt, [this, id, attempt] { connection_lost(id, attempt); });
   if (runner.mode == "dark") return;
   if (runner.mode == "nonsense")
     return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
@@ -255,6 +309,7 @@
   RunnerModel& runner = *attempt->runner;
   attempt->began = true;
   ++runner.active;
+  attempt->breaks = runner.broken_share > 0 && cluster.world.random.uniform() < runner.broken_share;
   runner.items += attempt->item;
   runner.most_items = std::max(runner.most_items, runner.items);
   attempt->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
@@ -267,8 +322,7 @@
   World& world = cluster_.world;
   enter(cluster_, attempt);
   runner.on_crash[attempt->run] = [this, id, attempt, life = life_] {
-    if (life->alive && attempts_.contains(id))
-      give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
+    if (life->alive && attempts_.contains(id)) give(id, attempt, [this, id, attempt] { connection_lost(id, attempt); });
   };
   const std::string& body = *attempt->request.body;
   double fresh = static_cast<double>(body.size());
@@ -324,7 +378,7 @@
   };
   if (attempt->pieces == 0) {
     if (attempt->given++ == 0) return world.after(beat * 4, next);
-    if (runner.mode == "truncate") {
+    if (runner.mode == "truncate" || attempt->breaks) {
       free(cluster_, attempt, "truncated");
       return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
     }
@@ -332,12 +386,13 @@
     const std::string text =
         json::serialize(json::object{{"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}});
     return give(id, attempt, [this, id, attempt, text] {
+      attempt->headed = true;
       attempt->watcher->on_head(200, {});
       if (attempts_.contains(id)) attempt->watcher->on_piece(text);
       if (attempts_.contains(id)) finish(id, attempt, AttemptEnd::whole);
     });
   }
-  if (runner.mode == "truncate" && attempt->given >= attempt->pieces / 2) {
+  if ((runner.mode == "truncate" || attempt->breaks) && attempt->given >= attempt->pieces / 2) {
     free(cluster_, attempt, "truncated");
     return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
   }
@@ -350,6 +405,7 @@
   const bool first = attempt->given++ == 0;
   give(id, attempt, [this, id, attempt, text, first] {
     if (first) cluster_.world.point("first piece", place_);
+    attempt->headed = true;
     if (first) attempt->watcher->on_head(200, {});
     if (!attempts_.contains(id)) return;
     guard(id, attempt, attempt->request.between_pieces);
@@ -375,6 +431,8 @@
 void SimulatedExchange::finish(Id id, const AttemptPointer& attempt, AttemptEnd end) {
   if (attempts_.erase(id) == 0) return;
   attempt->kept.clear();
+  if (attempt->connection)
+    end == AttemptEnd::whole ? connections_.keep(attempt->connection) : connections_.close(attempt->connection);
   attempt->watcher->on_end(end);
 }
 
@@ -405,6 +463,7 @@
   if (found == attempts_.end()) return;
   const AttemptPointer attempt = found->second;
   attempt->kept.clear();
+  if (attempt->connection) connections_.close(attempt->connection);
   attempts_.erase(found);
   // The runner notices a closed stream at its next piece; here at once, as an event of its own.
   cluster_.world.after(Span(1500), [attempt, &cluster = cluster_] { free(cluster, attempt, "cancelled"); });
@@ -486,6 +545,7 @@
     runner->kind = each.kind;
     runner->zone = each.zone;
     runner->slots = each.slots;
+    runner->connections = RunnerConnections(each.connections);
     runner->address = Address("10.0.1." + std::to_string(index + 1) + ":8000");
     runners.push_back(std::move(runner));
   }
@@ -636,6 +696,7 @@
   runner.active = runner.items = 0;
   runner.waiting.clear();
   runner.prefixes.clear();
+  runner.connections.restart();
   auto streams = std::move(runner.on_crash);
   runner.on_crash.clear();
   for (auto& [run, breaks] : streams) breaks();
--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -7,6 +7,7 @@
 #include "news/news.hpp"
 #include "routes/router.hpp"
 #include "sessions/sessions.hpp"
+#include "simulate/simulated_connections.hpp"
 #include "simulate/world.hpp"
 #include "stand_ins/shapes.hpp"
 
@@ -20,6 +21,8 @@
   std::uint32_t slots = 4;
   bool down = false, leaving = false;  // leaving: a scenario plays with it, and no other one may
   std::string mode = "sound";          // sound, dark, slow, truncate, nonsense
+  double broken_share = 0;             // of its answers, that it breaks off
+  RunnerConnections connections;       // where it has no limit of them, they are not modelled
   Moment cold_until;
   std::uint64_t life = 1, runs = 0;
   std::uint32_t active = 0;
@@ -34,8 +37,7 @@
 
 class SimulatedExchange : public Exchange {
  public:
-  SimulatedExchange(SimulatedCluster& cluster, std::string place, std::string zone, LifePointer life)
-      : cluster_(cluster), place_(std::move(place)), zone_(std::move(zone)), life_(std::move(life)) {}
+  SimulatedExchange(SimulatedCluster& cluster, std::string place, std::string zone, LifePointer life);
   ~SimulatedExchange() override;
   Id start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) override;
   void cancel(Id id) override;
@@ -49,12 +51,21 @@
     std::uint64_t runner_life = 0;
     std::string id, run, by;  // by: the machine that sent it
     std::uint32_t pieces = 0, given = 0;
-    bool began = false, ended = false, any_piece = false, item = false, held = false;
-    std::deque<Task> kept;   // what has come while the attempt was held
+    bool began = false, ended = false, item = false, held = false;
+    bool headed = false;                    // the daemon has the head of its answer
+    bool breaks = false;                    // the runner breaks its answer off
+    std::deque<Task> kept;                  // what has come while the attempt was held
+    Moment decided;                         // when its caller decided to send it
+    SimulatedConnectionPointer connection;  // where the runner has a limit of them
+    bool over_kept_connection = false;
     std::uint64_t beat = 0;  // grows with every sign of life, for the budgets
   };
   using AttemptPointer = std::shared_ptr<Attempt>;
+  void dispatch(Id id, const AttemptPointer& attempt);
+  void connected(Id id, const AttemptPointer& attempt, Span way);
+  void transmit(Id id, const AttemptPointer& attempt, Span way);
   void arrive(Id id, const AttemptPointer& attempt, const LifePointer& life);
+  void connection_lost(Id id, const AttemptPointer& attempt);
   static void enter(SimulatedCluster& cluster, const AttemptPointer& attempt);
   void begin(Id id, const AttemptPointer& attempt);
   void step(Id id, const AttemptPointer& attempt);
@@ -66,6 +77,7 @@
   SimulatedCluster& cluster_;
   std::string place_, zone_;
   LifePointer life_;
+  SimulatedConnectionPool connections_;
   std::map<Id, AttemptPointer> attempts_;
   Id last_ = 0;
 };
@@ -168,9 +180,10 @@
     Moment when;
   };
   std::vector<Acknowledged> acknowledged;
-  std::vector<std::string> broken;  // rules that the cluster itself watches
-  bool lost_totally = false;        // a closing fault took every machine down
-  bool watched = true;              // whether it does
+  std::vector<std::string> broken;   // rules that the cluster itself watches
+  std::vector<std::string> figures;  // that a scenario tells beside its verdict
+  bool lost_totally = false;         // a closing fault took every machine down
+  bool watched = true;               // whether it does
   void watch_rules();
 
  private:
--- a/source/simulate/main.cpp
+++ b/source/simulate/main.cpp
@@ -23,13 +23,13 @@
 }
 
 int load(const std::string& what) {
-  std::cerr
-      << "simulate: " << what << "\n"
-      << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape small|altiplano|sestavna|platform|farm] "
-         "[--threads N] [--history] [--closing] [--list]\n"
-      << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
-      << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
-      << "Seeds go from 1 to 999999999; give a scenario that --list shows.\n";
+  std::cerr << "simulate: " << what << "\n"
+            << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape "
+               "small|altiplano|sestavna|platform|farm|grown] "
+               "[--threads N] [--history] [--closing] [--list]\n"
+            << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
+            << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
+            << "Seeds go from 1 to 999999999; give a scenario that --list shows.\n";
   return 2;
 }
 
@@ -65,7 +65,8 @@
     } else
       return load("a flag is not known");
   }
-  if (shape != "small" && shape != "altiplano" && shape != "sestavna" && shape != "platform" && shape != "farm")
+  if (shape != "small" && shape != "altiplano" && shape != "sestavna" && shape != "platform" && shape != "farm" &&
+      shape != "grown")
     return load("the shape '" + shape + "' is not known");
   if (bench == "circle") return bench_circle(shape, seed), 0;
   if (bench == "model") return bench_model(seed), 0;
@@ -76,6 +77,8 @@
   if (scenario.empty()) return load("no scenario is given");
   if (scenario != "all" && find_scenario(scenario) == nullptr)
     return load("the scenario '" + scenario + "' is not known");
+  if (scenario != "all" && !find_scenario(scenario)->fits(shape))
+    return load("the scenario '" + scenario + "' is for the shape '" + find_scenario(scenario)->shape + "' alone");
   struct Job {
     const Scenario* scenario;
     std::uint64_t seed;
@@ -87,7 +90,7 @@
       jobs.push_back(Job{find_scenario("points"), seed, std::move(strike)});
   else
     for (const auto& each : scenarios())
-      if (scenario == "all" || scenario == each.name)
+      if (scenario == each.name || (scenario == "all" && each.fits(shape)))
         for (std::uint64_t index = 0; index < seeds; ++index) jobs.push_back(Job{&each, seed + index, {}});
   std::vector<std::optional<Outcome>> outcomes(jobs.size());
   std::atomic<std::size_t> next{0};
@@ -120,6 +123,7 @@
     std::cout << (good ? "ok      " : "FAILED  ") << outcome->scenario << " seed " << outcome->seed << ": " << answered
               << " answered, " << refused << " refused, " << broken << " broken or unknown, " << outcome->events
               << " events\n";
+    for (const auto& figure : outcome->figures) std::cout << "        " << figure << "\n";
     if (!good) {
       for (std::size_t index = 0; index < std::min<std::size_t>(outcome->verdict.broken.size(), 8); ++index)
         std::cout << "        BROKEN " << outcome->verdict.broken[index] << "\n";
--- a/source/simulate/scenarios.cpp
+++ b/source/simulate/scenarios.cpp
@@ -5,6 +5,7 @@
 
 #include "simulate/control_scenarios.hpp"
 #include "simulate/history_scenarios.hpp"
+#include "simulate/service_scenarios.hpp"
 
 namespace mothwalk::simulate {
 
@@ -757,6 +758,7 @@
     if (auto found = limits.find(scenario.name); found != limits.end()) scenario.limits = found->second;
   for (auto& scenario : control_scenarios()) list.push_back(std::move(scenario));
   for (auto& scenario : history_scenarios()) list.push_back(std::move(scenario));
+  for (auto& scenario : service_scenarios()) list.push_back(std::move(scenario));
   return list;
 }
 
@@ -856,6 +858,7 @@
   outcome.virtual_seconds = static_cast<double>(world.now().microseconds) / 1e6;
   outcome.events = world.events;
   outcome.points = world.points;
+  outcome.figures = cluster.figures;
   return outcome;
 }
 
--- a/source/simulate/scenarios.hpp
+++ b/source/simulate/scenarios.hpp
@@ -15,6 +15,7 @@
   std::size_t machines = 0;
   std::map<std::string, std::uint64_t> points;
   std::vector<std::string> final_state;
+  std::vector<std::string> figures;  // that the scenario tells beside its verdict
 };
 
 struct Scenario {
@@ -23,6 +24,8 @@
   Span load = std::chrono::seconds(20), settle = std::chrono::seconds(35);
   Limits limits{1000, 0};  // what the judge allows a run
   bool closes = false;     // it ends with a closing fault of its own, and another one would be more than may be lost
+  std::string shape = {};  // the only one that it is for; empty: any
+  bool fits(const std::string& given) const { return shape.empty() || shape == given; }
 };
 
 const std::vector<Scenario>& scenarios();
--- a/source/simulate/world.cpp
+++ b/source/simulate/world.cpp
@@ -48,8 +48,12 @@
   for (auto& [order, task] : tasks) at(Span{0}, life, std::move(task));
 }
 
+Span World::shortest_delay(const std::string& from_zone, const std::string& to_zone) {
+  return Span(from_zone == to_zone ? 80 : 900);
+}
+
 Span World::delay(const std::string& from_zone, const std::string& to_zone) {
-  const std::int64_t base = from_zone == to_zone ? 80 : 900;
+  const std::int64_t base = shortest_delay(from_zone, to_zone).count();
   // Now and then a packet is sent again.
   const std::int64_t slow = random.below(400) == 0 ? 20000 : 0;
   return Span(base + static_cast<std::int64_t>(random.below(static_cast<std::size_t>(base))) + slow);
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -48,6 +48,7 @@
 
   // The network. Places are machines and runners; a cut names groups of zones or single places, one way or both.
   Span delay(const std::string& from_zone, const std::string& to_zone);
+  static Span shortest_delay(const std::string& from_zone, const std::string& to_zone);
   void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void mend() { cuts_.clear(); }
   bool is_cut(const std::string& from, const std::string& from_zone, const std::string& to,
--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -1,4 +1,4 @@
-// The three shapes. Rates are those of the brief where it states them; their share of it is the caller's to choose.
+// The shapes. Rates are those of the brief where it states them; their share of it is the caller's to choose.
 #include "stand_ins/shapes.hpp"
 
 namespace mothwalk {
@@ -26,6 +26,7 @@
                                         {},
                                         slots,
                                         0,
+                                        0,
                                         0});
 }
 
@@ -145,10 +146,63 @@
   return shape;
 }
 
+Shape grown_shape() {
+  constexpr std::uint32_t model_slots = 16, notice_slots = 6, notice_connections = 24;
+  Shape shape;
+  shape.name = "grown";
+  shape.told_first_start = true;
+  const std::vector<std::string> zones{"north", "south", "west", "east", "core"};
+  add_machines(shape, 5, zones, 5);
+  for (auto& machine : shape.machines) machine.keeps = "control";
+  add_machines(shape, 55, zones, 0);
+  const std::size_t serving = shape.machines.size();
+  add_machines(shape, 10, zones, 10);
+  for (std::size_t index = serving; index < shape.machines.size(); ++index) shape.machines[index].keeps = "lots";
+  add_runners(shape, "model", 24, zones, model_slots);
+  add_runners(shape, "notice", 5, zones, notice_slots);
+  for (auto& runner : shape.runners)
+    if (runner.kind == "notice") runner.connections = notice_connections;
+  shape.resources = {
+      {"kind/model",
+       json::object{
+           {"circle",
+            json::object{
+                {"cycle", 2000}, {"ramp", 500}, {"target", 0.35}, {"concurrency", 32}, {"floor", 4}, {"reserve", 4}}},
+           {"refusals", json::array{429}},
+           {"overcommit", 1.0}}},
+      {"kind/notice", json::object{{"circle", json::object{{"cycle", 2000}, {"ramp", 500}, {"all", true}}},
+                                   {"refusals", json::array{429}},
+                                   {"overcommit", 2.0},
+                                   {"connections", notice_connections}}}};
+  auto add_lane = [&](const std::string& name, const std::string& kind, json::object more) {
+    json::object lane{{"path", "/" + name}, {"kind", kind}, {"waiting_room", 4096}};
+    for (const auto& field : more) lane[field.key()] = field.value();
+    shape.resources.emplace_back("lane/" + name, std::move(lane));
+  };
+  // As the platform has it, one time-out covers each step of a request.
+  auto times = [](int aim, int whole) {
+    return json::object{
+        {"aim", aim}, {"whole", whole}, {"first_piece", whole}, {"between_pieces", whole}, {"waiting", whole}};
+  };
+  for (const char* name : {"audits", "suggestions"}) {
+    json::object settings = times(500, 10000);
+    settings["streaming"] = true;
+    add_lane(name, "model", settings);
+  }
+  json::object settings = times(200, 1500);
+  settings["repeatable"] = true;
+  add_lane("notices", "notice", settings);
+  shape.streams = {StreamLoad{"audits", "/audits", 110, 80, 200, 0, 0, false},
+                   StreamLoad{"suggestions", "/suggestions", 110, 25, 200, 0, 0, false},
+                   StreamLoad{"notices", "/notices", 120, 0, 150, 0, 0, true}};
+  return shape;
+}
+
 Shape shape_named(const std::string& name, double share) {
   if (name == "small") return small_shape();
   if (name == "platform") return platform_shape();
   if (name == "farm") return farm_shape();
+  if (name == "grown") return grown_shape();
   return name == "altiplano" ? altiplano_shape(share) : name == "sestavna" ? sestavna_shape(share) : thin_shape();
 }
 
--- a/source/stand_ins/shapes.hpp
+++ b/source/stand_ins/shapes.hpp
@@ -38,6 +38,7 @@
   std::uint32_t slots = 4;
   double cold = 0;
   int pid = 0;
+  std::uint32_t connections = 0;  // that it takes from all callers together; 0: no bound
 };
 
 struct Shape {
@@ -57,6 +58,7 @@
 Shape sestavna_shape(double share);
 Shape platform_shape();  // as the users' platform has it: control state on edge machines' small disks, lots on others
 Shape farm_shape();      // the same with three holders of control state and three of lots, the fewest that bear a loss
+Shape grown_shape();     // many serving machines before few runners of a small service that limits its connections
 
 Shape shape_named(const std::string& name, double share);
 
