--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -545,7 +545,8 @@
     runner->kind = each.kind;
     runner->zone = each.zone;
     runner->slots = each.slots;
-    runner->connections = RunnerConnections(each.connections);
+    runner->connections =
+        each.idle > Span{} ? RunnerConnections(each.connections, each.idle) : RunnerConnections(each.connections);
     runner->address = Address("10.0.1." + std::to_string(index + 1) + ":8000");
     runners.push_back(std::move(runner));
   }
--- a/source/stand_ins/shapes.hpp
+++ b/source/stand_ins/shapes.hpp
@@ -39,6 +39,7 @@
   double cold = 0;
   int pid = 0;
   std::uint32_t connections = 0;  // that it takes from all callers together; 0: no bound
+  Span idle{};                    // how long it says that it keeps idle connections; zero: it does not say
 };
 
 struct Shape {
