--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -1,4 +1,4 @@
-// Machines that run the daemon's duties, runners that play the model, callers that verify, and the rules that the
+// Machines that run the duties of a daemon, callers that verify, the configuration, and the rules that the
 // cluster watches itself: freshness, versions that never fall back, and floods of cold runners.
 #include "simulate/cluster.hpp"
 
@@ -167,249 +167,6 @@
   if (messenger != duties_->posts.end()) messenger->second->take(std::move(envelope));
 }
 
-// ---- attempts to runners
-
-Exchange::Id SimulatedExchange::start(const AttemptRequest& request, std::shared_ptr<AttemptWatcher> watcher) {
-  const Id id = ++last_;
-  auto attempt = std::make_shared<Attempt>();
-  attempt->request = request;
-  attempt->by = place_;
-  attempt->watcher = std::move(watcher);
-  attempt->runner = cluster_.runner_at(request.to);
-  for (const auto& header : request.headers) {
-    if (header.name == "X-Request-Id") attempt->id = header.value;
-    if (header.name == "X-Mothwalk-Lot") attempt->item = true;
-    if (header.name == "X-Pieces") attempt->pieces = static_cast<std::uint32_t>(std::stoul(header.value));
-  }
-  attempts_[id] = attempt;
-  World& world = cluster_.world;
-  const bool reachable =
-      attempt->runner != nullptr && !world.is_cut(place_, zone_, attempt->runner->name, attempt->runner->zone);
-  if (!reachable) {
-    world.at(request.connecting, life_, [this, id, attempt] { finish(id, attempt, AttemptEnd::not_sent); });
-    return id;
-  }
-  const Span way = world.delay(zone_, attempt->runner->zone);
-  if (attempt->runner->down) {
-    world.at(way * 2, life_, [this, id, attempt] { finish(id, attempt, AttemptEnd::not_sent); });
-    return id;
-  }
-  attempt->runner_life = attempt->runner->life;
-  guard(id, attempt, way * 2 + request.first_piece);
-  world.point(attempt->item ? "attempt of an item" : "attempt", place_);
-  // The request leaves when the connection stands; once it is on its way it arrives even if the daemon dies meanwhile.
-  world.at(way, life_, [this, id, attempt, way, began = world.now()] {
-    if (!attempts_.contains(id)) return;
-    if (cluster_.world.now() - began > attempt->request.connecting) return finish(id, attempt, AttemptEnd::not_sent);
-    cluster_.world.after(way, [this, id, attempt, life = life_, &cluster = cluster_] {
-      if (life->alive) return arrive(id, attempt, life);
-      // Its daemon is dead, and the runner runs it for nobody.
-      RunnerModel& runner = *attempt->runner;
-      if (runner.life != attempt->runner_life || runner.mode != "sound" || runner.active >= runner.slots) return;
-      enter(cluster, attempt);
-      cluster.world.after(milliseconds(40), [attempt, &cluster] { free(cluster, attempt, "orphaned"); });
-    });
-  });
-  return id;
-}
-
-void SimulatedExchange::guard(Id id, const AttemptPointer& attempt, Span budget) {
-  const std::uint64_t beat = ++attempt->beat;
-  cluster_.world.at(budget, life_, [this, id, attempt, beat] {
-    if (attempt->beat == beat && attempts_.contains(id)) {
-      free(cluster_, attempt, "abandoned");
-      finish(id, attempt, AttemptEnd::late);
-    }
-  });
-}
-
-void SimulatedExchange::arrive(Id id, const AttemptPointer& attempt, const LifePointer& life) {
-  RunnerModel& runner = *attempt->runner;
-  if (runner.life != attempt->runner_life || runner.down)
-    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
-  if (runner.mode == "dark") return;
-  if (runner.mode == "nonsense")
-    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
-  const std::uint32_t offered = runner.active + static_cast<std::uint32_t>(runner.waiting.size()) + 1;
-  auto note = [&](std::uint32_t& most, std::string& worst) {
-    if (offered <= most) return;
-    most = offered;
-    worst = std::to_string(offered) + " at once, " + std::to_string(runner.items + attempt->item) +
-            " running items among them, at " + std::to_string(cluster_.world.milliseconds()) + " ms";
-  };
-  if (cluster_.world.now() < runner.cold_until) note(runner.most_offered_cold, runner.worst_cold);
-  if (runner.items > 0 || attempt->item) note(runner.most_mixed, runner.worst_mixed);
-  if (runner.active < runner.slots) return begin(id, attempt);
-  if (runner.waiting.size() >= runner.slots)
-    return give(id, attempt, [this, id, attempt] {
-      attempt->watcher->on_head(429, {});
-      if (attempts_.contains(id)) finish(id, attempt, AttemptEnd::whole);
-    });
-  runner.waiting.push_back([this, id, attempt, life] {
-    if (!life->alive || !attempts_.contains(id)) return;
-    begin(id, attempt);
-  });
-}
-
-void SimulatedExchange::enter(SimulatedCluster& cluster, const AttemptPointer& attempt) {
-  RunnerModel& runner = *attempt->runner;
-  attempt->began = true;
-  ++runner.active;
-  runner.items += attempt->item;
-  runner.most_items = std::max(runner.most_items, runner.items);
-  attempt->run = runner.name + "-" + std::to_string(runner.life) + "-" + std::to_string(++runner.runs);
-  cluster.world.write(
-      {{"what", "run"}, {"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}, {"by", attempt->by}});
-}
-
-void SimulatedExchange::begin(Id id, const AttemptPointer& attempt) {
-  RunnerModel& runner = *attempt->runner;
-  World& world = cluster_.world;
-  enter(cluster_, attempt);
-  runner.on_crash[attempt->run] = [this, id, attempt, life = life_] {
-    if (life->alive && attempts_.contains(id))
-      give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
-  };
-  const std::string& body = *attempt->request.body;
-  double fresh = static_cast<double>(body.size());
-  if (body.size() >= 512) {
-    const std::uint64_t prefix = hash_of(View(body).substr(0, 512));
-    auto found = std::find(runner.prefixes.begin(), runner.prefixes.end(), prefix);
-    const bool hit = found != runner.prefixes.end();
-    if (hit) {
-      runner.prefixes.erase(found);
-      fresh *= 0.1;
-    }
-    ++(hit ? runner.hits : runner.misses);
-    runner.prefixes.push_front(prefix);
-    if (runner.prefixes.size() > 3) runner.prefixes.pop_back();
-  }
-  const double factor = (runner.mode == "slow" ? 6.0 : 1.0) * (world.now() < runner.cold_until ? 2.0 : 1.0);
-  world.after(Span(static_cast<std::int64_t>((1.0 + fresh / 1024.0 * 2.0) * factor * 1000)),
-              [this, id, attempt, life = life_, &cluster = cluster_] {
-                if (life->alive)
-                  step(id, attempt);
-                else
-                  free(cluster, attempt, "orphaned");
-              });
-}
-
-void SimulatedExchange::free(SimulatedCluster& cluster, const AttemptPointer& attempt, const std::string& how) {
-  if (!attempt->began || attempt->ended) return;
-  attempt->ended = true;
-  RunnerModel& runner = *attempt->runner;
-  if (runner.life != attempt->runner_life) return;
-  --runner.active;
-  runner.items -= attempt->item;
-  runner.on_crash.erase(attempt->run);
-  cluster.world.write({{"what", "end"}, {"id", attempt->id}, {"run", attempt->run}, {"how", how}});
-  while (!runner.waiting.empty() && runner.active < runner.slots) {
-    Task next = std::move(runner.waiting.front());
-    runner.waiting.pop_front();
-    next();
-  }
-}
-
-void SimulatedExchange::step(Id id, const AttemptPointer& attempt) {
-  RunnerModel& runner = *attempt->runner;
-  World& world = cluster_.world;
-  if (attempt->ended || runner.life != attempt->runner_life) return;
-  const double factor = (runner.mode == "slow" ? 6.0 : 1.0) * (world.now() < runner.cold_until ? 2.0 : 1.0);
-  const Span beat(static_cast<std::int64_t>(8000 * factor));
-  auto next = [this, id, attempt, life = life_, &cluster = cluster_] {
-    if (life->alive)
-      step(id, attempt);
-    else
-      free(cluster, attempt, "orphaned");
-  };
-  if (attempt->pieces == 0) {
-    if (attempt->given++ == 0) return world.after(beat * 4, next);
-    if (runner.mode == "truncate") {
-      free(cluster_, attempt, "truncated");
-      return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
-    }
-    free(cluster_, attempt, "whole");
-    const std::string text =
-        json::serialize(json::object{{"id", attempt->id}, {"run", attempt->run}, {"runner", runner.name}});
-    return give(id, attempt, [this, id, attempt, text] {
-      attempt->watcher->on_head(200, {});
-      if (attempts_.contains(id)) attempt->watcher->on_piece(text);
-      if (attempts_.contains(id)) finish(id, attempt, AttemptEnd::whole);
-    });
-  }
-  if (runner.mode == "truncate" && attempt->given >= attempt->pieces / 2) {
-    free(cluster_, attempt, "truncated");
-    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::broken); });
-  }
-  if (attempt->given == attempt->pieces) {
-    free(cluster_, attempt, "whole");
-    return give(id, attempt, [this, id, attempt] { finish(id, attempt, AttemptEnd::whole); });
-  }
-  const std::string text = attempt->id + " " + attempt->run + " " + std::to_string(attempt->given) + " " +
-                           std::to_string(attempt->pieces) + "\n";
-  const bool first = attempt->given++ == 0;
-  give(id, attempt, [this, id, attempt, text, first] {
-    if (first) cluster_.world.point("first piece", place_);
-    if (first) attempt->watcher->on_head(200, {});
-    if (!attempts_.contains(id)) return;
-    guard(id, attempt, attempt->request.between_pieces);
-    attempt->watcher->on_piece(text);
-  });
-  world.after(beat, next);
-}
-
-// Something travels back from the runner; pieces of one attempt keep their order, since it is one stream.
-void SimulatedExchange::give(Id id, const AttemptPointer& attempt, std::function<void()> what) {
-  World& world = cluster_.world;
-  if (world.is_cut(attempt->runner->name, attempt->runner->zone, place_, zone_)) return;
-  const Span way = attempt->runner->zone == zone_ ? Span(100) : Span(1200);
-  world.at(way, life_, [this, id, attempt, what = std::move(what)] {
-    if (!attempts_.contains(id)) return;
-    if (attempt->held || !attempt->kept.empty())
-      attempt->kept.push_back(what);
-    else
-      what();
-  });
-}
-
-void SimulatedExchange::finish(Id id, const AttemptPointer& attempt, AttemptEnd end) {
-  if (attempts_.erase(id) == 0) return;
-  attempt->kept.clear();
-  attempt->watcher->on_end(end);
-}
-
-// What a held attempt keeps refers to the attempt itself.
-SimulatedExchange::~SimulatedExchange() {
-  for (auto& [id, attempt] : attempts_) attempt->kept.clear();
-}
-
-void SimulatedExchange::hold(Id id, bool held) {
-  auto found = attempts_.find(id);
-  if (found == attempts_.end()) return;
-  const AttemptPointer attempt = found->second;
-  attempt->held = held;
-  ++attempt->beat;
-  if (held) return;
-  guard(id, attempt, attempt->request.between_pieces);
-  cluster_.world.at(Span{0}, life_, [this, id, attempt] {
-    while (!attempt->kept.empty() && !attempt->held && attempts_.contains(id)) {
-      Task next = std::move(attempt->kept.front());
-      attempt->kept.pop_front();
-      next();
-    }
-  });
-}
-
-void SimulatedExchange::cancel(Id id) {
-  auto found = attempts_.find(id);
-  if (found == attempts_.end()) return;
-  const AttemptPointer attempt = found->second;
-  attempt->kept.clear();
-  attempts_.erase(found);
-  // The runner notices a closed stream at its next piece; here at once, as an event of its own.
-  cluster_.world.after(Span(1500), [attempt, &cluster = cluster_] { free(cluster, attempt, "cancelled"); });
-}
-
 // ---- the cluster
 
 class SimulatedCluster::Caller : public CallerSide, public std::enable_shared_from_this<SimulatedCluster::Caller> {
@@ -486,6 +243,8 @@
     runner->kind = each.kind;
     runner->zone = each.zone;
     runner->slots = each.slots;
+    runner->connections =
+        each.idle > Span{} ? RunnerConnections(each.connections, each.idle) : RunnerConnections(each.connections);
     runner->address = Address("10.0.1." + std::to_string(index + 1) + ":8000");
     runners.push_back(std::move(runner));
   }
@@ -636,6 +395,7 @@
   runner.active = runner.items = 0;
   runner.waiting.clear();
   runner.prefixes.clear();
+  runner.connections.restart();
   auto streams = std::move(runner.on_crash);
   runner.on_crash.clear();
   for (auto& [run, breaks] : streams) breaks();
