--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -12,18 +12,20 @@
 
 namespace {
 constexpr Span longest_repeat = milliseconds(400);  // after a message, in which it may come a second time
+constexpr std::uint32_t short_item_bytes = 1000;    // up to these the body of an item is its name alone
 }  // namespace
 
 // ---- machines
 
 Machine::Machine(SimulatedCluster& cluster, std::string given_name, std::string given_zone, bool disk,
-                 std::string given_keeps, Address given_address)
+                 std::string given_keeps, Address given_address, Span time_per_kilobyte)
     : name(std::move(given_name)),
       zone(std::move(given_zone)),
       has_disk(disk),
       keeps(std::move(given_keeps)),
       address(std::move(given_address)),
       cluster_(cluster),
+      time_per_kilobyte_(time_per_kilobyte),
       disk_(cluster.world, name) {}
 
 void Machine::start() {
@@ -33,7 +35,7 @@
   timers_ = std::make_unique<SimulatedTimers>(world, life_);
   duties_ = std::make_unique<Duties>();
   disk_.own(life_);
-  undisturbed_since = world.now();
+  undisturbed_since = busy_until_ = world.now();
   incarnation_ = new_incarnation(std::chrono::hours(1000000) + clock + (world.now() - Moment{}), world.random);
   Member self;
   self.address = address;
@@ -135,9 +137,11 @@
   world.point("send " + message, name);
   Machine* target = cluster_.machine_at(to);
   if (target == nullptr || !target->alive()) return;
-  if (target == this)
+  if (target == this) {
+    auto shared = std::make_shared<Envelope>(std::move(envelope));
     return world.at(Span{20}, life_,
-                    [this, shared = std::make_shared<Envelope>(std::move(envelope))] { take(std::move(*shared)); });
+                    [this, shared] { handle(shared->body.size(), [this, shared] { take(std::move(*shared)); }); });
+  }
   // The form that goes over the wire is made and read here as well, so that the simulation covers it.
   auto form = std::make_shared<const Bytes>(to_cbor(envelope));
   ++frames;
@@ -152,7 +156,9 @@
   if (world.is_cut(name, zone, target->name, target->zone)) return;
   if (world.loss > 0 && world.random.uniform() < world.loss) return;
   auto arrive = [target, form] {
-    if (auto read = from_cbor<Envelope>(*form)) target->take(std::move(*read));
+    target->handle(form->size(), [target, form] {
+      if (auto read = from_cbor<Envelope>(*form)) target->take(std::move(*read));
+    });
   };
   world.at(world.delay(zone, target->zone), target->life(), arrive);
   if (world.repeats > 0 && world.random.uniform() < world.repeats)
@@ -160,6 +166,14 @@
              target->life(), arrive);
 }
 
+void Machine::handle(std::size_t size, Task task) {
+  if (time_per_kilobyte_ == Span{}) return task();
+  World& world = cluster_.world;
+  const Span time(time_per_kilobyte_.count() * static_cast<std::int64_t>(size) / 1024);
+  busy_until_ = std::max(busy_until_, world.now()) + time;
+  world.at(busy_until_ - world.now(), life_, std::move(task));
+}
+
 void Machine::take(Envelope envelope) {
   if (!duties_) return;
   cluster_.world.point("take " + (envelope.reply ? envelope.sender + " " + envelope.kind : envelope.kind), name);
@@ -224,9 +238,9 @@
 SimulatedCluster::SimulatedCluster(World& given, Shape given_shape) : world(given), shape(std::move(given_shape)) {
   for (std::size_t index = 0; index < shape.machines.size(); ++index) {
     const MachineShape& machine = shape.machines[index];
-    machines.push_back(std::make_unique<Machine>(*this, "machine-" + std::to_string(index), machine.zone, machine.disk,
-                                                 machine.keeps,
-                                                 Address("10.0.0." + std::to_string(index + 1) + ":7000")));
+    machines.push_back(
+        std::make_unique<Machine>(*this, "machine-" + std::to_string(index), machine.zone, machine.disk, machine.keeps,
+                                  Address("10.0.0." + std::to_string(index + 1) + ":7000"), machine.time_per_kilobyte));
   }
   std::vector<Address> may_be_seeds;
   for (const auto& machine : machines)
@@ -271,8 +285,13 @@
 
 Machine& SimulatedCluster::add_machine(const std::string& zone, const std::string& keeps) {
   const std::string number = std::to_string(machines.size());
+  // As fast as the others of its group.
+  Span time_per_kilobyte{};
+  for (const auto& machine : shape.machines)
+    if (machine.disk && machine.keeps == keeps) time_per_kilobyte = machine.time_per_kilobyte;
   machines.push_back(std::make_unique<Machine>(*this, "machine-" + number, zone, true, keeps,
-                                               Address("10.0.0." + std::to_string(machines.size() + 1) + ":7000")));
+                                               Address("10.0.0." + std::to_string(machines.size() + 1) + ":7000"),
+                                               time_per_kilobyte));
   return *machines.back();
 }
 
@@ -566,8 +585,11 @@
   lot->id = load.name + "-" + std::to_string(number) + "-" + std::to_string(world.milliseconds());
   lot->load = &load;
   json::array items;
-  for (std::uint32_t item = 0; item < load.items; ++item)
-    items.push_back(json::value(json::string(lot->id + " " + std::to_string(item))));
+  for (std::uint32_t item = 0; item < load.items; ++item) {
+    std::string body = lot->id + " " + std::to_string(item);
+    if (load.item_bytes > short_item_bytes) body.resize(std::max<std::size_t>(body.size(), load.item_bytes), ' ');
+    items.push_back(json::value(json::string(body)));
+  }
   lot->body =
       json::serialize(json::object{{"lane", load.lane}, {"deadline", load.deadline.count() / 1000}, {"items", items}});
   lot->handed_in = world.milliseconds();
--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -17,7 +17,8 @@
 
 class Machine : public Wire {
  public:
-  Machine(SimulatedCluster& cluster, std::string name, std::string zone, bool disk, std::string keeps, Address address);
+  Machine(SimulatedCluster& cluster, std::string name, std::string zone, bool disk, std::string keeps, Address address,
+          Span time_per_kilobyte = {});
   void send(const Address& to, Envelope envelope) override;
   void take(Envelope envelope);
   void start();
@@ -65,7 +66,12 @@
     std::unique_ptr<Control> control;
     std::unique_ptr<StoreClient> client;
   };
+  // Handles a message of so many bytes once those before it are handled and its own time is over.
+  void handle(std::size_t size, Task task);
+
   SimulatedCluster& cluster_;
+  const Span time_per_kilobyte_;
+  Moment busy_until_;
   LifePointer life_;
   std::unique_ptr<SharedState> shared_state_ = std::make_unique<SharedState>();
   std::unique_ptr<SimulatedTimers> timers_;
--- a/source/simulate/loss_scenarios.cpp
+++ b/source/simulate/loss_scenarios.cpp
@@ -12,17 +12,23 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Span synchronization_time = milliseconds(4900);
 constexpr Span read_back_limit = seconds(12);
 
+// What the platform may do: how long a machine counts as lost after its return, and how many may be lost at once.
+struct Tolerance {
+  Span synchronization_time = milliseconds(4900);
+  std::size_t machines = 1;
+};
+
 // One run: which group of holders is struck, and how long each of its disks has lasted.
 struct Losses {
-  explicit Losses(SimulatedCluster& given) : cluster(given) {
+  Losses(SimulatedCluster& given, Tolerance given_tolerance) : cluster(given), tolerance(given_tolerance) {
     const bool two_groups = cluster.shape.told_first_start;
-    keeps = !two_groups ? "" : cluster.world.random.below(3) == 0 ? "control" : "lots";
+    keeps = !two_groups ? "" : tolerance.machines == 1 && cluster.world.random.below(3) == 0 ? "control" : "lots";
     for (Machine* holder : cluster.holders()) disk_since[holder] = Moment{};
   }
   SimulatedCluster& cluster;
+  const Tolerance tolerance;
   std::string keeps;
   std::map<Machine*, Moment> disk_since;
   std::set<Machine*> gone;  // for good
@@ -43,6 +49,21 @@
   });
 }
 
+// As many as may be lost at once, seated holders first: the platform strikes those that keep something.
+std::vector<Machine*> oldest_disks(const Losses& losses) {
+  const Roster& roster = losses.cluster.any_alive().shared_state().configuration.get()->lot_roster;
+  std::vector<Machine*> list = group(losses);
+  std::sort(list.begin(), list.end(), [&](Machine* left, Machine* right) {
+    auto rank = [&](Machine* machine) {
+      const bool seated = machine->kept() != nullptr && roster.seated(machine->kept()->identity());
+      return std::make_pair(losses.tolerance.machines > 1 && !seated, losses.disk_since.at(machine));
+    };
+    return rank(left) < rank(right);
+  });
+  list.resize(std::min(list.size(), losses.tolerance.machines));
+  return list;
+}
+
 Span between(World& world, Span least, Span most) {
   return least +
          Span(static_cast<std::int64_t>(world.random.below(static_cast<std::uint64_t>((most - least).count()))));
@@ -175,11 +196,11 @@
 void close_with_wipe(const LossesPointer& losses) {
   SimulatedCluster& cluster = losses->cluster;
   cluster.world.history("the closing fault");
-  Machine& wiped = oldest_disk(*losses);
+  const std::vector<Machine*> wiped = oldest_disks(*losses);
   const Span down = between(cluster.world, milliseconds(500), milliseconds(1500));
   for (auto& machine : cluster.machines) {
     if (!machine->alive()) continue;
-    machine->kill(machine.get() == &wiped);
+    machine->kill(std::find(wiped.begin(), wiped.end(), machine.get()) != wiped.end());
     start_later(*machine, cluster.world, down + between(cluster.world, Span{}, milliseconds(300)));
   }
   cluster.world.after(down + seconds(8), [&cluster] { read_back(cluster); });
@@ -187,6 +208,11 @@
 
 // ---- how long it takes until the group bears the next loss
 
+// Seats that bear as many losses at once as the platform allows.
+std::size_t seats_needed(const Losses& losses) {
+  return losses.tolerance.machines == 1 ? 3 : 2 * losses.tolerance.machines + 1;
+}
+
 bool whole(const Losses& losses) {
   const Roster* roster = nullptr;
   std::map<HolderId, ReplicatedStore*> stores;
@@ -195,7 +221,7 @@
     stores[holder->kept()->identity()] = holder->kept();
     if (roster == nullptr || roster->version < holder->kept()->roster().version) roster = &holder->kept()->roster();
   }
-  if (roster == nullptr || roster->seats.size() < 3) return false;
+  if (roster == nullptr || roster->seats.size() < seats_needed(losses)) return false;
   for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
     Epoch owned, least{UINT64_MAX};
     for (const auto& seat : roster->seats) {
@@ -215,7 +241,8 @@
   world.after(milliseconds(50), [losses, since, name, &world] {
     const std::int64_t took = (world.now() - since).count() / 1000;
     if (!whole(*losses) && took < 30000) return measure_whole(losses, since, name);
-    world.write({{"what", "observed"}, {"name", name}, {"took", took}, {"limit", synchronization_time.count() / 1000}});
+    const std::int64_t limit = losses->tolerance.synchronization_time.count() / 1000;
+    world.write({{"what", "observed"}, {"name", name}, {"took", took}, {"limit", limit}});
   });
 }
 
@@ -228,7 +255,8 @@
   const Span back = (*strikes)[index](losses);
   const Moment returned = world.now() + back;
   world.after(back, [losses, returned] { measure_whole(losses, returned, "whole after a machine's return"); });
-  world.after(back + synchronization_time, [losses, strikes, index] { strike_in_turn(losses, strikes, index + 1); });
+  world.after(back + losses->tolerance.synchronization_time,
+              [losses, strikes, index] { strike_in_turn(losses, strikes, index + 1); });
 }
 
 Scenario scenario(std::string name, std::string about, Strikes strikes) {
@@ -241,7 +269,7 @@
   made.closes = true;
   auto list = std::make_shared<Strikes>(std::move(strikes));
   made.faults = [list](SimulatedCluster& cluster) {
-    auto losses = std::make_shared<Losses>(cluster);
+    auto losses = std::make_shared<Losses>(cluster, Tolerance{});
     cluster.shape.lots[0].rate = 6;
     change_configuration(losses, seconds(24));
     cluster.world.after(seconds(4) + between(cluster.world, Span{}, seconds(1)),
@@ -264,10 +292,39 @@
 Span retire_oldest(const LossesPointer& losses) {
   Machine& machine = oldest_disk(*losses);
   add_empty(losses, machine.zone);
-  losses->cluster.world.after(synchronization_time, [losses, &machine] { retire_then_wipe(losses, machine); });
+  losses->cluster.world.after(losses->tolerance.synchronization_time,
+                              [losses, &machine] { retire_then_wipe(losses, machine); });
   return seconds(12);
 }
 
+Span wipe_two_oldest(const LossesPointer& losses) {
+  const Span down = between(losses->cluster.world, milliseconds(500), milliseconds(2000));
+  for (Machine* machine : oldest_disks(*losses)) wipe(losses, *machine, down);
+  return down;
+}
+
+// Lots come in a crowd, then at a pace that leaves the holders time for their repairs.
+Scenario two_disks_at_once() {
+  Scenario made;
+  made.name = "loss-wipe-two";
+  made.about = "two of the seated disks are wiped at once, again and again, while many megabytes of lots are kept";
+  made.load = seconds(32);
+  made.settle = seconds(45);
+  made.limits = Limits{30000, 400};
+  made.closes = true;
+  made.shape = "storage";
+  made.faults = [](SimulatedCluster& cluster) {
+    auto losses = std::make_shared<Losses>(cluster, Tolerance{seconds(6), 2});
+    cluster.shape.lots[0].rate = 12;
+    cluster.world.after(seconds(5), [&cluster] { cluster.shape.lots[0].rate = 1; });
+    change_configuration(losses, seconds(30));
+    auto strikes = std::make_shared<Strikes>(Strikes{wipe_two_oldest, wipe_two_oldest, wipe_two_oldest});
+    cluster.world.after(seconds(7) + between(cluster.world, Span{}, seconds(1)),
+                        [losses, strikes] { strike_in_turn(losses, strikes, 0); });
+  };
+  return made;
+}
+
 }  // namespace
 
 std::vector<Scenario> loss_scenarios() {
@@ -287,6 +344,7 @@
       scenario("loss-retire-wipe-replace",
                "a machine is retired and goes as another's disk is wiped, then the oldest one is replaced",
                {retire_oldest, unplanned}),
+      two_disks_at_once(),
   };
 }
 
--- a/source/simulate/main.cpp
+++ b/source/simulate/main.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr View shapes[] = {"small", "altiplano", "sestavna", "platform", "farm", "grown"};
+constexpr View shapes[] = {"small", "altiplano", "sestavna", "platform", "farm", "storage", "grown"};
 
 std::optional<std::uint64_t> number(const char* text) {
   const View view(text);
@@ -27,7 +27,7 @@
 int load(const std::string& what) {
   std::cerr << "simulate: " << what << "\n"
             << "simulate --scenario NAME|all [--seed N] [--seeds COUNT] [--shape "
-               "small|altiplano|sestavna|platform|farm|grown] "
+               "small|altiplano|sestavna|platform|farm|storage|grown] "
                "[--threads N] [--history] [--closing] [--but NAME] [--list]\n"
             << "simulate --strikes COUNT [--seed N] [--shape ...]\n"
             << "simulate --bench circle|model|costs [--seed N] [--shape altiplano|sestavna]\n"
--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -145,6 +145,27 @@
   return shape;
 }
 
+Shape storage_shape() {
+  // What a third of a core was seen to take for records of lots on the users' platform.
+  constexpr Span storage_time_per_kilobyte = std::chrono::microseconds(80);
+  Shape shape = small_shape();
+  shape.name = "storage";
+  shape.told_first_start = true;
+  shape.machines.clear();
+  const std::vector<std::string> zones{"north", "south", "west"};
+  add_machines(shape, 3, zones, 3);
+  for (auto& machine : shape.machines) machine.keeps = "control";
+  add_machines(shape, 3, zones, 0);
+  const std::size_t serving = shape.machines.size();
+  add_machines(shape, 8, zones, 8);
+  for (std::size_t index = serving; index < shape.machines.size(); ++index) {
+    shape.machines[index].keeps = "lots";
+    shape.machines[index].time_per_kilobyte = storage_time_per_kilobyte;
+  }
+  shape.lots = {LotLoad{"lines", "lines", 2, 40, 4000, std::chrono::milliseconds(0), true, 0}};
+  return shape;
+}
+
 Shape grown_shape() {
   constexpr Span notice_idle = std::chrono::seconds(5);
   constexpr std::uint32_t model_slots = 16, notice_slots = 6, notice_connections = 24;
@@ -226,6 +247,7 @@
   if (name == "small") return small_shape();
   if (name == "platform") return platform_shape();
   if (name == "farm") return farm_shape();
+  if (name == "storage") return storage_shape();
   if (name == "grown") return grown_shape();
   if (name == "crowded") return crowded_shape();
   return name == "altiplano" ? altiplano_shape(share) : name == "sestavna" ? sestavna_shape(share) : thin_shape();
--- a/source/stand_ins/shapes.hpp
+++ b/source/stand_ins/shapes.hpp
@@ -30,6 +30,8 @@
   Address address, callers, control;
   std::string folder;
   int pid = 0;
+  // Simulated time that handling a kilobyte of a message takes; zero: none.
+  Span time_per_kilobyte{};
 };
 
 struct RunnerShape {
@@ -60,6 +62,7 @@
 Shape sestavna_shape(double share);
 Shape platform_shape();  // as the users' platform has it: control state on edge machines' small disks, lots on others
 Shape farm_shape();      // the same with three holders of control state and three of lots, the fewest that bear a loss
+Shape storage_shape();   // eight holders of lots with slow processors, two of which may lose their disks at once
 Shape grown_shape();     // many serving machines before few runners of a small service that limits its connections
 
 Shape crowded_shape();  // real processes: more daemons than the runners of a small service take connections
