--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -157,17 +157,20 @@
   json::object dropped;
   for (Duty* duty : duties_)
     if (duty->messenger && duty->thread.dropped() > 0) dropped[duty->messenger->slice()] = duty->thread.dropped();
-  return json::object{{"entries", to_json(counts_)},
-                      {"circle", to_json(circle_counts_)},
-                      {"open", open_},
-                      {"placed", placed_},
-                      {"wire", json::object{{"frames_out", wire.frames_out.load()},
-                                            {"bytes_out", wire.bytes_out.load()},
-                                            {"frames_in", wire.frames_in.load()},
-                                            {"bytes_in", wire.bytes_in.load()},
-                                            {"foreign", wire.foreign.load()}}},
-                      {"store", json::object{{"appends", syncs_.load()}, {"commits", commits_.load()}}},
-                      {"rings_full", dropped}};
+  return json::object{
+      {"entries", to_json(counts_)},
+      {"callers", to_json(front_counts_)},
+      {"circle", to_json(circle_counts_)},
+      {"open", open_},
+      {"placed", placed_},
+      {"wire", json::object{{"frames_out", wire.frames_out.load()},
+                            {"bytes_out", wire.bytes_out.load()},
+                            {"frames_in", wire.frames_in.load()},
+                            {"bytes_in", wire.bytes_in.load()},
+                            {"foreign", wire.foreign.load()}}},
+      {"store",
+       json::object{{"appends", syncs_.load()}, {"commits", commits_.load()}, {"counts", to_json(store_counts_)}}},
+      {"rings_full", dropped}};
 }
 
 int Daemon::run() {
@@ -195,6 +198,7 @@
       routes_duty_.thread.offer([this] {
         std::lock_guard lock(counts_mutex_);
         counts_ = router_->counts();
+        front_counts_ = front_->counts();
         open_ = router_->open();
       });
     if (circle_)
@@ -211,6 +215,8 @@
       store_duty_.thread.offer([this] {
         syncs_ = store_->syncs();
         commits_ = store_->commits();
+        std::lock_guard lock(counts_mutex_);
+        store_counts_ = store_->counts();
       });
     const Moment now = steady_now();
     const std::string state =
@@ -271,9 +277,13 @@
     if (long_enough && front_) front_->close();
     const std::size_t left = (front_ ? front_->busy() : 0) + placed_;
     if ((left == 0 && long_enough) || over) {
-      logs::note("daemon", left == 0
-                               ? "Drained; ending."
-                               : "The drain time is over; ending with " + std::to_string(left) + " requests open.");
+      std::string open;
+      if (front_)
+        for (const auto& [phase, count] : front_->busy_phases()) open += ", " + std::to_string(count) + " " + phase;
+      if (placed_ > 0) open += ", " + std::to_string(placed_) + " items placed";
+      logs::note("daemon", left == 0 ? "Drained; ending."
+                                     : "The drain time is over; ending with " + std::to_string(left) +
+                                           " requests open" + open + ".");
       return main_.stop();
     }
     boost::asio::post(main_, [this] {
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -71,7 +71,9 @@
   std::unique_ptr<Front> front_;
   std::mutex counts_mutex_;
   EntryCounts counts_;
+  FrontCounts front_counts_;
   CircleCounts circle_counts_;
+  StoreCounts store_counts_;
   std::size_t open_ = 0;
   std::atomic<std::size_t> placed_{0};
   std::atomic<std::uint64_t> syncs_{0}, commits_{0};
--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -34,6 +34,24 @@
 }
 }  // namespace
 
+namespace {
+View name_of(CloseCause cause) {
+  switch (cause) {
+    case CloseCause::caller_left:
+      return "caller left";
+    case CloseCause::broken_off:
+      return "broken off";
+    case CloseCause::deadline:
+      return "deadline";
+    case CloseCause::idle:
+      return "idle";
+    case CloseCause::answered:
+      return "answered";
+  }
+  return "unknown";
+}
+}  // namespace
+
 class Front::Session : public std::enable_shared_from_this<Front::Session> {
  public:
   Session(Front& front, tcp::socket socket, bool callers, std::uint64_t number)
@@ -47,12 +65,14 @@
     if (*alive_) front_.sessions_.erase(number_);
   }
   void run() { expect(); }
-  void due() { close(); }
+  void due() { close(CloseCause::deadline); }
   // A request is read or answered, or bytes of an answer are on their way.
   bool busy() const { return !closed_ && (headed_ || answering_ || done_ || writing_); }
   void close_idle() {
-    if (!busy()) close();
+    if (!busy()) close(CloseCause::idle);
   }
+  // What becomes of its request now, as an end of the process would cut it.
+  const char* phase() const { return answering_ ? "answering" : done_ || writing_ ? "writing" : "reading"; }
 
  private:
   // What the entries write to; it outlives neither its request nor the session's connection.
@@ -94,7 +114,7 @@
     void break_off() override {
       if (!current()) return;
       session_->flush();
-      session_->close();
+      session_->close(CloseCause::broken_off);
     }
     std::size_t backlog() const override {
       return session_->output_.size() + session_->in_flight_.size() - session_->written_;
@@ -132,7 +152,7 @@
                             [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
                               self->reading_ = false;
                               if (self->closed_) return;
-                              if (error) return self->close();
+                              if (error) return self->close(CloseCause::caller_left);
                               self->filled_ += count;
                               if (self->lingering_) {
                                 self->filled_ = 0;
@@ -193,6 +213,7 @@
       input_.resize(input_bytes);
       input_.shrink_to_fit();
     }
+    ++front_.counts_.read;
     keep_ = reader_->keep_alive();
     head_request_ = reader_->method == "HEAD";
     ++turn_;
@@ -203,7 +224,7 @@
         (front_.to_control_side_ ? front_.to_control_side_(reader_->method, reader_->target, reader_->headers)
                                  : for_lots(reader_->method, reader_->target, reader_->headers));
     if (to_control) {
-      if (!callers_ && caller_left()) return close();
+      if (!callers_ && caller_left()) return close(CloseCause::caller_left);
       ControlRequest control{std::move(reader_->method), std::move(reader_->target), std::move(reader_->body), callers_,
                              std::move(reader_->headers)};
       // Another thread gets no share in this session, which must end on its own thread.
@@ -293,7 +314,7 @@
     if (writing_ || closed_ || output_.empty()) return;
     boost::system::error_code error;
     std::size_t count = socket_.write_some(boost::asio::buffer(output_), error);
-    if (error && error != boost::asio::error::would_block) return close();
+    if (error && error != boost::asio::error::would_block) return close(CloseCause::caller_left);
     if (error) count = 0;
     if (count == output_.size()) {
       output_.clear();
@@ -310,7 +331,7 @@
     socket_.async_write_some(boost::asio::buffer(in_flight_) + written_,
                              [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
                                if (self->closed_) return;
-                               if (error) return self->close();
+                               if (error) return self->close(CloseCause::caller_left);
                                self->written_ += count;
                                if (self->done_) self->set_deadline(self->limits_.idle_time);
                                if (self->written_ < self->in_flight_.size()) return self->write_on();
@@ -334,10 +355,11 @@
 
   void next() {
     done_ = false;
+    ++front_.counts_.answered;
     if (!keep_) {
       boost::system::error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      if (reader_->is_done() && filled_ == 0) return close();
+      if (reader_->is_done() && filled_ == 0) return close(CloseCause::answered);
       // Closing over bytes that were not read would reset the connection, and could take the answer with it.
       lingering_ = true;
       filled_ = 0;
@@ -351,9 +373,10 @@
     });
   }
 
-  void close() {
+  void close(CloseCause cause) {
     if (closed_) return;
     closed_ = true;
+    if (answering_ || writing_ || done_) front_.count_cut(cause, phase());
     held_.reset();
     front_.deadlines_.clear(number_);
     boost::system::error_code ignored;
@@ -444,6 +467,17 @@
   for (const auto& session : sessions()) session->close_idle();
 }
 
+void Front::count_cut(CloseCause cause, const char* phase) {
+  ++counts_.cut[std::string(name_of(cause)) + ", " + phase];
+}
+
+std::map<std::string, std::size_t> Front::busy_phases() const {
+  std::map<std::string, std::size_t> phases;
+  for (const auto& session : sessions())
+    if (session->busy()) ++phases[session->phase()];
+  return phases;
+}
+
 std::size_t Front::busy() const {
   const auto all = sessions();
   return static_cast<std::size_t>(
--- a/source/host/front.hpp
+++ b/source/host/front.hpp
@@ -7,6 +7,16 @@
 
 namespace mothwalk {
 
+// Why a connection was closed from this side.
+enum class CloseCause { answered, idle, caller_left, deadline, broken_off };
+
+// Requests that were read whole and dispatched, and what became of them; what is neither answered nor cut is open.
+struct FrontCounts {
+  std::uint64_t read = 0, answered = 0;
+  std::map<std::string, std::uint64_t> cut;  // without a complete answer, by cause and phase
+  MOTHWALK_FIELDS(read, answered, cut)
+};
+
 class Front {
  public:
   // Requests for control and lots are handed to `control`; its answer may come from any thread.
@@ -22,6 +32,9 @@
   void close();
   // Connections with a request that is read or answered.
   std::size_t busy() const;
+  // Those connections, by what becomes of their requests.
+  std::map<std::string, std::size_t> busy_phases() const;
+  const FrontCounts& counts() const { return counts_; }
 
  private:
   class Session;
@@ -29,6 +42,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     bool callers;
   };
+  void count_cut(CloseCause cause, const char* phase);
   void accept(std::shared_ptr<Listener> listener);
   std::vector<std::shared_ptr<Session>> sessions() const;
 
@@ -41,6 +55,7 @@
   std::vector<std::shared_ptr<Listener>> listeners_;
   std::unordered_map<std::uint64_t, std::weak_ptr<Session>> sessions_;
   std::uint64_t last_session_ = 0;
+  FrontCounts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // the sessions' handlers may outlive the front
 };
 
--- a/source/replication/hand_over.cpp
+++ b/source/replication/hand_over.cpp
@@ -54,13 +54,18 @@
         } else {
           if (reply->roster.version > roster_.version) adopt(reply->roster);
           if (reply->epoch > now_owned.epoch) now_owned.epoch = reply->epoch;
-          if (reply->epoch >= epoch) return step_down(slot, refused_pause(now_owned));
+          if (reply->epoch >= epoch) return fail_takeover(slot, "refused", refused_pause(now_owned));
         }
       }
-      if (round->left == 0) step_down(slot, milliseconds(100 + random_.below(300)));
+      if (round->left == 0) fail_takeover(slot, "no majority promised", milliseconds(100 + random_.below(300)));
     });
 }
 
+void ReplicatedStore::fail_takeover(std::uint32_t slot, const std::string& reason, Span pause) {
+  ++counts_.takeovers_failed[reason];
+  step_down(slot, pause);
+}
+
 // A seat that is new to a slot learns the epoch in force by its first refusal and may go on at once; further refusals
 // mean that another one is taking the slot as well.
 Span ReplicatedStore::refused_pause(Owned& owned) {
@@ -100,7 +105,8 @@
         taking->lacking.erase(wanted);
         taking->newer[record.key] = std::move(record);
       }
-    if (taking->lacking.size() == before) return step_down(slot, milliseconds(100 + random_.below(300)));
+    if (taking->lacking.size() == before)
+      return fail_takeover(slot, "records not fetched", milliseconds(100 + random_.below(300)));
     taken(slot, epoch, taking);
   });
 }
@@ -138,7 +144,11 @@
                Copies copies{{}, {}, slot, epoch, roster, {}};
                std::size_t size = 0;
                auto send = [&] {
-                 if (!copies.records.empty()) ask_seat(seat, copies, peer_timeout, [](Result<StoreReply>) {});
+                 if (!copies.records.empty())
+                   ask_seat(seat, copies, peer_timeout,
+                            [this](Result<StoreReply> copied) { counts_.copies_late += fault_of(copied) != nullptr; });
+                 counts_.records_copied += copies.records.size();
+                 counts_.bytes_copied += size;
                  copies.records.clear();
                  size = 0;
                };
@@ -167,17 +177,19 @@
              if (owned.state != Owned::State::taking) return;
              if (taking->stored >= roster_.majority() && roster_.version == roster) {
                if (held_[slot].installed != epoch) {
-                 if (taking->left == 0) step_down(slot, milliseconds(100));
+                 if (taking->left == 0) fail_takeover(slot, "own copy behind", milliseconds(100));
                  return;
                }
                owned.state = Owned::State::owned;
                owned.refusals = 0;
+               ++counts_.takeovers;
                publish();
                std::vector<const Record*> news;
                for (const auto& [key, record] : held_[slot].records) news.push_back(&record);
                return spread(news);
              }
-             if (taking->left == 0) step_down(slot, milliseconds(100 + random_.below(300)));
+             if (taking->left == 0)
+               fail_takeover(slot, "no majority installed", milliseconds(100 + random_.below(300)));
            });
 }
 
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -8,6 +8,7 @@
 #include "replication/founding.hpp"
 #include "replication/messages.hpp"
 #include "replication/record_log.hpp"
+#include "replication/store_counts.hpp"
 
 namespace mothwalk {
 
@@ -29,6 +30,7 @@
   std::uint64_t syncs() const { return log_.appends(); }
   const RecordLog& log() const { return log_; }
   std::uint64_t commits() const { return commits_; }
+  const StoreCounts& counts() const { return counts_; }
   std::size_t removed_lots() const;
   // What an observer may compare between replicas: a slot's last whole hand-over, its digest and its epoch as owner.
   struct SlotView {
@@ -133,6 +135,7 @@
   std::optional<RetirementReply> review(const Retirement& asked, const Roster& roster);
   Span refused_pause(Owned& owned);
   void step_down(std::uint32_t slot, Span pause);
+  void fail_takeover(std::uint32_t slot, const std::string& reason, Span pause);
   void publish();
   void write(Write write, Answer<WriteReply> answer);
   void run(std::uint32_t slot, const std::string& key);
@@ -154,12 +157,16 @@
   };                // in the order in which seats are given up, the last one first
   struct Watched {  // what a roster's duty has seen of its holders, by identity
     std::map<HolderId, Moment> missing_since, first_seen;
+    std::optional<Moment> short_since;  // since when it lacks seats that live holders could take
+    Moment changed;                     // when this holder last changed the roster
   };
   SeatState seat_state(const Seat& seat, Watched& watched, Moment newest) const;
   bool retired(const Address& address) const;
   std::vector<const Member*> spares(const Members& members, const Roster& current, const std::string& keeps,
                                     Watched& watched, Moment* newest) const;
   std::optional<Roster> next_roster(const std::string& key, const Roster& current, const std::string& keeps);
+  // Whether dead seats or too few of them are left, and for how long they have been; tells when they no longer are.
+  void watch_seats(const std::string& key, const Roster& current, bool lacking);
   void change_when_settled(const std::string& key, const Roster& current, Roster next);
   void change_roster(const std::string& key, Roster next);
   template <class Message, class Then>
@@ -184,6 +191,7 @@
   ReadFile file_;         // as it was found, without its entries
   bool durable_ = false;  // whether the identity is known to be on the disk
   std::uint64_t commits_ = 0, ticks_ = 0;
+  StoreCounts counts_;
   std::optional<bool> first_start_;
   bool founding_ = false;
   std::map<HolderId, Seat> candidates_;  // for the first roster, as the seeds told, and since when they are these
--- a/source/replication/roster_changes.cpp
+++ b/source/replication/roster_changes.cpp
@@ -30,6 +30,7 @@
 void ReplicatedStore::stop_watching(const std::string& key) {
   watched_.erase(key);
   unsettled_.erase(key);
+  counts_.short_of_seats.erase(key);
 }
 
 // The roster of those that hold lots alone: a key of the control state, founded once there are such holders.
@@ -126,6 +127,8 @@
     }
   Roster next = current;
   next.version = current.version.next();
+  const bool lacking = gone != nullptr || (current.seats.size() < wanted_seats && !spare.empty());
+  watch_seats(key, current, lacking);
   if (worst == SeatState::missing) return std::nullopt;
   const std::size_t left = current.seats.size() - (gone != nullptr);
   const bool dead = worst > SeatState::missing;
@@ -139,6 +142,22 @@
   return next;
 }
 
+void ReplicatedStore::watch_seats(const std::string& key, const Roster& current, bool lacking) {
+  if (current.version == Version{}) return;  // it is being founded
+  Watched& watched = watched_[key];
+  const Moment now = messenger_.timers().now();
+  if (lacking) {
+    if (!watched.short_since) watched.short_since = now;
+    counts_.short_of_seats[key] = static_cast<std::uint64_t>((now - *watched.short_since).count() / 1000);
+    return;
+  }
+  counts_.short_of_seats.erase(key);
+  if (!watched.short_since) return;
+  report_.note("The group " + key + " has all its seats again: " + std::to_string(current.seats.size()) + ", " +
+               std::to_string((now - *watched.short_since).count() / 1000) + " ms after it fell short of them.");
+  watched.short_since.reset();
+}
+
 void ReplicatedStore::change_when_settled(const std::string& key, const Roster& current, Roster next) {
   changing_.insert(key);
   unsettled_.insert(key);
@@ -173,8 +192,15 @@
   const std::uint32_t slot = slot_of(key);
   changing_.insert(key);
   if (owned_[slot].state != Owned::State::owned) return void(changing_.erase(key));
+  const Moment now = messenger_.timers().now();
+  Moment& changed = watched_[key].changed;
   report_.note("The roster " + key + " goes to version " + std::to_string(next.version.value) + " with " +
-               std::to_string(next.seats.size()) + " seats.");
+               std::to_string(next.seats.size()) + " seats" +
+               (changed == Moment{}
+                    ? std::string(".")
+                    : ", " + std::to_string((now - changed).count() / 1000) + " ms after the last change."));
+  changed = now;
+  ++counts_.roster_changes;
   Write request;
   request.key = key;
   request.head = json::serialize(to_json(next));
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -260,6 +260,26 @@
   CHECK(fixture.front.busy() == 0);
 }
 
+TEST_CASE("a front counts the requests that it read, and those that got no whole answer by cause") {
+  Fixture fixture;
+  auto answered = fixture.call(get);
+  auto runner = fixture.accepted();
+  fixture.until(runner, "\r\n\r\n");
+  say(runner, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  fixture.until(answered, "body");
+  fixture.settle();
+  CHECK(fixture.front.counts().read == 1);
+  CHECK(fixture.front.counts().answered == 1);
+  CHECK(fixture.front.counts().cut.empty());
+  auto left = fixture.call(get);
+  fixture.run([&] { return fixture.front.counts().read == 2; });
+  CHECK(fixture.front.busy_phases() == std::map<std::string, std::size_t>{{"answering", 1}});
+  left.close();
+  fixture.run([&] { return !fixture.front.counts().cut.empty(); });
+  CHECK(fixture.front.counts().cut == std::map<std::string, std::uint64_t>{{"caller left, answering", 1}});
+  CHECK(fixture.front.counts().answered == 1);
+}
+
 TEST_CASE("the host's rule says which of the callers' requests control answers, with its own headers and body") {
   Fixture fixture([](View method, View target, const std::vector<Header>& headers) {
     return method == "POST" && target.starts_with("/bulk/") && header_of(headers, "Host") != nullptr;
