--- a/source/configuration/resources.hpp
+++ b/source/configuration/resources.hpp
@@ -146,8 +146,9 @@
   Address address;
   ZoneId zone;
   std::string name = {};  // of the machine, where operators name one
+  bool joining = false;   // it votes, but may lack records still: it owns slots only where no other seat can
   auto operator<=>(const Seat&) const = default;
-  MOTHWALK_FIELDS(holder, address, zone, name)
+  MOTHWALK_FIELDS(holder, address, zone, name, joining)
 };
 
 struct Roster {
--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -160,6 +160,7 @@
   return json::object{
       {"entries", to_json(counts_)},
       {"callers", to_json(front_counts_)},
+      {"lots", to_json(lot_counts_)},
       {"circle", to_json(circle_counts_)},
       {"open", open_},
       {"placed", placed_},
@@ -206,6 +207,11 @@
         std::lock_guard lock(counts_mutex_);
         circle_counts_ = circle_->counts();
       });
+    if (lots_)
+      lots_duty_.thread.offer([this] {
+        std::lock_guard lock(counts_mutex_);
+        lot_counts_ = lots_->counts();
+      });
     if (placing_)
       placing_duty_.thread.offer([this] {
         std::lock_guard lock(counts_mutex_);
--- a/source/host/daemon.hpp
+++ b/source/host/daemon.hpp
@@ -74,6 +74,7 @@
   FrontCounts front_counts_;
   CircleCounts circle_counts_;
   StoreCounts store_counts_;
+  LotCounts lot_counts_;
   std::size_t open_ = 0;
   std::atomic<std::size_t> placed_{0};
   std::atomic<std::uint64_t> syncs_{0}, commits_{0};
--- a/source/lots/lot_ownership.cpp
+++ b/source/lots/lot_ownership.cpp
@@ -12,6 +12,10 @@
 constexpr Span confirm_limit = std::chrono::milliseconds(1500);
 // The time of a lot that names none.
 constexpr Span longest_completion = std::chrono::hours(24);
+// Lots of a slot that is owned no more are remembered so long: the next takeover may be this daemon's again.
+constexpr Span former_span = std::chrono::milliseconds(5000);
+// Between two loads, at most: about as long as the first one took, so that other work has half of the time.
+constexpr Span longest_load_rest = std::chrono::milliseconds(200);
 // So many runners' placers are remembered before those of removed runners are forgotten.
 constexpr std::size_t known_placers = 4096;
 }  // namespace
@@ -24,46 +28,91 @@
       return !configuration->runners.contains(each.first);
     });
   for (std::uint32_t number = 0; number < slot_count; ++number) {
-    Slot& slot = slots_[number];
     auto found = owned->slots.find(number);
+    const Epoch epoch = slots_[number].epoch;
     if (found == owned->slots.end()) {
-      if (slot.epoch.value != 0) leave(number);
-    } else if (slot.epoch != found->second) {
+      if (epoch.value != 0) leave(number);
+      forget_former(slots_[number]);
+    } else if (epoch != found->second) {
       leave(number);
-      slot.epoch = found->second;
-      load(number, found->second);
+      slots_[number].epoch = found->second;
     }
   }
+  load_next();
 }
 
+// An owner that takes its slot again, as after a change of the roster, still has the lots whose records nobody wrote.
 void Lots::leave(std::uint32_t number) {
   Slot old = std::exchange(slots_[number], Slot{});
   std::erase_if(queue_, [&](const auto& each) { return old.lots.contains(each.second); });
   for (auto& then : old.waiting) then(false);
   for (auto& [id, lot] : old.lots)
-    for (auto& waiter : lot.waiters) waiter.answer(lots_loading());
+    for (auto& waiter : std::exchange(lot.waiters, {})) waiter.answer(lots_loading());
+  Slot& slot = slots_[number];
+  slot.former = old.ready ? std::move(old.lots) : std::move(old.former);
+  slot.left = old.ready ? messenger_.timers().now() : old.left;
+  std::erase_if(slot.former, [](const auto& each) { return !settled(each.second); });
 }
 
-void Lots::load(std::uint32_t number, Epoch epoch) {
-  slots_[number].loading = true;
-  messenger_.ask(messenger_.self(), ListSlot{number, epoch, "lot/"}, load_limit,
-                 [this, number, epoch](Result<RecordsReply> result) {
-                   Slot& slot = slots_[number];
-                   if (slot.epoch != epoch) return;
-                   auto* reply = std::get_if<RecordsReply>(&result);
-                   if (reply == nullptr) {
-                     slot.epoch = Epoch{};
-                     slot.loading = false;
-                     return;
-                   }
-                   for (const auto& record : reply->records) {
-                     Lot lot = rebuild(record, epoch);
-                     queue(slot.lots.emplace(lot.id, std::move(lot)).first->second);
-                   }
-                   slot.loading = false;
-                   slot.ready = true;
-                   adopt(number);
-                 });
+void Lots::forget_former(Slot& slot) const {
+  if (!slot.former.empty() && messenger_.timers().now() - slot.left > former_span) slot.former.clear();
+}
+
+bool Lots::settled(const Lot& lot) {
+  if (lot.cancelling || lot.removing) return false;
+  return std::all_of(lot.busy.begin(), lot.busy.end(), [&](std::uint32_t index) {
+    const ItemState state = lot.items[index].state;
+    return state != ItemState::starting && state != ItemState::finishing;
+  });
+}
+
+void Lots::load_next() {
+  if (load_under_way_ || messenger_.timers().now() < load_not_before_) return;
+  for (std::uint32_t number = 0; number < slot_count; ++number)
+    if (slots_[number].epoch.value != 0 && !slots_[number].ready) return load(number);
+}
+
+void Lots::load(std::uint32_t number) {
+  load_under_way_ = true;
+  const Epoch epoch = slots_[number].epoch;
+  ListSlot list{number, epoch, lot_record_key("")};
+  for (const auto& [id, lot] : slots_[number].former) list.known.push_back(WrittenKey{lot_record_key(id), lot.written});
+  const Moment began = messenger_.timers().now();
+  messenger_.ask(messenger_.self(), list, load_limit, [this, number, epoch, began](Result<ListSlotReply> result) {
+    load_under_way_ = false;
+    auto* reply = std::get_if<ListSlotReply>(&result);
+    // Without a reply the store has given the slot up, or will answer when it is asked again.
+    if (reply == nullptr) return;
+    const bool rebuilds = !reply->records.empty();
+    if (slots_[number].epoch == epoch) loaded(number, std::move(*reply));
+    rebuilds ? rest_after_load(messenger_.timers().now() - began) : load_next();
+  });
+}
+
+void Lots::rest_after_load(Span took) {
+  const Span rest = std::min(took, longest_load_rest);
+  load_not_before_ = messenger_.timers().now() + rest;
+  messenger_.timers().after(rest, [this] { load_next(); });
+}
+
+void Lots::loaded(std::uint32_t number, ListSlotReply reply) {
+  Slot& slot = slots_[number];
+  for (const auto& record : reply.records) {
+    Lot lot = rebuild(record, slot.epoch);
+    queue(slot.lots.emplace(lot.id, std::move(lot)).first->second);
+  }
+  for (const auto& key : reply.unchanged) {
+    auto former = slot.former.find(key.substr(lot_record_key("").size()));
+    if (former == slot.former.end()) continue;
+    former->second.epoch = slot.epoch;
+    queue(slot.lots.emplace(former->first, std::move(former->second)).first->second);
+  }
+  slot.former.clear();
+  ++counts_.slots_loaded;
+  counts_.lots_rebuilt += reply.records.size();
+  counts_.lots_kept += reply.unchanged.size();
+  slot.ready = true;
+  adopt(number);
 }
 
 Lots::Lot Lots::rebuild(const Record& record, Epoch epoch) const {
@@ -71,6 +120,7 @@
   Lot lot;
   lot.id = record.key.substr(lot_record_key("").size());
   lot.epoch = epoch;
+  lot.written = record.written;
   if (auto head = from_cbor<LotHead>(record.head)) lot.head = std::move(*head);
   lot.content = lot_content(lot.head);
   lot.items.resize(lot.head.items.size());
--- a/source/lots/lot_submission.cpp
+++ b/source/lots/lot_submission.cpp
@@ -79,6 +79,7 @@
   Record record;
   record.key = lot_record_key(id);
   record.head = head;
+  record.written = std::get<WriteReply>(result).stamp;
   Lot& lot = slot.lots.emplace(id, rebuild(record, epoch)).first->second;
   queue(lot);
   announce_soon_ = true;
--- a/source/lots/lots.cpp
+++ b/source/lots/lots.cpp
@@ -74,7 +74,11 @@
   for (const auto& entry : entries) write.appends.push_back(to_cbor(entry));
   messenger_.ask(messenger_.self(), write, lot_write_limit,
                  [this, id = lot.id, epoch = lot.epoch, then](Result<WriteReply> result) {
-                   then(find_under(id, epoch), fault_of(result) == nullptr);
+                   Lot* now_lot = find_under(id, epoch);
+                   const auto* reply = std::get_if<WriteReply>(&result);
+                   if (now_lot != nullptr && reply != nullptr)
+                     now_lot->written = std::max(now_lot->written, reply->stamp);
+                   then(now_lot, reply != nullptr);
                  });
 }
 
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -8,10 +8,17 @@
 
 namespace mothwalk {
 
+struct LotCounts {
+  std::uint64_t slots_loaded = 0, lots_rebuilt = 0;  // rebuilt: read from their records
+  std::uint64_t lots_kept = 0;                       // taken over as they were, under the owner's next epoch
+  MOTHWALK_FIELDS(slots_loaded, lots_rebuilt, lots_kept)
+};
+
 class Lots {
  public:
   Lots(Messenger& messenger, SharedState& shared_state);
   void start();
+  const LotCounts& counts() const { return counts_; }
 
  private:
   enum class ItemState { pending, starting, started, finishing, finished };
@@ -33,6 +40,7 @@
   struct Lot {
     std::string id;
     Epoch epoch;
+    Stamp written;  // of its record, when it was last known
     LotHead head;
     std::string content;  // names what was handed in: equal for a lot handed in again
     std::vector<Item> items;
@@ -56,6 +64,8 @@
     bool confirming = false;
     std::vector<std::function<void(bool)>> waiting;
     SlotLots lots;
+    SlotLots former;  // as they were when the slot was left, until it is loaded again
+    Moment left;
   };
   struct Finishing;
   struct Fetching;
@@ -67,7 +77,14 @@
   void tick();
   void follow_ownership();
   void leave(std::uint32_t slot);
-  void load(std::uint32_t slot, Epoch epoch);
+  void forget_former(Slot& slot) const;
+  // One slot after the other, and with rests, so that other work of this daemon goes between.
+  void load_next();
+  void rest_after_load(Span took);
+  void load(std::uint32_t slot);
+  void loaded(std::uint32_t slot, ListSlotReply reply);
+  // Nothing of the lot is being written: it is as its record is.
+  static bool settled(const Lot& lot);
   void adopt(std::uint32_t slot);
   void adopted(std::uint32_t slot, const Address& placer, const SlotItems& held);
   static void replay(Lot& lot, LotEntry entry, Moment now);
@@ -140,6 +157,9 @@
   std::map<std::string, double> took_;              // by lane, about how many seconds an item runs
   std::uint64_t ticks_ = 0, last_waiter_ = 0;
   bool announce_soon_ = false;
+  bool load_under_way_ = false;
+  Moment load_not_before_;
+  LotCounts counts_;
   std::set<std::string> announced_;  // kinds
 };
 
--- a/source/replication/hand_over.cpp
+++ b/source/replication/hand_over.cpp
@@ -140,34 +140,9 @@
              Owned& owned = owned_[slot];
              if (owned.state == Owned::State::none || owned.epoch != epoch) return;
              auto* reply = std::get_if<StoreReply>(&result);
-             if (reply != nullptr && reply->outcome == "behind" && times > 1) {
-               Copies copies{{}, {}, slot, epoch, roster, {}};
-               std::size_t size = 0;
-               auto send = [&] {
-                 if (!copies.records.empty())
-                   ask_seat(seat, copies, peer_timeout,
-                            [this](Result<StoreReply> copied) { counts_.copies_late += fault_of(copied) != nullptr; });
-                 counts_.records_copied += copies.records.size();
-                 counts_.bytes_copied += size;
-                 copies.records.clear();
-                 size = 0;
-               };
-               for (const auto& key : reply->missing) {
-                 auto newer = taking->newer.find(key);
-                 auto own = held_[slot].records.find(key);
-                 const Record* record = newer != taking->newer.end()       ? &newer->second
-                                        : own != held_[slot].records.end() ? &own->second
-                                                                           : nullptr;
-                 if (own != held_[slot].records.end() && own->second.stamp.epoch == epoch) record = &own->second;
-                 if (record == nullptr) continue;
-                 if (size + size_of(*record) > longest_message) send();
-                 size += size_of(*record);
-                 copies.records.push_back(*record);
-                 copies.records.back().stamp.epoch = epoch;
-               }
-               send();
-               return install_at(seat, slot, epoch, roster, taking, times - 1);
-             }
+             if (reply != nullptr && reply->outcome == "behind" && times > 1)
+               return queue_transfer(std::make_shared<Transfer>(Transfer{
+                   seat, slot, epoch, roster, taking, {reply->missing.begin(), reply->missing.end()}, times - 1}));
              --taking->left;
              if (reply != nullptr && reply->outcome == "stored") {
                ++taking->stored;
@@ -201,7 +176,8 @@
     if (member == nullptr || member->stalled) continue;
     for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
       Owned& owned = owned_[slot];
-      if (owned.state != Owned::State::owned || owned.roster != roster_.version || owned.whole.contains(seat.holder))
+      if (owned.state != Owned::State::owned || owned.roster != roster_.version || owned.whole.contains(seat.holder) ||
+          transferring(seat.holder, slot))
         continue;
       auto taking = std::make_shared<Taking>();
       for (const auto& [key, record] : held_[slot].records)
--- a/source/replication/messages.hpp
+++ b/source/replication/messages.hpp
@@ -65,14 +65,26 @@
   std::vector<Record> records;
   MOTHWALK_FIELDS(records)
 };
-// Local: all records of an owned slot under a prefix.
+// A key and when its record was last written.
+struct WrittenKey {
+  std::string key;
+  Stamp written;
+  MOTHWALK_FIELDS(key, written)
+};
+struct ListSlotReply {
+  std::vector<Record> records;
+  std::vector<std::string> unchanged;  // keys of records that the asker has as they are
+  MOTHWALK_FIELDS(records, unchanged)
+};
+// Local: all records of an owned slot under a prefix, but for those that the asker has.
 struct ListSlot {
   static constexpr View kind = "store.list";
-  using Reply = RecordsReply;
+  using Reply = ListSlotReply;
   std::uint32_t slot = 0;
   Epoch epoch;
   std::string prefix;
-  MOTHWALK_FIELDS(slot, epoch, prefix)
+  std::vector<WrittenKey> known{};
+  MOTHWALK_FIELDS(slot, epoch, prefix, known)
 };
 // Asks the owner whether it still is the owner under the epoch; answered after a majority has said so.
 struct ConfirmReply {
@@ -95,6 +107,8 @@
 };
 // Records go in messages of about this size; one larger record goes alone.
 inline constexpr std::size_t longest_message = 1u << 20;
+// Records that go along with a promise: more are fetched, from one of the replicas that have them.
+inline constexpr std::size_t longest_promise = 64u << 10;
 
 // A promise comes with the records that are newer than what the taker has. Those of which it has the content already,
 // or that did not fit, are only named.
--- a/source/replication/reads.cpp
+++ b/source/replication/reads.cpp
@@ -31,13 +31,21 @@
   });
 }
 
-void ReplicatedStore::on_list_slot(const Address& from, ListSlot list, Answer<RecordsReply> answer) {
+void ReplicatedStore::on_list_slot(const Address& from, ListSlot list, Answer<ListSlotReply> answer) {
   if (from != self_.address || list.slot >= slot_count || owned_[list.slot].state != Owned::State::owned ||
       owned_[list.slot].epoch != list.epoch)
     return answer(moved());
-  RecordsReply reply;
-  for (const auto& [key, record] : held_[list.slot].records)
-    if (key.starts_with(list.prefix) && !record.removed) reply.records.push_back(record);
+  std::map<View, Stamp> known;
+  for (const auto& each : list.known) known[each.key] = each.written;
+  ListSlotReply reply;
+  for (const auto& [key, record] : held_[list.slot].records) {
+    if (!key.starts_with(list.prefix) || record.removed) continue;
+    auto same = known.find(key);
+    if (same != known.end() && same->second == record.written)
+      reply.unchanged.push_back(key);
+    else
+      reply.records.push_back(record);
+  }
   answer(std::move(reply));
 }
 
--- a/source/replication/replica.cpp
+++ b/source/replication/replica.cpp
@@ -37,7 +37,7 @@
       if (found != have.end() && found->second->stamp >= record.stamp) continue;
       const bool same = found != have.end() && found->second->written == record.written;
       if (!same) size += size_of(record);
-      if (!same && size <= longest_message)
+      if (!same && size <= longest_promise)
         reply.records.push_back(record);
       else
         reply.more.push_back(RecordStamp{key, record.stamp, record.written});
--- a/source/replication/replicated_store.cpp
+++ b/source/replication/replicated_store.cpp
@@ -69,7 +69,7 @@
   messenger_.on_ask<Read>([this](const Address&, Read message, Answer<ReadReply> answer) {
     on_read(std::move(message), std::move(answer));
   });
-  messenger_.on_ask<ListSlot>([this](const Address& from, ListSlot message, Answer<RecordsReply> answer) {
+  messenger_.on_ask<ListSlot>([this](const Address& from, ListSlot message, Answer<ListSlotReply> answer) {
     on_list_slot(from, std::move(message), std::move(answer));
   });
   messenger_.on_ask<ConfirmSlot>([this](const Address&, ConfirmSlot message, Answer<ConfirmReply> answer) {
@@ -110,6 +110,7 @@
       const Seat* first = slot_owner(roster_, *members, slot);
       if (first != nullptr && first->holder == identity_) take(slot);
     }
+    resume_transfers();
     if (ticks_ % 10 == 0) {
       install_at_returned();
       repair();
@@ -149,6 +150,7 @@
 void ReplicatedStore::adopt(const Roster& roster) {
   if (roster.version <= roster_.version) return;
   roster_ = roster;
+  adopted_ = messenger_.timers().now();
   tell_seats();
   persist(DiskEntry{.what = "roster", .roster = roster_}, [] {});
 }
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -84,7 +84,7 @@
   void on_range(Range range, Answer<RangeReply> answer);
   void on_fetch_records(FetchRecords fetch, Answer<RecordsReply> answer);
   void on_read(Read read, Answer<ReadReply> answer);
-  void on_list_slot(const Address& from, ListSlot list, Answer<RecordsReply> answer);
+  void on_list_slot(const Address& from, ListSlot list, Answer<ListSlotReply> answer);
   void on_confirm_slot(ConfirmSlot request, Answer<ConfirmReply> answer);
   // Whether a message of an owner is taken under the promise and the roster in force; answers it where it is not.
   bool accepts(const HolderId& target, const HolderId& owner, std::uint32_t slot, Epoch epoch, Version roster,
@@ -120,9 +120,33 @@
     std::map<std::string, std::pair<RecordStamp, Seat>> lacking;  // newer still, and who has it
     std::map<std::string, Stamp> raised;                          // of what this holder has the content of
     std::vector<RecordStamp> content;
-    std::size_t stored = 0, left = 0;
+    std::size_t stored = 0, left = 0;  // seats that have all of it, and those that have not said so
+    std::size_t waiting = 0;           // of the latter those that get copies
   };
   using TakingPointer = std::shared_ptr<Taking>;
+  struct Transfer {  // records of a slot that a seat lacks
+    Seat seat;
+    std::uint32_t slot = 0;
+    Epoch epoch;
+    Version roster;
+    TakingPointer taking;
+    std::deque<std::string> missing;
+    int times = 0;  // that the installation is tried after it
+  };
+  using TransferPointer = std::shared_ptr<Transfer>;
+  struct SeatTransfers {
+    std::deque<TransferPointer> waiting;
+    bool sending = false;
+  };
+  void queue_transfer(TransferPointer transfer);
+  bool transferring(const HolderId& holder, std::uint32_t slot) const;
+  bool current(const Transfer& transfer) const;
+  bool needed(const Transfer& transfer) const;
+  void send_copies(const HolderId& holder);
+  Copies next_copies(Transfer& transfer);
+  const Record* record_to_copy(const Transfer& transfer, const std::string& key) const;
+  void copied(const TransferPointer& transfer, const StoreReply* reply);
+  void resume_transfers();
   void taken(std::uint32_t slot, Epoch epoch, TakingPointer taking);
   void hand_over(std::uint32_t slot, Epoch epoch, TakingPointer taking);
   void install_at_returned();
@@ -167,6 +191,16 @@
   std::optional<Roster> next_roster(const std::string& key, const Roster& current, const std::string& keeps);
   // Whether dead seats or too few of them are left, and for how long they have been; tells when they no longer are.
   void watch_seats(const std::string& key, const Roster& current, bool lacking);
+  // Whether every seat has been seen to hold all of every slot under the roster in force.
+  bool copied_whole(const std::string& key, const Roster& current) const;
+  void watch_joining(const std::string& key, const Roster& current);
+  struct Copied {  // the slots seen whole on every seat under a version of a roster
+    Version roster;
+    std::set<std::uint32_t> slots;
+  };
+  static void note_whole_slots(Copied& copied, const std::vector<SettledReply>& replies);
+  // Asks all seats what they hold, and notes the slots that are whole on each of them.
+  void look_at_copies(const std::string& key, const Roster& current, std::function<void()> then);
   void change_when_settled(const std::string& key, const Roster& current, Roster next);
   void change_roster(const std::string& key, Roster next);
   template <class Message, class Then>
@@ -192,6 +226,8 @@
   bool durable_ = false;  // whether the identity is known to be on the disk
   std::uint64_t commits_ = 0, ticks_ = 0;
   StoreCounts counts_;
+  std::map<HolderId, SeatTransfers> transfers_;
+  Moment adopted_;  // when the roster in force became known here
   std::optional<bool> first_start_;
   bool founding_ = false;
   std::map<HolderId, Seat> candidates_;  // for the first roster, as the seeds told, and since when they are these
@@ -199,10 +235,6 @@
   std::set<std::string> unsettled_;         // the keys of rosters that wait for their slots before they can change
   std::set<std::string> changing_;          // the keys of rosters whose change is under way
   std::map<std::string, Watched> watched_;  // by the roster's key
-  struct Copied {                           // the slots seen whole on every seat under a version of a roster
-    Version roster;
-    std::set<std::uint32_t> slots;
-  };
   std::map<std::string, Copied> copied_;
   std::map<Address, Moment> approved_;  // retirements that were allowed to begin and may not be in the news yet
   std::size_t newcomers_ = 0;           // holders of lots seen before their first roster, and since when so many
--- a/source/replication/retirement.cpp
+++ b/source/replication/retirement.cpp
@@ -79,37 +79,46 @@
     const bool refused = !reply.known || (asked.begins && !reply.retired && !reply.enough_remain);
     if (refused && asked.begins && messenger_.timers().now() - started_ < members_settle) return answer(moved());
     if (asked.begins) return answer(reply);
-    Copied& copied = copied_[asked.roster];
-    if (copied.roster != roster.version) copied = Copied{roster.version, {}};
-    reply.complete = reply.retired && !reply.seated && copied.slots.size() == slot_count;
+    reply.complete = reply.retired && !reply.seated && copied_whole(asked.roster, roster);
     if (reply.complete || reply.seated || !reply.retired) return answer(reply);
-    auto replies = std::make_shared<std::vector<SettledReply>>();
-    auto left = std::make_shared<std::size_t>(roster.seats.size());
-    for (const auto& seat : roster.seats)
-      messenger_.ask(seat.address, Settled{roster.version}, peer_timeout,
-                     [this, replies, left, reply, answer, key = asked.roster, version = roster.version,
-                      seats = roster.seats.size()](Result<SettledReply> result) {
-                       if (auto* settled = std::get_if<SettledReply>(&result);
-                           settled != nullptr && settled->installed.size() == slot_count &&
-                           settled->digests.size() == slot_count && settled->epochs.size() == settled->slots.size())
-                         replies->push_back(std::move(*settled));
-                       if (--*left > 0) return;
-                       Copied& now_copied = copied_[key];
-                       if (now_copied.roster != version || replies->size() != seats) return answer(reply);
-                       for (const auto& owner : *replies)
-                         for (std::size_t index = 0; index < owner.slots.size(); ++index) {
-                           const std::uint32_t number = owner.slots[index];
-                           bool whole = number < slot_count;
-                           for (const auto& copy : *replies)
-                             whole = whole && (copy.installed[number] >= owner.epochs[index] ||
-                                               copy.digests[number] == owner.digests[number]);
-                           if (whole) now_copied.slots.insert(number);
-                         }
-                       RetirementReply final_reply = reply;
-                       final_reply.complete = now_copied.slots.size() == slot_count;
-                       answer(final_reply);
-                     });
+    look_at_copies(asked.roster, roster, [this, reply, answer, key = asked.roster, roster] {
+      RetirementReply final_reply = reply;
+      final_reply.complete = copied_whole(key, roster);
+      answer(final_reply);
+    });
   });
 }
 
+void ReplicatedStore::look_at_copies(const std::string& key, const Roster& current, std::function<void()> then) {
+  if (Copied& copied = copied_[key]; copied.roster != current.version) copied = Copied{current.version, {}};
+  auto replies = std::make_shared<std::vector<SettledReply>>();
+  auto left = std::make_shared<std::size_t>(current.seats.size());
+  for (const auto& seat : current.seats)
+    messenger_.ask(seat.address, Settled{current.version}, peer_timeout,
+                   [this, replies, left, key, version = current.version, seats = current.seats.size(),
+                    then](Result<SettledReply> result) {
+                     if (auto* settled = std::get_if<SettledReply>(&result);
+                         settled != nullptr && settled->installed.size() == slot_count &&
+                         settled->digests.size() == slot_count && settled->epochs.size() == settled->slots.size())
+                       replies->push_back(std::move(*settled));
+                     if (--*left > 0) return;
+                     Copied& copied = copied_[key];
+                     if (copied.roster == version && replies->size() == seats) note_whole_slots(copied, *replies);
+                     then();
+                   });
+}
+
+// A slot is whole where each seat has what its owner has.
+void ReplicatedStore::note_whole_slots(Copied& copied, const std::vector<SettledReply>& replies) {
+  for (const auto& owner : replies)
+    for (std::size_t index = 0; index < owner.slots.size(); ++index) {
+      const std::uint32_t number = owner.slots[index];
+      if (number >= slot_count) continue;
+      const bool whole = std::all_of(replies.begin(), replies.end(), [&](const SettledReply& copy) {
+        return copy.installed[number] >= owner.epochs[index] || copy.digests[number] == owner.digests[number];
+      });
+      if (whole) copied.slots.insert(number);
+    }
+}
+
 }  // namespace mothwalk
--- a/source/replication/roster_changes.cpp
+++ b/source/replication/roster_changes.cpp
@@ -15,6 +15,12 @@
 constexpr Span successor_window = seconds(6);
 constexpr Span lots_founding_pause = milliseconds(1500);
 constexpr std::size_t wanted_seats = 5, fewest_seats = 3;
+constexpr std::uint64_t joining_ticks = 6;         // between looks at what joining seats hold
+constexpr Span settled_limit = milliseconds(300);  // a seat that is busy for longer is asked again
+
+bool joining(const Roster& roster) {
+  return std::any_of(roster.seats.begin(), roster.seats.end(), [](const Seat& seat) { return seat.joining; });
+}
 }  // namespace
 
 // One change at a time, only when every slot has been handed over whole under the roster in force: then any majority of
@@ -24,7 +30,10 @@
   if (owned_[slot].state != Owned::State::owned) return stop_watching("roster");
   if (changing_.contains("roster")) return;
   if (!held_[slot].records.contains("roster")) return change_roster("roster", roster_);
-  if (auto next = next_roster("roster", roster_, self_.keeps)) change_when_settled("roster", roster_, std::move(*next));
+  if (auto next = next_roster("roster", roster_, self_.keeps))
+    change_when_settled("roster", roster_, std::move(*next));
+  else
+    watch_joining("roster", roster_);
 }
 
 void ReplicatedStore::stop_watching(const std::string& key) {
@@ -42,8 +51,11 @@
   if (auto found = held_[slot].records.find(key); found != held_[slot].records.end()) {
     auto current = from_json<Roster>(found->second.head);
     if (fault_of(current) != nullptr) return;
-    if (auto next = next_roster(key, std::get<Roster>(current), "lots"))
-      change_when_settled(key, std::get<Roster>(current), std::move(*next));
+    const Roster& roster = std::get<Roster>(current);
+    if (auto next = next_roster(key, roster, "lots"))
+      change_when_settled(key, roster, std::move(*next));
+    else
+      watch_joining(key, roster);
     return;
   }
   std::size_t seen = 0;
@@ -131,17 +143,32 @@
   watch_seats(key, current, lacking);
   if (worst == SeatState::missing) return std::nullopt;
   const std::size_t left = current.seats.size() - (gone != nullptr);
+  const bool founding = current.version == Version{};
   const bool dead = worst > SeatState::missing;
   const bool may_drop = gone != nullptr && (left >= fewest_seats || (dead && !spare.empty() && left >= 2));
   if (may_drop && (dead || left >= wanted_seats || spare.empty()))
     std::erase_if(next.seats, [&](const Seat& seat) { return seat.holder == gone->holder; });
   else if (!spare.empty() && left < wanted_seats)
-    next.seats.push_back(Seat{spare[0]->holder, spare[0]->address, spare[0]->zone, spare[0]->name});
+    next.seats.push_back(Seat{spare[0]->holder, spare[0]->address, spare[0]->zone, spare[0]->name, !founding});
+  else if (joining(current) && copied_whole(key, current))
+    for (auto& seat : next.seats) seat.joining = false;
   else
     return std::nullopt;
   return next;
 }
 
+bool ReplicatedStore::copied_whole(const std::string& key, const Roster& current) const {
+  auto copied = copied_.find(key);
+  return copied != copied_.end() && copied->second.roster == current.version &&
+         copied->second.slots.size() == slot_count;
+}
+
+// Seats that joined own slots once every seat has been seen to hold all of every slot.
+void ReplicatedStore::watch_joining(const std::string& key, const Roster& current) {
+  if (!joining(current) || copied_whole(key, current) || ticks_ % joining_ticks != 0) return;
+  look_at_copies(key, current, [] {});
+}
+
 void ReplicatedStore::watch_seats(const std::string& key, const Roster& current, bool lacking) {
   if (current.version == Version{}) return;  // it is being founded
   Watched& watched = watched_[key];
@@ -174,7 +201,7 @@
   count->left = seats.size();
   if (seats.empty()) changing_.erase(key);
   for (const auto& seat : seats)
-    messenger_.ask(seat.address, Settled{current.version}, peer_timeout,
+    messenger_.ask(seat.address, Settled{current.version}, settled_limit,
                    [this, count, key, next, version = current.version](Result<SettledReply> result) {
                      --count->left;
                      if (count->over) return;
--- a/source/sessions/shared_state.cpp
+++ b/source/sessions/shared_state.cpp
@@ -51,6 +51,7 @@
   std::vector<const Seat*> order;
   for (const auto& seat : roster.seats) order.push_back(&seat);
   std::sort(order.begin(), order.end(), [&](const Seat* left, const Seat* right) {
+    if (left->joining != right->joining) return right->joining;
     return hash_of(left->holder.text, slot + 1) > hash_of(right->holder.text, slot + 1);
   });
   return order;
--- a/source/sessions/shared_state.hpp
+++ b/source/sessions/shared_state.hpp
@@ -115,7 +115,7 @@
 
 inline constexpr std::uint32_t slot_count = 32;
 std::uint32_t slot_of(View key);
-// The seats of the roster in the order in which they come to own a slot.
+// The seats of the roster in the order in which they come to own a slot; those that are joining come last.
 std::vector<const Seat*> slot_order(const Roster& roster, std::uint32_t slot);
 // The first live seat in that order, or none.
 const Seat* slot_owner(const Roster& roster, const Members& members, std::uint32_t slot);
--- a/tests/coding_test.cpp
+++ b/tests/coding_test.cpp
@@ -118,6 +118,23 @@
   CHECK(fault_of(check_document("holder", "10.0.0.1:1", R"({"retired":true})", view)) != nullptr);
 }
 
+TEST_CASE("a seat that is joining owns a slot only where no other seat can") {
+  Roster roster{Version{3}, {}};
+  Members members;
+  for (const char* name : {"a", "b", "c"}) {
+    roster.seats.push_back(Seat{HolderId(name), Address(name), ZoneId("h")});
+    members.all[Address(name)].holder = HolderId(name);
+  }
+  roster.seats[1].joining = true;
+  for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
+    CHECK(slot_order(roster, slot).back()->holder == HolderId("b"));
+    CHECK(slot_owner(roster, members, slot)->holder != HolderId("b"));
+  }
+  members.all.erase(Address("a"));
+  members.all.erase(Address("c"));
+  CHECK(slot_owner(roster, members, 0)->holder == HolderId("b"));
+}
+
 TEST_CASE("a path leads to the lane with the longest matching path") {
   ConfigurationView view;
   for (auto [key, value] : {std::pair<const char*, const char*>{"lane/a", R"({"path":"/a","kind":"k"})"},
--- a/tests/lot_batches_test.cpp
+++ b/tests/lot_batches_test.cpp
@@ -57,6 +57,67 @@
   CHECK(third.read("lot").results.at(0).body == "held");
 }
 
+TEST_CASE("an owner that takes its slots again keeps its lots, and what their placers hold stays with them") {
+  KeptStore store;
+  OwnerFixture owner(store, 4);
+  owner.good(SubmitLot{"lot", OwnerFixture::batch(4)});
+  const auto items = owner.fetch(2);
+  REQUIRE(items.size() == 2);
+  CHECK(owner.finish(items[0], "answer", "none"));
+  owner.retake(5);
+  CHECK(owner.lots.counts().lots_kept == 1);
+  CHECK(owner.lots.counts().lots_rebuilt == 0);
+  CHECK(owner.read("lot").results.at(0).body == "none");
+  const auto rest = owner.fetch(10);
+  REQUIRE(rest.size() == 2);
+  CHECK(rest[0].item == 2);
+  CHECK(owner.finish(items[1], "answer", "held"));
+  CHECK(owner.read("lot").results.at(1).body == "held");
+}
+
+TEST_CASE("a lot that another owner wrote to meanwhile is read from its record again") {
+  KeptStore store;
+  OwnerFixture owner(store, 4);
+  owner.good(SubmitLot{"lot", OwnerFixture::batch(2)});
+  owner.good(SubmitLot{"other", OwnerFixture::batch(2)});
+  {
+    OwnerFixture between(store, 5);
+    const auto items = between.fetch(4);
+    REQUIRE(items.size() == 4);
+    for (const auto& item : items)
+      if (item.lot == "lot") CHECK(between.finish(item, "answer", "theirs"));
+  }
+  owner.retake(6);
+  CHECK(owner.lots.counts().lots_kept == 1);
+  CHECK(owner.lots.counts().lots_rebuilt == 1);
+  CHECK(owner.read("lot").results.size() == 2);
+  CHECK(owner.read("other").results.empty());
+}
+
+TEST_CASE("a lot with a result under way is read from its record again, and so are all after a long absence") {
+  KeptStore store;
+  OwnerFixture owner(store, 4);
+  owner.good(SubmitLot{"lot", OwnerFixture::batch(2)});
+  const auto items = owner.fetch(1);
+  REQUIRE(items.size() == 1);
+  store.delay = milliseconds(30);
+  FinishItem report;
+  report.lot = "lot";
+  report.item = items[0].item;
+  report.attempt = items[0].attempt;
+  report.outcome = "answer";
+  report.status = 200;
+  report.body = "late";
+  owner.call(FinishItems{{report}});
+  owner.retake(5);
+  CHECK(owner.lots.counts().lots_kept == 0);
+  CHECK(owner.lots.counts().lots_rebuilt == 1);
+  CHECK(owner.read("lot").results.at(0).body == "late");
+  owner.retake(6, seconds(6));
+  CHECK(owner.lots.counts().lots_kept == 0);
+  CHECK(owner.lots.counts().lots_rebuilt == 2);
+}
+
 TEST_CASE("the starts of a batch's items are on no disk") {
   KeptStore store;
   OwnerFixture owner(store, 4);
--- a/tests/lots_fixture.hpp
+++ b/tests/lots_fixture.hpp
@@ -39,7 +39,24 @@
     for (std::uint32_t slot = 0; slot < slot_count; ++slot) owned.slots[slot] = Epoch{epoch};
     shared_state.owned.set(owned);
     lots.start();
-    wait(std::chrono::milliseconds(10));
+    until_loaded(slot_count);
+  }
+  // Until so many slots have been loaded since the start.
+  void until_loaded(std::uint64_t slots) {
+    for (int count = 0; count < 300 && lots.counts().slots_loaded < slots; ++count) wait(std::chrono::milliseconds(1));
+    REQUIRE(lots.counts().slots_loaded == slots);
+  }
+  // Takes all slots again, under a higher epoch.
+  void retake(std::uint64_t epoch, Span between = {}) {
+    shared_state.owned.set(Ownership{});
+    wait(std::chrono::milliseconds(60) + between);
+    epoch_ = epoch;
+    Ownership owned;
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot) owned.slots[slot] = Epoch{epoch};
+    shared_state.owned.set(owned);
+    const std::uint64_t before = lots.counts().slots_loaded;
+    wait(std::chrono::milliseconds(60));
+    until_loaded(before + slot_count);
   }
   ~OwnerFixture() override { life->alive = false; }
   void put(const std::string& key, const Bytes& value) {
@@ -72,9 +89,14 @@
     };
     if (asked.kind == "store.list") {
       const auto list = *from_cbor<ListSlot>(asked.body);
-      RecordsReply records;
-      for (const auto& [key, record] : store.records)
-        if (slot_of(key) == list.slot && !record.removed) records.records.push_back(record);
+      ListSlotReply records;
+      for (const auto& [key, record] : store.records) {
+        if (slot_of(key) != list.slot || record.removed) continue;
+        const bool known = std::any_of(list.known.begin(), list.known.end(), [&](const WrittenKey& each) {
+          return each.key == key && each.written == record.written;
+        });
+        known ? records.unchanged.push_back(key) : records.records.push_back(record);
+      }
       return give(to_cbor(records));
     }
     if (asked.kind == "store.confirmslot")
@@ -84,14 +106,15 @@
     ++writes;
     Record& record = store.records[write.key];
     if (write.expected && *write.expected != record.stamp.version.value)
-      return record.token == write.token ? give(to_cbor(WriteReply{})) : refuse(FaultKind::stale);
+      return record.token == write.token ? give(to_cbor(WriteReply{record.stamp, record.entries.size()}))
+                                         : refuse(FaultKind::stale);
     record.key = write.key;
     record.removed = write.removed;
     record.token = write.token;
     if (write.head) record.head = *write.head;
     record.entries.insert(record.entries.end(), write.appends.begin(), write.appends.end());
-    record.stamp = Stamp{Epoch{epoch_}, record.stamp.version.next()};
-    give(to_cbor(WriteReply{}));
+    record.stamp = record.written = Stamp{Epoch{epoch_}, record.stamp.version.next()};
+    give(to_cbor(WriteReply{record.stamp, record.entries.size()}));
   }
   void wait(Span span) { world.run_until(world.now() + span); }
   // Asks the owner, and gives the call's number.
--- a/tests/lots_test.cpp
+++ b/tests/lots_test.cpp
@@ -34,7 +34,7 @@
     messenger.take(
         Envelope{self, 1, "lots", "store", fault ? "fault" : "reply", asked.call, true,
                  fault ? to_cbor(WireFault{static_cast<std::int32_t>(FaultKind::busy), "slot", "moved", "ask again"})
-                 : asked.kind == "store.list" ? to_cbor(RecordsReply{})
+                 : asked.kind == "store.list" ? to_cbor(ListSlotReply{})
                                               : to_cbor(ConfirmReply{}),
                  protocol_number});
   };
