Record log: a rewrite that the disk has no room for is not begun, or is abandoned

A rewrite was begun only when the file was half as long again as what is kept; with 56 of 140 MB kept its next file and the appends beside it filled the disk, an append failed, and the file counted as broken. All seats of a group keep the same records, so that they come to it at about the same time. Now a rewrite begins earlier on a short disk (an eighth to gain), only where it fits, and is dropped where appends come to need the room; what is kept may grow to the limit without one. Both new tests fail without the change of record_log.cpp.

--- a/source/replication/log_files.cpp
+++ b/source/replication/log_files.cpp
@@ -39,6 +39,9 @@
       case DiskOrder::Kind::switch_to_next:
         results.push_back(switch_to_next());
         break;
+      case DiskOrder::Kind::drop_next:
+        results.push_back(drop_next());
+        break;
     }
     ++index;
   }
@@ -94,4 +97,9 @@
   return !failed_;
 }
 
+bool LogFiles::drop_next() {
+  next_good_ = false;
+  return volume_.remove(next_file);
+}
+
 }  // namespace mothwalk
--- a/source/replication/log_files.hpp
+++ b/source/replication/log_files.hpp
@@ -24,6 +24,7 @@
   bool begin_next();
   bool write_next(View bytes);
   bool switch_to_next();
+  bool drop_next();
 
   Volume& volume_;
   std::size_t synced_ = 0, next_size_ = 0;  // bytes of the file that are safe, and of the next one
--- a/source/replication/record_log.cpp
+++ b/source/replication/record_log.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr std::size_t rewrite_floor = 8u << 20;       // bytes: shorter files are left alone
 constexpr std::size_t rewrite_growth = 3;             // times the size after the last rewrite
+constexpr std::size_t least_gain = 8;                 // an eighth of what is held, for a rewrite on a short disk
 constexpr std::size_t piece_size = 1u << 20;          // of one write to the next file
 constexpr std::size_t least_reserve = 4u << 20;       // bytes kept free for changes of what is held
 constexpr Span stall_span = std::chrono::seconds(1);  // an unanswered order that is older means a stalled disk
@@ -58,6 +59,7 @@
   if (phase_ == Phase::writing && (!belongs_to_slot(entry) || entry.slot < next_slot_)) queue_next(entry);
   ++appends_;
   Bytes frame = frame_entry(entry, mark());
+  abandon_rewrite(frame.size());
   size_ += frame.size();
   order_append(std::move(frame), std::move(then));
 }
@@ -91,12 +93,24 @@
 
 bool RecordLog::rewrite_due() const {
   if (failed_) return timers_.now() >= rewrite_not_before_;
+  if (!rewrite_fits() || timers_.now() < rewrite_not_before_) return false;
   const std::size_t held = contents_.size();
-  const std::size_t reserve = reserve_of(limit_);
-  const bool short_of_room = limit_ > 0 && size_ + held + reserve >= limit_ && size_ > held + held / 2;
-  if (short_of_room) return timers_.now() >= rewrite_not_before_;
-  return size_ >= rewrite_floor && size_ >= rewrite_growth * std::max(base_, held) &&
-         timers_.now() >= rewrite_not_before_;
+  const bool last_chance = limit_ > 0 && size_ + held + reserve_of(limit_) >= limit_;
+  if (last_chance && size_ > held + held / least_gain) return true;
+  return size_ >= rewrite_floor && size_ >= rewrite_growth * std::max(base_, held);
+}
+
+bool RecordLog::rewrite_fits() const {
+  return limit_ == 0 || size_ + contents_.size() + reserve_of(limit_) / 8 < limit_;
+}
+
+bool RecordLog::abandon_rewrite(std::size_t more) {
+  const bool fits = limit_ == 0 || size_ + next_size_ + more + reserve_of(limit_) / 16 < limit_;
+  // A file that failed takes nothing: only a next one brings the disk back.
+  if (phase_ != Phase::writing || failed_ || fits) return false;
+  phase_ = Phase::dropping;
+  order(DiskOrder::Kind::drop_next, {}, [this](bool) { end_rewrite(false); });
+  return true;
 }
 
 void RecordLog::tick() {
@@ -109,7 +123,10 @@
   next_frames_.clear();
   next_size_ = next_synced_ = 0;
   for (const auto& entry : contents_.head()) queue_next(entry);
-  order(DiskOrder::Kind::begin_next, {}, [this](bool good) { good ? next_piece() : end_rewrite(false); });
+  order(DiskOrder::Kind::begin_next, {}, [this](bool good) {
+    if (phase_ != Phase::writing) return;
+    good ? next_piece() : end_rewrite(false);
+  });
 }
 
 void RecordLog::queue_next(const DiskEntry& entry) {
@@ -130,6 +147,7 @@
     next_frames_.pop_front();
   }
   const bool last = next_frames_.empty() && next_slot_ == slot_count;
+  if (abandon_rewrite(piece.size())) return;
   order_piece(std::move(piece));
   if (last) order_switch();
 }
@@ -162,6 +180,7 @@
 void RecordLog::end_rewrite(bool good) {
   phase_ = Phase::idle;
   next_frames_.clear();
+  next_size_ = 0;
   if (good) {
     ++rewrites_;
     failed_ = false;
--- a/source/replication/record_log.hpp
+++ b/source/replication/record_log.hpp
@@ -41,10 +41,14 @@
   std::size_t file_size() const { return size_; }
 
  private:
-  enum class Phase { idle, writing, switching };
+  enum class Phase { idle, writing, switching, dropping };
   std::uint64_t mark() const { return phase_ == Phase::switching ? 0 : synced_; }
   void order_append(Bytes frame, std::function<void()> then);
   bool rewrite_due() const;
+  // Whether the disk takes a second file of all that is held, and its growth meanwhile.
+  bool rewrite_fits() const;
+  // Leaves the file as it is where the next file would fill the disk: appends must never fail for a rewrite's sake.
+  bool abandon_rewrite(std::size_t more);
   void begin_rewrite();
   void next_piece();
   void order_piece(Bytes piece);
--- a/source/replication/writes.cpp
+++ b/source/replication/writes.cpp
@@ -55,6 +55,7 @@
       continue;
     }
     if (absent && !key.starts_with("roster") && !log_.has_room()) {
+      ++counts_.refused_for_room;
       first.answer(Fault{FaultKind::refused, "disk", "there is no room on the disk for anything new",
                          "try again later; what is kept may be changed and removed meanwhile"});
       continue;
--- a/source/seams/disk.hpp
+++ b/source/seams/disk.hpp
@@ -14,6 +14,7 @@
     begin_next,      // a next file, empty, in place of any unfinished one
     write_next,      // append to the next file, then sync it
     switch_to_next,  // put the next file in the place of the file, and sync the folder
+    drop_next,       // the next file is of no use any more
   };
   Kind kind = Kind::append;
   Bytes bytes;
--- a/tests/log_files_test.cpp
+++ b/tests/log_files_test.cpp
@@ -282,3 +282,78 @@
   CHECK(volume.total() < (14u << 20));
   CHECK(log.has_room());
 }
+
+namespace {
+// A log on a disk of limited room, whose memory holds as many bytes as a test says.
+struct LimitedLog {
+  explicit LimitedLog(std::size_t held_bytes) : held(held_bytes) {
+    volume.capacity = limit;
+    REQUIRE(files.open());
+    log.start(std::get<ReadFile>(log.load()));
+  }
+  RecordLog::Contents contents() {
+    RecordLog::Contents made;
+    made.head = [] {
+      return std::vector<DiskEntry>{};
+    };
+    made.slot = [this](std::uint32_t) {
+      DiskEntry entry = change_of(1);
+      entry.change.head = Bytes(held / slot_count, 'h');
+      return std::vector<DiskEntry>{entry};
+    };
+    made.size = [this] {
+      return held;
+    };
+    return made;
+  }
+  void append_megabyte() {
+    DiskEntry large = change_of(2);
+    large.change.head = Bytes(1u << 20, 'l');
+    ++appended;
+    log.append(large, [this] { ++safe; });
+  }
+  static constexpr std::size_t limit = 40u << 20;
+  std::size_t held;
+  SimulatedVolume volume;
+  LogFiles files{volume};
+  Writer::DirectDisk disk{files};
+  World world{5};
+  SimulatedTimers timers{world, std::make_shared<Life>()};
+  RecordLog log{disk, timers, contents(), limit};
+  int appended = 0, safe = 0;
+};
+}  // namespace
+
+TEST_CASE("a rewrite that comes to fill the disk is abandoned, and no append fails for its sake") {
+  LimitedLog limited(12u << 20);
+  while (limited.log.file_size() < (24u << 20)) limited.append_megabyte();
+  limited.disk.run();
+  limited.log.tick();
+  REQUIRE_FALSE(limited.disk.orders.empty());
+  // Far more comes during the rewrite than it was begun for.
+  while (limited.log.file_size() < (36u << 20)) {
+    limited.append_megabyte();
+    limited.append_megabyte();
+    limited.disk.run();
+  }
+  while (limited.disk.run()) {}
+  CHECK_FALSE(limited.log.failed());
+  CHECK(limited.safe == limited.appended);
+  CHECK(limited.log.rewrites() == 0);
+  limited.log.tick();
+  CHECK_FALSE(limited.disk.run());
+  CHECK(limited.volume.total() == limited.log.file_size());
+}
+
+TEST_CASE("no rewrite begins for which the disk has no room, and the file grows to its limit instead") {
+  LimitedLog limited(19u << 20);
+  while (limited.log.file_size() < (34u << 20)) {
+    limited.append_megabyte();
+    limited.disk.run();
+    if (limited.log.file_size() > (20u << 20)) limited.log.tick();
+    while (limited.disk.run()) REQUIRE(limited.volume.total() < LimitedLog::limit);
+  }
+  CHECK_FALSE(limited.log.failed());
+  CHECK(limited.safe == limited.appended);
+  CHECK(limited.log.rewrites() == 0);
+}
