--- a/source/replication/copying.cpp
+++ b/source/replication/copying.cpp
@@ -15,9 +15,9 @@
 
 void ReplicatedStore::queue_transfer(TransferPointer transfer) {
   ++transfer->taking->waiting;
-  SeatTransfers& seat = transfers_[transfer->seat.holder];
-  seat.waiting.push_back(std::move(transfer));
-  send_copies(seat.waiting.back()->seat.holder);
+  const HolderId holder = transfer->seat.holder;
+  transfers_[holder].waiting.push_back(std::move(transfer));
+  send_copies(holder);
 }
 
 bool ReplicatedStore::transferring(const HolderId& holder, std::uint32_t slot) const {
