--- a/source/simulate/loss_scenarios.cpp
+++ b/source/simulate/loss_scenarios.cpp
@@ -213,7 +213,10 @@
   return losses.tolerance.machines == 1 ? 3 : 2 * losses.tolerance.machines + 1;
 }
 
-bool whole(const Losses& losses) {
+// Seated: enough seats, and an owner under their roster for every slot. Whole: each seat has all of every slot as well.
+enum class Restored { seated, whole };
+
+bool restored(const Losses& losses, Restored wanted) {
   const Roster* roster = nullptr;
   std::map<HolderId, ReplicatedStore*> stores;
   for (Machine* holder : group(losses)) {
@@ -231,21 +234,30 @@
       owned = std::max(owned, view.owned);
       least = std::min(least, view.installed);
     }
-    if (owned == Epoch{} || least < owned) return false;
+    if (owned == Epoch{} || (wanted == Restored::whole && least < owned)) return false;
   }
   return true;
 }
 
-void measure_whole(const LossesPointer& losses, Moment since, const std::string& name) {
+void measure(const LossesPointer& losses, Moment since, Restored wanted, Span limit) {
   World& world = losses->cluster.world;
-  world.after(milliseconds(50), [losses, since, name, &world] {
+  world.after(milliseconds(50), [losses, since, wanted, limit, &world] {
     const std::int64_t took = (world.now() - since).count() / 1000;
-    if (!whole(*losses) && took < 30000) return measure_whole(losses, since, name);
-    const std::int64_t limit = losses->tolerance.synchronization_time.count() / 1000;
-    world.write({{"what", "observed"}, {"name", name}, {"took", took}, {"limit", limit}});
+    if (!restored(*losses, wanted) && took < 30000) return measure(losses, since, wanted, limit);
+    world.write({{"what", "observed"},
+                 {"name", std::string(wanted == Restored::seated ? "seated" : "whole") + " after a machine's return"},
+                 {"took", took},
+                 {"limit", limit.count() / 1000}});
   });
 }
 
+// All seats have to stand well before the platform may strike again, and to be filled by then.
+void measure_repair(const LossesPointer& losses, Moment since) {
+  const Span limit = losses->tolerance.synchronization_time;
+  measure(losses, since, Restored::seated, limit / 2);
+  measure(losses, since, Restored::whole, limit);
+}
+
 // The strikes one after another, each as soon as the one before no longer counts; then the closing fault.
 using Strikes = std::vector<std::function<Span(const LossesPointer&)>>;  // each tells when its machine is back
 
@@ -254,7 +266,7 @@
   if (index == strikes->size()) return close_with_wipe(losses);
   const Span back = (*strikes)[index](losses);
   const Moment returned = world.now() + back;
-  world.after(back, [losses, returned] { measure_whole(losses, returned, "whole after a machine's return"); });
+  world.after(back, [losses, returned] { measure_repair(losses, returned); });
   world.after(back + losses->tolerance.synchronization_time,
               [losses, strikes, index] { strike_in_turn(losses, strikes, index + 1); });
 }
