Lots: a full disk refuses what it can't keep, and is no failed one; lots are taken with their results counted in

Cause: all seats of the group keep the same records. Copies that a seat had already were written to its file again. Now: a holder of lots refuses changes and copies while there still is room for promises, hand-overs and rosters, so that what it keeps stays readable; copies that are no newer are not written; an owner tells with each new lot how many bytes of results are to come, by the mean size and its own slots' lots, and the lot is refused where they would not fit.

--- a/source/lots/lot_results.cpp
+++ b/source/lots/lot_results.cpp
@@ -8,6 +8,8 @@
 namespace {
 // What one run counts for in the moving mean of a lane's run times.
 constexpr double run_time_weight = 0.05;
+// What one result counts for in the moving mean of their sizes.
+constexpr double result_size_weight = 0.02;
 
 bool whole_answer(const FinishItem& finish) {
   return finish.outcome == "answer" || finish.outcome == "impossible";
@@ -54,6 +56,7 @@
       item.part = StreamPart{};
       now_lot->busy.erase(each.entry.item);
       now_lot->head.items[each.entry.item].body = Bytes();
+      result_bytes_ += result_size_weight * (static_cast<double>(each.entry.body.size()) - result_bytes_);
       now_lot->results.push_back(each.entry);
     }
     if (good && now_lot->finished()) now_lot->closed_at = messenger_.timers().now();
--- a/source/lots/lot_submission.cpp
+++ b/source/lots/lot_submission.cpp
@@ -39,11 +39,24 @@
   write.expected = 0;
   write.fence = slot.epoch.value;
   write.token = content;
+  write.growth = expected_growth(submit.head.items.size());
   messenger_.ask(messenger_.self(), write, lot_write_limit,
                  [this, id = submit.id, head = to_cbor(submit.head), content, epoch = slot.epoch,
                   answer](Result<WriteReply> result) { submitted(id, head, content, epoch, result, answer); });
 }
 
+// The results of all items that have none yet. An owner knows its own slots' lots, and takes the others' to be like
+// them.
+std::uint64_t Lots::expected_growth(std::size_t items) const {
+  std::size_t owned = 0, unfinished = items;
+  for (const auto& slot : slots_) {
+    owned += slot.ready;
+    for (const auto& [id, lot] : slot.lots) unfinished += lot.items.size() - lot.results.size();
+  }
+  if (owned == 0) return 0;
+  return static_cast<std::uint64_t>(result_bytes_ * static_cast<double>(unfinished)) * slot_count / owned;
+}
+
 std::optional<Fault> Lots::not_accepted(const LotHead& head, const ConfigurationView& configuration) const {
   const LotSettings settings = configuration.lot_settings();
   if (!configuration.lanes.contains(head.lane)) {
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -99,6 +99,7 @@
   bool leased(const Slot& slot) const;
   void when_owner(const std::string& id, bool within_lease, std::function<void(bool, Lot*)> then);
   void submit(SubmitLot submit, Answer<LotStatus> answer);
+  std::uint64_t expected_growth(std::size_t items) const;
   std::optional<Fault> not_accepted(const LotHead& head, const ConfigurationView& configuration) const;
   void submitted(const std::string& id, const Bytes& head, const std::string& content, Epoch epoch,
                  const Result<WriteReply>& result, const Answer<LotStatus>& answer);
@@ -155,6 +156,7 @@
   std::set<std::pair<Moment, std::string>> queue_;  // lots with items to run, by when they are due
   std::map<std::string, Placer> terms_;             // the highest known of each runner
   std::map<std::string, double> took_;              // by lane, about how many seconds an item runs
+  double result_bytes_ = 0;                         // of a result, about
   std::uint64_t ticks_ = 0, last_waiter_ = 0;
   bool announce_soon_ = false;
   bool load_under_way_ = false;
--- a/source/replication/messages.hpp
+++ b/source/replication/messages.hpp
@@ -46,7 +46,8 @@
   std::optional<std::uint64_t> fence;     // the epoch that the slot must be owned under
   std::string token;                      // the same token again settles an unknown outcome
   bool replaces_entries = false;          // the appends stand in place of the entries before them
-  MOTHWALK_FIELDS(key, head, appends, removed, expected, fence, token, replaces_entries)
+  std::uint64_t growth = 0;               // bytes that are still to come to what is kept, this key's among them
+  MOTHWALK_FIELDS(key, head, appends, removed, expected, fence, token, replaces_entries, growth)
 };
 struct ReadReply {
   bool found = false;
--- a/source/replication/record_log.cpp
+++ b/source/replication/record_log.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t least_reserve = 4u << 20;       // bytes kept free for changes of what is held
 constexpr Span stall_span = std::chrono::seconds(1);  // an unanswered order that is older means a stalled disk
 constexpr Span retry_pause = std::chrono::seconds(1);
+constexpr Span abandoned_pause = std::chrono::seconds(5);  // the room that was short is hardly there at once
 
 // Bytes of the limit that new state may not take.
 std::size_t reserve_of(std::size_t limit) {
@@ -82,13 +83,17 @@
   return failed_ || (!outstanding_.empty() && timers_.now() - outstanding_.front() > stall_span);
 }
 
-bool RecordLog::has_room() const {
+bool RecordLog::takes(std::size_t size) const {
+  return limit_ == 0 || size_ + size + reserve_of(limit_) / 8 < limit_;
+}
+
+bool RecordLog::has_room(std::size_t growth) const {
   if (failed_) return false;
   if (limit_ == 0) return true;
   // A rewrite needs room for a second file of all records, and both have to grow meanwhile.
   const std::size_t reserve = reserve_of(limit_);
   const std::size_t held = contents_.size();
-  return 2 * held + reserve < limit_ && size_ + held + reserve / 2 < limit_;
+  return 2 * held + reserve < limit_ && size_ + held + reserve / 2 < limit_ && size_ + growth + reserve / 2 < limit_;
 }
 
 bool RecordLog::rewrite_due() const {
@@ -109,7 +114,10 @@
   // A file that failed takes nothing: only a next one brings the disk back.
   if (phase_ != Phase::writing || failed_ || fits) return false;
   phase_ = Phase::dropping;
-  order(DiskOrder::Kind::drop_next, {}, [this](bool) { end_rewrite(false); });
+  order(DiskOrder::Kind::drop_next, {}, [this](bool) {
+    end_rewrite(false);
+    rewrite_not_before_ = timers_.now() + abandoned_pause;
+  });
   return true;
 }
 
--- a/source/replication/record_log.hpp
+++ b/source/replication/record_log.hpp
@@ -34,8 +34,12 @@
   bool failed() const { return failed_; }
   // Whether nothing can be made safe now: an append failed, or the disk has not answered for a second.
   bool stalled() const;
-  // Whether new state may be taken in; what is kept already may always be changed and removed.
-  bool has_room() const;
+  // Whether new state may be taken in, where what is kept is going to grow by so many bytes; what is kept already may
+  // be changed and removed meanwhile.
+  bool has_room(std::size_t growth = 0) const;
+  // Whether an entry of about that size leaves room for what keeps the holder in its place: promises, hand-overs,
+  // rosters.
+  bool takes(std::size_t size) const;
   std::uint64_t appends() const { return appends_; }
   std::uint64_t rewrites() const { return rewrites_; }
   std::size_t file_size() const { return size_; }
--- a/source/replication/replica.cpp
+++ b/source/replication/replica.cpp
@@ -64,6 +64,12 @@
   return true;
 }
 
+// A full disk is no broken one: the holder keeps what it has, and answers for it.
+StoreReply ReplicatedStore::no_room(const Held& held) {
+  ++counts_.stores_refused_for_room;
+  return StoreReply{"refused", held.promised, {}, {}};
+}
+
 void ReplicatedStore::raise_promise(std::uint32_t slot, Epoch epoch, const HolderId& owner) {
   Held& held = held_[slot];
   if (epoch <= held.promised) return;
@@ -81,6 +87,7 @@
   const Stamp have = found == held.records.end() ? Stamp{} : found->second.stamp;
   if (have >= store.change.stamp) return log_.when_synced([answer] { answer(StoreReply{"stored", {}, {}, {}}); });
   if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}, {}});
+  if (lots_only() && !log_.takes(size_of(store.change))) return answer(no_room(held));
   apply(held, store.change);
   const bool roster_change = store.change.key == "roster" && store.change.head;
   DiskEntry entry{.what = "change", .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change)};
@@ -106,9 +113,14 @@
 void ReplicatedStore::on_copies(Copies copies, Answer<StoreReply> answer) {
   if (!accepts(copies.target, copies.owner, copies.slot, copies.epoch, copies.roster, answer)) return;
   raise_promise(copies.slot, copies.epoch, copies.owner);
+  Held& held = held_[copies.slot];
+  std::erase_if(copies.records, [&](const Record& record) { return !newer(held, record); });
+  std::size_t size = 0;
+  for (const auto& record : copies.records) size += size_of(record);
+  if (lots_only() && !log_.takes(size)) return answer(no_room(held));
   DiskEntry entry{.what = "copies", .holder = copies.owner, .slot = copies.slot, .epoch = copies.epoch};
   entry.records = copies.records;
-  put_copies(held_[copies.slot], std::move(copies.records));
+  put_copies(held, std::move(copies.records));
   persist(std::move(entry), [answer] { answer(StoreReply{"stored", {}, {}, {}}); });
 }
 
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -100,6 +100,8 @@
   void watch_disk();
   void put_record(Held& held, Record record);
   void erase_record(Held& held, const std::string& key);
+  static bool newer(const Held& held, const Record& record);
+  StoreReply no_room(const Held& held);
   void put_copies(Held& held, std::vector<Record> records);
   // Takes the content over to the epoch, or names what is missing and changes nothing.
   std::vector<std::string> install(Held& held, Epoch epoch, const std::vector<RecordStamp>& content);
--- a/source/replication/slot_records.cpp
+++ b/source/replication/slot_records.cpp
@@ -29,11 +29,14 @@
   held.records.erase(found);
 }
 
+bool ReplicatedStore::newer(const Held& held, const Record& record) {
+  auto mine = held.records.find(record.key);
+  return mine == held.records.end() || mine->second.stamp < record.stamp;
+}
+
 void ReplicatedStore::put_copies(Held& held, std::vector<Record> records) {
-  for (auto& record : records) {
-    auto mine = held.records.find(record.key);
-    if (mine == held.records.end() || mine->second.stamp < record.stamp) put_record(held, std::move(record));
-  }
+  for (auto& record : records)
+    if (newer(held, record)) put_record(held, std::move(record));
 }
 
 std::vector<std::string> ReplicatedStore::install(Held& held, Epoch epoch, const std::vector<RecordStamp>& content) {
--- a/source/replication/store_counts.hpp
+++ b/source/replication/store_counts.hpp
@@ -11,10 +11,11 @@
   std::uint64_t copies_late = 0;                          // messages of copies that were not answered in time
   std::uint64_t roster_changes = 0;                       // that this holder brought about
   std::uint64_t refused_for_room = 0;                     // new keys for which the disk had no room
+  std::uint64_t stores_refused_for_room = 0;              // changes and copies that this holder's disk had no room for
   // Milliseconds for which a group whose roster this holder looks after has lacked seats; zero: it has all of them.
   std::map<std::string, std::uint64_t> short_of_seats;
   MOTHWALK_FIELDS(takeovers, takeovers_failed, records_copied, bytes_copied, copies_late, roster_changes,
-                  refused_for_room, short_of_seats)
+                  refused_for_room, stores_refused_for_room, short_of_seats)
 };
 
 }  // namespace mothwalk
--- a/source/replication/store_internals.hpp
+++ b/source/replication/store_internals.hpp
@@ -13,6 +13,12 @@
   return size;
 }
 
+inline std::size_t size_of(const Change& change) {
+  std::size_t size = change.key.size() + (change.head ? change.head->size() : 0) + 64;
+  for (const auto& entry : change.appends) size += entry.size() + 8;
+  return size;
+}
+
 inline std::uint64_t record_hash(const Record& record) {
   return hash_of(record.key, record.stamp.epoch.value * 1000003 + record.stamp.version.value * 2 + record.removed);
 }
--- a/source/replication/writes.cpp
+++ b/source/replication/writes.cpp
@@ -54,7 +54,7 @@
       first.answer(Fault{FaultKind::unknown_name, "name", "there is nothing of this name", "check the name"});
       continue;
     }
-    if (absent && !key.starts_with("roster") && !log_.has_room()) {
+    if (absent && !key.starts_with("roster") && !log_.has_room(first.write.growth)) {
       ++counts_.refused_for_room;
       first.answer(Fault{FaultKind::refused, "disk", "there is no room on the disk for anything new",
                          "try again later; what is kept may be changed and removed meanwhile"});
