--- a/tests/log_files_test.cpp
+++ b/tests/log_files_test.cpp
@@ -345,6 +345,17 @@
   CHECK(limited.volume.total() == limited.log.file_size());
 }
 
+TEST_CASE("a disk with a limit has room for new state only where what is still to come fits as well") {
+  LimitedLog limited(4u << 20);
+  while (limited.log.file_size() < (10u << 20)) limited.append_megabyte();
+  limited.disk.run();
+  CHECK(limited.log.has_room());
+  CHECK(limited.log.has_room(20u << 20));
+  CHECK_FALSE(limited.log.has_room(30u << 20));
+  CHECK(limited.log.takes(20u << 20));
+  CHECK_FALSE(limited.log.takes(30u << 20));
+}
+
 TEST_CASE("no rewrite begins for which the disk has no room, and the file grows to its limit instead") {
   LimitedLog limited(19u << 20);
   while (limited.log.file_size() < (34u << 20)) {
--- a/tests/lot_batches_test.cpp
+++ b/tests/lot_batches_test.cpp
@@ -118,6 +118,19 @@
   CHECK(owner.lots.counts().lots_rebuilt == 2);
 }
 
+TEST_CASE("a lot is handed to the store with the bytes of all results that are still to come") {
+  KeptStore store;
+  OwnerFixture owner(store, 4);
+  owner.good(SubmitLot{"lot", OwnerFixture::batch(4)});
+  CHECK(owner.growth == 0);  // nothing is known of results yet
+  const auto items = owner.fetch(4);
+  REQUIRE(items.size() == 4);
+  CHECK(owner.finish(items[0], "answer", Bytes(100000, 'r')));
+  // One result counts for a fiftieth of the mean; three items of the first lot and five of the second have none.
+  owner.good(SubmitLot{"second", OwnerFixture::batch(5)});
+  CHECK(owner.growth == 2000 * (3 + 5));
+}
+
 TEST_CASE("the starts of a batch's items are on no disk") {
   KeptStore store;
   OwnerFixture owner(store, 4);
--- a/tests/lots_fixture.hpp
+++ b/tests/lots_fixture.hpp
@@ -103,6 +103,7 @@
       return store.majority ? give(to_cbor(ConfirmReply{})) : refuse(FaultKind::busy);
     if (!store.majority) return refuse(FaultKind::unknown);
     const auto write = *from_cbor<Write>(asked.body);
+    growth = write.growth;
     ++writes;
     Record& record = store.records[write.key];
     if (write.expected && *write.expected != record.stamp.version.value)
@@ -189,6 +190,7 @@
   bool holds_answer = true;
   std::vector<ItemName> held;  // what the placers say that they hold
   std::uint64_t calls = 1000, writes = 0;
+  std::uint64_t growth = 0;  // as the last write told it
 
  private:
   std::uint64_t epoch_;
--- a/tests/replicated_store_test.cpp
+++ b/tests/replicated_store_test.cpp
@@ -168,6 +168,82 @@
   }
 }
 
+TEST_CASE("a holder of lots whose disk is full keeps what it has, goes on promising, and writes no copy twice") {
+  constexpr std::size_t disk_limit = 40u << 20;
+  World world(11);
+  class Catcher : public Wire {
+   public:
+    void send(const Address&, Envelope envelope) override {
+      if (envelope.reply) last = std::move(envelope);
+    }
+    Envelope last;
+  } wire;
+  SimulatedDisk disk(world, "place");
+  disk.set_capacity(disk_limit);
+  auto life = std::make_shared<Life>();
+  disk.own(life);
+  SimulatedTimers timers(world, life);
+  SharedState shared_state;
+  const Address self("10.0.0.1:1"), owner("10.0.0.2:1");
+  const HolderId theirs("theirs");
+  Messenger messenger(wire, timers, self, 1, "store");
+  Member member;
+  member.address = self;
+  member.keeps = "lots";
+  ReplicatedStore kept(messenger, shared_state, disk, world.random, member, {}, ReplicatedStore::Report{}, std::nullopt,
+                       disk_limit);
+  REQUIRE(fault_of(kept.load()) == nullptr);
+  kept.start();
+  world.run_until(world.now() + milliseconds(20));
+  const HolderId identity = kept.identity();
+  const Roster roster{Version{1}, {Seat{identity, self, ZoneId("h")}, Seat{theirs, owner, ZoneId("h")}}};
+  auto say = [&](const auto& message) {
+    messenger.take(Envelope{owner, 1, "store", "store", std::string(std::decay_t<decltype(message)>::kind), 5, false,
+                            to_cbor(message), protocol_number});
+    world.run_until(world.now() + milliseconds(20));
+  };
+  auto outcome = [&] {
+    return from_cbor<StoreReply>(wire.last.body)->outcome;
+  };
+  std::vector<std::string> keys;
+  for (int number = 0; keys.size() < 60; ++number)
+    if (const std::string key = "lot/" + std::to_string(number); slot_of(key) == 3) keys.push_back(key);
+  say(Promise{identity, theirs, 3, Epoch{7}, roster});
+  Record copy;
+  copy.key = keys[0];
+  copy.stamp = copy.written = Stamp{Epoch{7}, Version{1}};
+  copy.head = Bytes(1u << 20, 'l');
+  say(Copies{identity, theirs, 3, Epoch{7}, Version{1}, {copy}});
+  REQUIRE(outcome() == "stored");
+  const std::size_t once = kept.log().file_size();
+  say(Copies{identity, theirs, 3, Epoch{7}, Version{1}, {copy}});
+  CHECK(outcome() == "stored");
+  CHECK(kept.log().file_size() < once + 1000);
+  std::size_t stored = 1;
+  for (; stored < keys.size(); ++stored) {
+    Change change;
+    change.key = keys[stored];
+    change.stamp = Stamp{Epoch{7}, Version{1}};
+    change.full = true;
+    change.head = Bytes(1u << 20, 'l');
+    say(Store{identity, theirs, 3, Epoch{7}, Version{1}, change});
+    if (outcome() != "stored") break;
+  }
+  CHECK(outcome() == "refused");
+  CHECK(stored > 30);
+  CHECK(kept.counts().stores_refused_for_room == 1);
+  CHECK_FALSE(kept.log().failed());
+  copy.key = keys.back();
+  say(Copies{identity, theirs, 3, Epoch{7}, Version{1}, {copy}});
+  CHECK(outcome() == "refused");
+  say(Promise{identity, theirs, 3, Epoch{8}, roster});
+  CHECK(from_cbor<PromiseReply>(wire.last.body)->granted);
+  say(Range{3});
+  CHECK(from_cbor<RangeReply>(wire.last.body)->stamps.size() == stored);
+  CHECK_FALSE(shared_state.stalled.load());
+  life->alive = false;
+}
+
 TEST_CASE("news never goes back to a lower stamp, in whatever order it comes") {
   class Silent : public Wire {
    public:
