Record log: what an end of the process left of a rewrite is removed at the next start

Cause: records.new, up to as long as all that is kept, stayed where a loss of power cut a rewrite off. The test fails without the change of LogFiles::open.

--- a/source/host/posix_volume.cpp
+++ b/source/host/posix_volume.cpp
@@ -64,6 +64,10 @@
   return true;
 }
 
+bool PosixVolume::exists(const std::string& file) const {
+  return ::access(path(file).c_str(), F_OK) == 0;
+}
+
 bool PosixVolume::remove(const std::string& file) {
   close(file);
   return ::unlink(path(file).c_str()) == 0;
--- a/source/host/posix_volume.hpp
+++ b/source/host/posix_volume.hpp
@@ -12,6 +12,7 @@
   ~PosixVolume() override;
   PosixVolume(const PosixVolume&) = delete;
   PosixVolume& operator=(const PosixVolume&) = delete;
+  bool exists(const std::string& file) const override;
   bool open(const std::string& file) override;
   Result<Bytes> read(const std::string& file) override;
   bool create(const std::string& file) override;
--- a/source/replication/log_files.cpp
+++ b/source/replication/log_files.cpp
@@ -8,6 +8,8 @@
 }  // namespace
 
 bool LogFiles::open() {
+  // Of a rewrite that the process's end cut off. It is of no use, and takes room that appends need.
+  if (volume_.exists(next_file)) volume_.remove(next_file);
   if (!volume_.open(current_file)) return false;
   failed_ = !volume_.sync(current_file) || !volume_.sync_folder();
   return true;
--- a/source/seams/disk.hpp
+++ b/source/seams/disk.hpp
@@ -38,6 +38,7 @@
 class Volume {
  public:
   virtual ~Volume() = default;
+  virtual bool exists(const std::string& file) const = 0;
   virtual bool open(const std::string& file) = 0;  // makes it where there is none
   virtual Result<Bytes> read(const std::string& file) = 0;
   virtual bool create(const std::string& file) = 0;  // a new empty file, also where there is one of the name
--- a/source/simulate/simulated_volume.hpp
+++ b/source/simulate/simulated_volume.hpp
@@ -11,6 +11,7 @@
 
 class SimulatedVolume : public Volume {
  public:
+  bool exists(const std::string& file) const override { return names_.contains(file); }
   bool open(const std::string& file) override;
   Result<Bytes> read(const std::string& file) override;
   bool create(const std::string& file) override;
--- a/tests/log_files_test.cpp
+++ b/tests/log_files_test.cpp
@@ -356,6 +356,18 @@
   CHECK_FALSE(limited.log.takes(30u << 20));
 }
 
+TEST_CASE("what an end of the process left of a rewrite is removed at the next start, and leaves its room to appends") {
+  LimitedLog limited(12u << 20);
+  while (limited.log.file_size() < (24u << 20)) limited.append_megabyte();
+  limited.disk.run();
+  limited.log.tick();
+  for (int turn = 0; turn < 8; ++turn) limited.disk.run();
+  REQUIRE(limited.volume.total() > limited.log.file_size() + (1u << 20));
+  LogFiles after(limited.volume);
+  REQUIRE(after.open());
+  CHECK(limited.volume.total() == limited.log.file_size());
+}
+
 TEST_CASE("no rewrite begins for which the disk has no room, and the file grows to its limit instead") {
   LimitedLog limited(19u << 20);
   while (limited.log.file_size() < (34u << 20)) {
