--- a/source/replication/copying.cpp
+++ b/source/replication/copying.cpp
@@ -8,9 +8,9 @@
 namespace mothwalk {
 
 namespace {
-constexpr std::size_t copies_size = 256u << 10;  // bytes of a message; a longer record goes alone
+constexpr std::size_t copies_size = 1u << 20;  // bytes of a message; a longer record goes alone
 // Copies that no majority needs wait so long after a change of the roster: another one may follow.
-constexpr Span roster_rest = std::chrono::milliseconds(1000);
+constexpr Span roster_rest = std::chrono::milliseconds(600);
 }  // namespace
 
 void ReplicatedStore::queue_transfer(TransferPointer transfer) {
