--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -32,9 +32,6 @@
   while (value /= 16);
   while (count > 0) out.push_back(digits[--count]);
 }
-}  // namespace
-
-namespace {
 View name_of(CloseCause cause) {
   switch (cause) {
     case CloseCause::caller_left:
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -57,7 +57,7 @@
   using SlotLots = std::map<std::string, Lot>;
   struct Slot {
     Epoch epoch;
-    bool loading = false, ready = false;
+    bool ready = false;
     bool adopting = false;  // placers are asked what they hold; nothing is handed out meanwhile
     std::optional<Moment>
         confirmed;  // when the last question began that a majority answered: this daemon owns the slot
