Circle: lots without a due time get the runners of a circle that has had no prompt for ten seconds

Cause: after the loss of everything amid a crowd the circle keeps its crowd's size. Not a stuck lot: items ran evenly to the end. Ruled out: the copies and disk changes of this incident. Change: while lots wait, ten seconds without a prompt are enough. Lots with a due time were not concerned: their demand bounds the circle anyhow. The new unit test fails without the change (5 members for 16 s).

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -18,7 +18,8 @@
 constexpr Span appoint_after = milliseconds(1000);
 constexpr double squeezed = 0.6;                     // load that live work bears while lots need what runners there are
 constexpr Span law_kept = std::chrono::seconds(15);  // a cycle that changes nothing is written no oftener
-constexpr Span quiet_span = std::chrono::seconds(60);  // without any prompt, after which little is needed
+constexpr Span quiet_span = std::chrono::seconds(60);         // without any prompt, after which little is needed
+constexpr Span quiet_beside_lots = std::chrono::seconds(10);  // the same while lots wait for runners
 constexpr Span fewer_span = std::chrono::seconds(60);  // that fewer daemons route before shares are made for fewer
 }  // namespace
 
@@ -267,7 +268,7 @@
     const std::size_t routing = members->routing();
     const std::size_t missing = routing > fresh ? routing - fresh : 0;
     // No load seen is no sign that little is needed, unless it stays so.
-    const bool evidence = !unloaded || now - state.last_live >= quiet_span;
+    const bool evidence = !unloaded || now - state.last_live >= (lots_wait ? quiet_beside_lots : quiet_span);
     const bool blind = now - state.since < settle || missing * 3 > routing || !evidence;
     const bool early = recent_load > circle.high_water && now - state.last_cycle >= early_gap;
     if (!blind && !state.writing && (early || now - state.last_cycle >= circle.cycle)) {
--- a/tests/circle_duty_test.cpp
+++ b/tests/circle_duty_test.cpp
@@ -52,6 +52,12 @@
     messenger.take(Envelope{Address(from), 7, "circle", "routes", std::string(LoadReport::kind), 0, false,
                             to_cbor(load), protocol_number});
   }
+  void report_pending_items(std::uint32_t pending, double at_once) {
+    KindPending lots;
+    lots.kinds["model"] = LotDemand{pending, at_once};
+    messenger.take(Envelope{Address("10.0.0.1:1"), 7, "circle", "lots", std::string(KindPending::kind), 0, false,
+                            to_cbor(lots), protocol_number});
+  }
   // Reports each second that all members together have so many prompts open.
   void run(Span span, std::uint32_t open_each, std::uint32_t queued = 0) {
     for (const Moment end = world.now() + span; world.now() < end; world.run_until(world.now() + milliseconds(500)))
@@ -217,15 +223,29 @@
   fixture.run(seconds(4), 1);
   CHECK(fixture.circle().members.size() == 4);
   for (int second = 0; second < 6; ++second) {
-    KindPending pending;
-    pending.kinds["model"] = LotDemand{40, 8};
-    fixture.messenger.take(Envelope{Address("10.0.0.1:1"), 7, "circle", "lots", std::string(KindPending::kind), 0,
-                                    false, to_cbor(pending), protocol_number});
+    fixture.report_pending_items(40, 8);
     fixture.run(seconds(1), 1);
   }
   CHECK(fixture.circle().members.size() == 2);
 }
 
+TEST_CASE("lots without a due time do not wait a minute for the runners of a circle that gets no prompts") {
+  CircleFixture fixture;
+  fixture.put("kind/model", R"({"circle":{"cycle":2000,"floor":2,"reserve":1,"ramp":500,"target":0.6}})");
+  fixture.list_runners(6);
+  fixture.duty.start();
+  fixture.run(seconds(6), 4);
+  const auto wait_without_prompts = [&fixture](int span) {
+    for (int second = 0; second < span; ++second) {
+      fixture.report_pending_items(400, 0);
+      fixture.run(seconds(1), 0);
+    }
+    return fixture.circle().members.size();
+  };
+  CHECK(wait_without_prompts(8) == 5);
+  CHECK(wait_without_prompts(16) == 2);
+}
+
 TEST_CASE("a runner that is back begins one ramp, not one more with each daemon that learns of it late") {
   CircleFixture fixture;
   fixture.put("kind/model", R"({"circle":{"all":true,"ramp":1000}})");
