Repair: copies that a full disk of a holder of lots has no room for are not taken

Copies and changes have been refused by a holder of lots whose disk is full since, repair was left out: it wrote what it fetched until the append failed, and a failed file makes the holder give up all that it owns. Evidence: the test of a full disk, with another seat that offers 3 MB more to a repair, failed before ("failed()", stalled) and passes now. The steps of a repair are functions of their own; their behaviour is otherwise the same.

--- a/source/replication/repair.cpp
+++ b/source/replication/repair.cpp
@@ -15,38 +15,46 @@
   messenger_.ask(peer.address, Digests{}, peer_timeout, [this, peer](Result<DigestsReply> result) {
     auto* reply = std::get_if<DigestsReply>(&result);
     if (reply == nullptr || reply->digests.size() != slot_count) return;
-    for (std::uint32_t slot = 0; slot < slot_count; ++slot) {
-      if (reply->digests[slot] == held_[slot].digest || owned_[slot].state != Owned::State::none) continue;
-      messenger_.ask(peer.address, Range{slot}, peer_timeout, [this, peer, slot](Result<RangeReply> ranged) {
-        auto* range = std::get_if<RangeReply>(&ranged);
-        if (range == nullptr) return;
-        FetchRecords fetch{slot, {}};
-        for (const auto& theirs : range->stamps) {
-          auto mine = held_[slot].records.find(theirs.key);
-          if (theirs.stamp.epoch == held_[slot].promised &&
-              (mine == held_[slot].records.end() || mine->second.stamp < theirs.stamp))
-            fetch.keys.push_back(theirs.key);
-        }
-        if (fetch.keys.empty()) return;
-        messenger_.ask(peer.address, fetch, peer_timeout, [this, slot](Result<RecordsReply> fetched) {
-          auto* records = std::get_if<RecordsReply>(&fetched);
-          if (records == nullptr) return;
-          for (auto& record : records->records) {
-            Held& held = held_[slot];
-            auto mine = held.records.find(record.key);
-            if (record.stamp.epoch != held.promised ||
-                (mine != held.records.end() && mine->second.stamp >= record.stamp) || slot_of(record.key) != slot)
-              continue;
-            Change change{record.key,     {},           record.stamp,  true, record.removed, record.head,
-                          record.entries, record.token, record.written};
-            apply(held, change);
-            persist(DiskEntry{.what = "change", .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change)},
-                    [] {});
-          }
-        });
-      });
-    }
+    for (std::uint32_t slot = 0; slot < slot_count; ++slot)
+      if (reply->digests[slot] != held_[slot].digest && owned_[slot].state == Owned::State::none)
+        repair_slot(peer, slot);
   });
 }
 
+void ReplicatedStore::repair_slot(const Seat& peer, std::uint32_t slot) {
+  messenger_.ask(peer.address, Range{slot}, peer_timeout, [this, peer, slot](Result<RangeReply> result) {
+    auto* range = std::get_if<RangeReply>(&result);
+    if (range == nullptr) return;
+    FetchRecords fetch{slot, {}};
+    for (const auto& theirs : range->stamps)
+      if (wanted_for_repair(slot, theirs)) fetch.keys.push_back(theirs.key);
+    if (fetch.keys.empty()) return;
+    messenger_.ask(peer.address, fetch, peer_timeout, [this, slot](Result<RecordsReply> fetched) {
+      if (auto* records = std::get_if<RecordsReply>(&fetched)) keep_repaired(slot, std::move(records->records));
+    });
+  });
+}
+
+// Repair only copies: what is of another epoch than the one promised is left to that epoch's owner.
+bool ReplicatedStore::wanted_for_repair(std::uint32_t slot, const Record& theirs) const {
+  const Held& held = held_[slot];
+  if (theirs.stamp.epoch != held.promised || slot_of(theirs.key) != slot) return false;
+  auto mine = held.records.find(theirs.key);
+  return mine == held.records.end() || mine->second.stamp < theirs.stamp;
+}
+
+void ReplicatedStore::keep_repaired(std::uint32_t slot, std::vector<Record> records) {
+  for (auto& record : records) {
+    if (!wanted_for_repair(slot, record)) continue;
+    if (lots_only() && !log_.takes(size_of(record))) {
+      ++counts_.stores_refused_for_room;
+      return;
+    }
+    Change change{record.key,     {},           record.stamp,  true, record.removed, record.head,
+                  record.entries, record.token, record.written};
+    apply(held_[slot], change);
+    persist(DiskEntry{.what = "change", .slot = slot, .epoch = record.stamp.epoch, .change = std::move(change)}, [] {});
+  }
+}
+
 }  // namespace mothwalk
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -171,6 +171,9 @@
   void spread(const std::vector<const Record*>& records);
   void forget_removed_lots();
   void repair();
+  void repair_slot(const Seat& peer, std::uint32_t slot);
+  bool wanted_for_repair(std::uint32_t slot, const Record& theirs) const;
+  void keep_repaired(std::uint32_t slot, std::vector<Record> records);
   void roster_duty();
   void lot_roster_duty();
   void stop_watching(const std::string& key);
--- a/tests/replicated_store_test.cpp
+++ b/tests/replicated_store_test.cpp
@@ -174,9 +174,13 @@
   class Catcher : public Wire {
    public:
     void send(const Address&, Envelope envelope) override {
-      if (envelope.reply) last = std::move(envelope);
+      if (envelope.reply)
+        last = std::move(envelope);
+      else
+        asked.push_back(std::move(envelope));
     }
     Envelope last;
+    std::deque<Envelope> asked;
   } wire;
   SimulatedDisk disk(world, "place");
   disk.set_capacity(disk_limit);
@@ -240,6 +244,22 @@
   CHECK(from_cbor<PromiseReply>(wire.last.body)->granted);
   say(Range{3});
   CHECK(from_cbor<RangeReply>(wire.last.body)->stamps.size() == stored);
+  // Another seat has a record more, for which a repair asks.
+  copy.stamp = copy.written = Stamp{Epoch{8}, Version{1}};
+  copy.head = Bytes(3u << 20, 'l');
+  bool offered = false;
+  for (const Moment end = world.now() + seconds(3); world.now() < end; world.run_until(world.now() + milliseconds(20)))
+    for (; !wire.asked.empty(); wire.asked.pop_front()) {
+      const Envelope ask = wire.asked.front();
+      auto answer = [&](const auto& reply) {
+        messenger.take(Envelope{owner, 1, "store", "store", "reply", ask.call, true, to_cbor(reply), protocol_number});
+      };
+      if (ask.kind == Digests::kind) answer(DigestsReply{std::vector<std::uint64_t>(slot_count, 1)});
+      if (ask.kind == Range::kind && from_cbor<Range>(ask.body)->slot == 3) answer(RangeReply{{copy}});
+      if (ask.kind == FetchRecords::kind) answer(RecordsReply{{copy}}), offered = true;
+    }
+  CHECK(offered);
+  CHECK_FALSE(kept.log().failed());
   CHECK_FALSE(shared_state.stalled.load());
   life->alive = false;
 }
