Drain: no request waits past the end of the process; none is begun after the listeners closed

Cause: nothing bounded a request's stay at a draining daemon by what is left of the drain. What waited, or was at a runner, when the drain was over was cut with the process; and a request over a connection whose answer had begun before SIGTERM was begun at any moment until then. Evidence: two new tests. A request that crosses the front's close was sent on (2 arrived, no 503), now it is refused with when to come back. With the bound left out the router's test has no answer when the drain is over (3 checks). Change: 250 ms before the end what waits is refused, what a runner has not answered ends as unknown.

--- a/source/host/daemon.cpp
+++ b/source/host/daemon.cpp
@@ -10,6 +10,8 @@
 namespace mothwalk {
 
 namespace {
+constexpr Span last_answers = std::chrono::milliseconds(250);  // for those that are given when a drain is over
+
 // As many files as the system lets this process open; callers may hold half of them, since each may need a attempt.
 std::size_t most_sessions() {
   rlimit files{};
@@ -254,6 +256,8 @@
       shared_state_.draining = true;
       drain_began = steady_now();
       drain_until = drain_began + settings_.drain + std::chrono::milliseconds(place_ ? 0 : 400);
+      if (router_)
+        routes_duty_.thread.offer([this, end = drain_until + -last_answers] { router_->answer_all_by(end); });
       wait();
     });
   };
--- a/source/host/front.cpp
+++ b/source/host/front.cpp
@@ -216,6 +216,7 @@
     ++turn_;
     answering_ = true;
     read();
+    if (front_.closed_) return busy("this daemon is shutting down");
     const bool to_control =
         !callers_ ||
         (front_.to_control_side_ ? front_.to_control_side_(reader_->method, reader_->target, reader_->headers)
@@ -457,6 +458,7 @@
 }
 
 void Front::close() {
+  closed_ = true;
   for (auto& listener : listeners_) {
     boost::system::error_code ignored;
     listener->acceptor.close(ignored);
--- a/source/host/front.hpp
+++ b/source/host/front.hpp
@@ -28,7 +28,7 @@
   ~Front();
   // A side that is not the callers' is closed to everything but control.
   Result<Done> listen(const Address& address, bool callers);
-  // Takes no new connection any more, and lets idle ones go.
+  // Takes no new connection any more, lets idle ones go and refuses what still comes over the others.
   void close();
   // Connections with a request that is read or answered.
   std::size_t busy() const;
@@ -56,6 +56,7 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<Session>> sessions_;
   std::uint64_t last_session_ = 0;
   FrontCounts counts_;
+  bool closed_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // the sessions' handlers may outlive the front
 };
 
--- a/source/routes/router.cpp
+++ b/source/routes/router.cpp
@@ -81,11 +81,13 @@
 }
 
 void Router::expire(Record& record) {
-  if (record.state == State::waiting)
-    return refuse(record, "whole", "no runner was free within the lane's whole budget");
-  if (record.state == State::relaying) return break_off(record, "whole");
+  const bool ending = answer_by_ && messenger_.timers().now() >= *answer_by_;
+  const std::string reason = ending ? "draining" : "whole";
+  const std::string span = ending ? "before this daemon shut down" : "within the lane's whole budget";
+  if (record.state == State::waiting) return refuse(record, reason, "no runner was free " + span);
+  if (record.state == State::relaying) return ending ? void() : break_off(record, reason);  // it may end in time
   leave(record);
-  give_unknown(record, 504, "whole", "the runner did not answer within the lane's whole budget");
+  give_unknown(record, 504, reason, "the runner did not answer " + span);
 }
 
 void Router::set_state(Record& record, State state) {
--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -58,7 +58,9 @@
   bool draining() const { return shared_state_.draining; }
   void even_over_all(bool even) { runner_table_.even_over_all = even; }  // bench only
   std::function<void(View sentence)> warn = [](View) {
-  };                                   // told about what holds requests up, at most once a second
+  };  // told about what holds requests up, at most once a second
+  // Every request of a known lane is answered by then, those that come yet as well; answers that have begun go on.
+  void answer_all_by(Moment end);
   bool serves_while_draining = false;  // requests over connections that are open still are served, not refused
 
  private:
@@ -117,6 +119,7 @@
   bool admit(Record& record);
   bool without_lane(Record& record, const ConfigurationView& configuration);
   void take_lane(Record& record, const std::string& name, const Lane& lane);
+  void set_deadline(Record& record);
   static Demand demand_of(const Record& record);
   bool follow_configuration(Record& record, const std::shared_ptr<const ConfigurationView>& configuration, Moment now);
   bool send_to_any(Record& record, const ConfigurationView& configuration, std::map<std::string, Obstacle>& full,
@@ -165,6 +168,7 @@
   std::vector<Id> finished_;
   std::set<std::pair<Moment, Id>> deadlines_;
   std::optional<std::pair<Moment, Timers::Id>> deadline_timer_;
+  std::optional<Moment> answer_by_;                               // where this daemon ends then
   std::map<std::string, std::map<std::string, double>> credits_;  // of the kinds of a lane that has several
   EntryCounts counts_;
   std::map<std::string, Waits> waits_told_;  // as of the last warning
--- a/source/routes/router_admission.cpp
+++ b/source/routes/router_admission.cpp
@@ -46,11 +46,24 @@
   record.lane = lane;
   record.repeatable = lane.repeatable || (lane.streaming && lane.resumable);
   share(record);
+  set_deadline(record);
+}
+
+void Router::set_deadline(Record& record) {
   deadlines_.erase({record.deadline, record.id});
-  record.deadline = record.arrived + std::min(lane.whole, record.facts.budget.value_or(lane.whole));
+  const Span whole = record.lane.whole;
+  record.deadline = record.arrived + std::min(whole, record.facts.budget.value_or(whole));
+  if (answer_by_) record.deadline = std::min(record.deadline, *answer_by_);
   deadlines_.emplace(record.deadline, record.id);
 }
 
+void Router::answer_all_by(Moment end) {
+  answer_by_ = end;
+  for (auto& [id, record] : table_)
+    if (record.state != State::finished && !record.lane_name.empty()) set_deadline(record);
+  arm_deadline();
+}
+
 Demand Router::demand_of(const Record& record) {
   Demand demand;
   demand.prompt_tokens = record.facts.prompt_tokens;
--- a/tests/dialect_router_test.cpp
+++ b/tests/dialect_router_test.cpp
@@ -481,6 +481,31 @@
   CHECK((seen->status == 200 && seen->ended));
 }
 
+TEST_CASE("no request outlasts the drain: one that waits is refused in time, one that was sent ends as unknown") {
+  SpeakingFixture fixture;
+  fixture.router.serves_while_draining = true;
+  EXPECT_ATTEMPTS(fixture, 2);
+  ALLOW_CALL(fixture.exchange, cancel(_));
+  auto begun = fixture.say("/stream", {{"Budget", "5000"}});
+  fixture.attempts[0].watcher->on_head(200, {});
+  auto sent = fixture.say("/pay", {{"Budget", "5000"}});
+  fixture.shared_state.lease_until = 1;
+  fixture.put("lane/pay", R"({"path":"/pay","kind":"model","attempts":2,"waiting":5000,"whole":5000})");
+  auto waited = fixture.say("/pay", {{"Budget", "5000"}});
+  fixture.shared_state.draining = true;
+  fixture.router.answer_all_by(fixture.world.now() + std::chrono::milliseconds(300));
+  auto late = fixture.say("/pay", {{"Budget", "5000"}});
+  fixture.wait(std::chrono::milliseconds(290));
+  CHECK((sent->status == 0 && waited->status == 0 && late->status == 0));
+  fixture.wait(std::chrono::milliseconds(12));
+  CHECK(sent->status == 504);
+  CHECK((waited->status == 503 && waited->outcome == "refused" && !waited->retry_after.empty()));
+  CHECK((late->status == 503 && late->outcome == "refused"));
+  CHECK_FALSE(begun->broken);
+  fixture.attempts[0].watcher->on_end(AttemptEnd::whole);
+  CHECK((begun->status == 200 && begun->ended));
+}
+
 TEST_CASE("a caller that will miss its aim is told so early, with when to come back; one that will not waits on") {
   SpeakingFixture fixture;
   fixture.put("lane/pay", R"({"path":"/pay","kind":"model","aim":1000,"waiting":5000})");
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -243,6 +243,26 @@
   CHECK(fixture.to_the_end(late).ends_with("ok"));
 }
 
+TEST_CASE("a request that comes over a kept connection after the front has closed is refused, not begun") {
+  Fixture fixture;
+  fixture.router.serves_while_draining = true;
+  auto caller = fixture.call(get);
+  auto runner = fixture.accepted();
+  fixture.until(runner, "\r\n\r\n");
+  say(runner, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbo");
+  CHECK(fixture.until(caller, "bo").find("Connection: close") == std::string::npos);
+  fixture.shared_state.draining = true;
+  fixture.front.close();
+  // It crosses the close on its way.
+  say(caller, get);
+  say(runner, "dy");
+  const std::string text = fixture.to_the_end(caller);
+  CHECK(text.starts_with("dyHTTP/1.1 503"));
+  CHECK(text.find("Connection: close\r\n") != std::string::npos);
+  CHECK(text.find("Retry-After") != std::string::npos);
+  CHECK(fixture.router.counts().arrived == 1);
+}
+
 TEST_CASE("a front that closes lets idle connections go, and counts those with a request until they are answered") {
   Fixture fixture;
   auto caller = fixture.call(get);
