Simulator: a process that can't open its folder ends and is started again, as on the platform

Cause: in the simulator. A daemon that can't create its file (its disk is full and has just been wiped) ends with a message, and the platform starts it again after a short delay. The simulator let it stand as a member without duties, for good. Ruled out: the record log; the holder has nothing to read on a wiped disk. Change: such a process ends and is started again after a second, until its disk takes its file. On a sound disk it still breaks a rule.

--- a/source/simulate/cluster.cpp
+++ b/source/simulate/cluster.cpp
@@ -64,8 +64,9 @@
         --disk_.unreadable;
         return kill(false);
       }
-      cluster_.broken.push_back("a holder could not read its own file: " + fault_of(loaded)->message);
-      return;
+      if (!disk_.failing())
+        cluster_.broken.push_back("a holder could not read its own file: " + fault_of(loaded)->message);
+      return end_and_start_again();
     }
     self.holder = duties_->kept->identity();
     if (self.keeps_control()) duties_->circle = std::make_unique<CircleDuty>(messenger("circle"), *shared_state_);
@@ -166,6 +167,16 @@
              target->life(), arrive);
 }
 
+// A process that can't open its folder ends; the platform starts it again, whatever its disk does by then.
+void Machine::end_and_start_again() {
+  constexpr Span restart_pause = std::chrono::seconds(1);
+  cluster_.world.history(name + " can't open its folder and ends");
+  kill(false);
+  cluster_.world.after(restart_pause, [this] {
+    if (!alive()) start();
+  });
+}
+
 void Machine::handle(std::size_t size, Task task) {
   if (time_per_kilobyte_ == Span{}) return task();
   World& world = cluster_.world;
--- a/source/simulate/cluster.hpp
+++ b/source/simulate/cluster.hpp
@@ -68,6 +68,7 @@
   };
   // Handles a message of so many bytes once those before it are handled and its own time is over.
   void handle(std::size_t size, Task task);
+  void end_and_start_again();
 
   SimulatedCluster& cluster_;
   const Span time_per_kilobyte_;
--- a/source/simulate/world.hpp
+++ b/source/simulate/world.hpp
@@ -122,6 +122,7 @@
   void damage() { volume_.damage("records", size() / 3); }
   // While it is full or broken nothing can be written. Full is a state, and so is a broken drive until it is replaced.
   void set_failing(bool failing) { volume_.failing = failing; }
+  bool failing() const { return volume_.failing; }
   void set_capacity(std::size_t bytes) { volume_.capacity = bytes; }
   std::size_t size() const { return volume_.size("records"); }
   std::size_t total() const { return volume_.total(); }
