--- a/source/operator/main.cpp
+++ b/source/operator/main.cpp
@@ -24,8 +24,8 @@
   apply FILE             documents {"type","name","spec"[,"version"]}, one or a list; "-" reads standard input
   delete TYPE NAME
   watch [COUNT]          prints changes as they come; ends after COUNT of them
-  evacuate HALL          no work to the zone's runners; "restore HALL" takes it back
-  restore HALL
+  evacuate ZONE          no work to the zone's runners; "restore ZONE" takes it back
+  restore ZONE
   retire ADDRESS         takes the holder's seat away; "reinstate ADDRESS" takes it back
   reinstate ADDRESS
   lots [ID]              kept lots, or one
--- a/source/simulate/loss_scenarios.cpp
+++ b/source/simulate/loss_scenarios.cpp
@@ -273,25 +273,32 @@
               [losses, strikes, index] { strike_in_turn(losses, strikes, index + 1); });
 }
 
-Scenario scenario(std::string name, std::string about, Strikes strikes) {
+// The strikes begin within a second after `first`; until shortly before the load's end the configuration changes.
+Scenario strikes_in_turn(std::string name, std::string about, Tolerance tolerance, Span load, Span first,
+                         Strikes strikes, std::function<void(SimulatedCluster&)> hand_in_lots) {
   Scenario made;
   made.name = std::move(name);
   made.about = std::move(about);
-  made.load = seconds(26);
+  made.load = load;
   made.settle = seconds(45);
   made.limits = Limits{30000, 400};
   made.closes = made.needs_lots = true;
   auto list = std::make_shared<Strikes>(std::move(strikes));
-  made.faults = [list](SimulatedCluster& cluster) {
-    auto losses = std::make_shared<Losses>(cluster, Tolerance{});
-    cluster.shape.lots[0].rate = 6;
-    change_configuration(losses, seconds(24));
-    cluster.world.after(seconds(4) + between(cluster.world, Span{}, seconds(1)),
+  made.faults = [tolerance, load, first, list, hand_in_lots](SimulatedCluster& cluster) {
+    auto losses = std::make_shared<Losses>(cluster, tolerance);
+    hand_in_lots(cluster);
+    change_configuration(losses, load - seconds(2));
+    cluster.world.after(first + between(cluster.world, Span{}, seconds(1)),
                         [losses, list] { strike_in_turn(losses, list, 0); });
   };
   return made;
 }
 
+Scenario scenario(std::string name, std::string about, Strikes strikes) {
+  return strikes_in_turn(std::move(name), std::move(about), Tolerance{}, seconds(26), seconds(4), std::move(strikes),
+                         [](SimulatedCluster& cluster) { cluster.shape.lots[0].rate = 6; });
+}
+
 Span wipe_oldest(const LossesPointer& losses) {
   const Span down = between(losses->cluster.world, milliseconds(500), milliseconds(2000));
   wipe(losses, oldest_disk(*losses), down);
@@ -319,23 +326,13 @@
 
 // Lots come in a crowd, then at a pace that leaves the holders time for their repairs.
 Scenario two_disks_at_once(std::string name, std::string about, Tolerance tolerance) {
-  Scenario made;
-  made.name = std::move(name);
-  made.about = std::move(about);
-  made.load = seconds(32);
-  made.settle = seconds(45);
-  made.limits = Limits{30000, 400};
-  made.closes = made.needs_lots = true;
-  made.shape = "storage";
-  made.faults = [tolerance](SimulatedCluster& cluster) {
-    auto losses = std::make_shared<Losses>(cluster, tolerance);
+  auto crowd = [](SimulatedCluster& cluster) {
     cluster.shape.lots[0].rate = 12;
     cluster.world.after(seconds(5), [&cluster] { cluster.shape.lots[0].rate = 1; });
-    change_configuration(losses, seconds(30));
-    auto strikes = std::make_shared<Strikes>(Strikes{wipe_two_oldest, wipe_two_oldest, wipe_two_oldest});
-    cluster.world.after(seconds(7) + between(cluster.world, Span{}, seconds(1)),
-                        [losses, strikes] { strike_in_turn(losses, strikes, 0); });
   };
+  Scenario made = strikes_in_turn(std::move(name), std::move(about), tolerance, seconds(32), seconds(7),
+                                  {wipe_two_oldest, wipe_two_oldest, wipe_two_oldest}, crowd);
+  made.shape = "storage";
   return made;
 }
 
