Simulator: a sync of a file costs what was written since the last, not the whole file

Cause: SimulatedVolume::sync copied the whole file at each sync.

Change: a sync makes the unsynced changes in the synced bytes, in their order, with the function that a loss of power uses for those that it keeps whole.

--- a/source/simulate/simulated_volume.cpp
+++ b/source/simulate/simulated_volume.cpp
@@ -74,11 +74,19 @@
 bool SimulatedVolume::sync(const std::string& file) {
   auto found = names_.find(file);
   if (!begin_operation() || sync_failing || found == names_.end()) return false;
-  found->second->synced = found->second->content;
-  found->second->unsynced.clear();
+  File& of = *found->second;
+  for (const Change& change : of.unsynced) make(change, of.synced);
+  of.unsynced.clear();
   return true;
 }
 
+void SimulatedVolume::make(const Change& change, Bytes& content) {
+  if (change.cut)
+    content.resize(std::min(content.size(), change.offset));
+  else
+    put(content, change.offset, change.bytes);
+}
+
 bool SimulatedVolume::rename(const std::string& from, const std::string& to) {
   auto found = names_.find(from);
   if (!begin_operation() || found == names_.end()) return false;
@@ -100,7 +108,7 @@
     const Kept kept = chance(random);
     if (kept == Kept::missing) continue;
     if (change.cut) {
-      file.content.resize(std::min(file.content.size(), change.offset));
+      make(change, file.content);
       continue;
     }
     // Pages reach the disk in any order: of a torn write a part from anywhere is there, before it a hole.
--- a/source/simulate/simulated_volume.hpp
+++ b/source/simulate/simulated_volume.hpp
@@ -52,6 +52,7 @@
   };
   bool begin_operation() { return operations++ < stop_after && !failing; }
   void set_name(const std::string& name, FilePointer file);
+  static void make(const Change& change, Bytes& content);  // as a whole
   static void lose_power(File& file, RandomSource& random);
 
   std::map<std::string, FilePointer> names_, synced_names_;
