Circle: a ramp lasts from when it is told, not from a failure heard of late

Cause: daemons that did not see the failure themselves begin the ramp when the circle tells it, the circle counted its end from the failure.

Change: follow_ramps, taken out of the long `run`; the end counts from the telling too. Test: fails before (the runner is warm 200 ms after it was told).

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -151,6 +151,35 @@
   state.over_limit = std::move(over);
 }
 
+// A ramp begins with a new member, one that was started anew and one that failed or came back, and lasts from when the
+// circle tells it: daemons that did not see the failure themselves begin it then.
+void CircleDuty::follow_ramps(const Table<Runner>& runners, Span ramp, const Circle& before, State& state, Moment now,
+                              Circle& next) {
+  next.warm.clear();
+  next.generations.clear();
+  next.ramps.clear();
+  for (const auto& member : next.members) {
+    const std::string& name = member.text;
+    const std::uint64_t generation = runners.at(name).spec.generation;
+    const auto known = before.generations.find(name);
+    const bool anew = before.has(name) && (known == before.generations.end() ? 0 : known->second) != generation;
+    if (anew) state.entered[name] = now;
+    const Moment entered = state.entered.try_emplace(name, now).first->second;
+    const bool shaken = state.shaken(name, ramp, now);
+    const Moment cause = shaken ? std::max(entered, state.failed.at(name)) : entered;
+    Ramp& latest = state.ramps[name];
+    const auto count = before.ramps.find(name);
+    next.ramps[name] = count == before.ramps.end() ? 0 : count->second;
+    if (cause > latest.cause + ramp / 8 || count == before.ramps.end()) {
+      latest = Ramp{cause, now};
+      ++next.ramps[name];
+    }
+    const bool over = now - entered >= ramp && now - latest.told >= ramp;
+    if (!shaken && !anew && (before.bears(name, generation) || over)) next.warm.push_back(member);
+    if (generation > 0) next.generations[name] = generation;
+  }
+}
+
 void CircleDuty::run(const std::string& kind, const Kind& settings, State& state) {
   const Moment now = messenger_.timers().now();
   const auto configuration = shared_state_.configuration.get();
@@ -290,28 +319,7 @@
   std::vector<std::string> chosen = match_members(*configuration, able, current, size, before, demand);
   next.members.clear();
   for (const auto& name : chosen) next.members.push_back(RunnerId(name));
-  next.warm.clear();
-  next.generations.clear();
-  next.ramps.clear();
-  for (const auto& name : chosen) {
-    const std::uint64_t generation = configuration->runners.at(name).spec.generation;
-    auto known = before.generations.find(name);
-    const bool anew = before.has(name) && (known == before.generations.end() ? 0 : known->second) != generation;
-    if (anew) state.entered[name] = now;
-    const Moment since = state.entered.try_emplace(name, now).first->second;
-    const bool shaken = state.shaken(name, circle.ramp, now);
-    if (!shaken && !anew && (before.bears(name, generation) || now - since >= circle.ramp))
-      next.warm.push_back(RunnerId(name));
-    if (generation > 0) next.generations[name] = generation;
-    Moment& ramped = state.ramped[name];
-    const Moment begins = shaken ? std::max(since, state.failed.at(name)) : since;
-    auto ramp = before.ramps.find(name);
-    next.ramps[name] = ramp == before.ramps.end() ? 0 : ramp->second;
-    if (begins > ramped + circle.ramp / 8 || ramp == before.ramps.end()) {
-      ramped = begins;
-      ++next.ramps[name];
-    }
-  }
+  follow_ramps(configuration->runners, circle.ramp, before, state, now, next);
   next.daemons = count_daemons(*members, before, state, now);
   next.dark.clear();
   for (const auto& [name, until] : state.dark_until)
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -66,6 +66,10 @@
     LotDemand lots;
     Moment heard;
   };
+  struct Ramp {
+    Moment cause;  // when the runner came in, failed or came back
+    Moment told;
+  };
   struct State {
     Epoch epoch;
     Law law;
@@ -73,7 +77,8 @@
     std::map<std::pair<Address, bool>, Report> reports;  // live and items apart
     std::vector<double> samples;
     Moment since, last_cycle;
-    std::map<std::string, Moment> entered, failed, ramped;
+    std::map<std::string, Moment> entered, failed;
+    std::map<std::string, Ramp> ramps;       // the latest of each runner
     std::map<std::string, Moment> returned;  // when it answered a daemon again that had seen it away
     std::map<Address, Demand> demands;       // of the lots of each owner
     Moment written;
@@ -97,6 +102,8 @@
   bool dark(const State& state, const std::string& runner, Moment now) const;
   void check_connections(const std::string& kind, std::uint32_t limit, State& state, Moment now);
   static std::size_t substitutes_for(const std::vector<RunnerId>& members, const State& state, Span ramp, Moment now);
+  static void follow_ramps(const Table<Runner>& runners, Span ramp, const Circle& before, State& state, Moment now,
+                           Circle& next);
   static std::uint32_t count_daemons(const Members& members, const Circle& before, State& state, Moment now);
   // Members spread over the zones as the live work does; every zone with work has one before any has two.
   std::vector<std::string> match_members(const ConfigurationView& configuration, const std::set<std::string>& able,
--- a/tests/circle_duty_test.cpp
+++ b/tests/circle_duty_test.cpp
@@ -246,6 +246,22 @@
   CHECK(wait_without_prompts(16) == 2);
 }
 
+TEST_CASE("a ramp lasts from when the circle tells it, not from a failure that it heard of late") {
+  CircleFixture fixture;
+  fixture.put("kind/model", R"({"circle":{"all":true,"ramp":1000}})");
+  fixture.list_runners(2);
+  fixture.duty.start();
+  fixture.run(seconds(3), 1);
+  REQUIRE(fixture.circle().warm.size() == 2);
+  LoadReport load;
+  load.runners["1"] = ObservedLoad{0, false, true, milliseconds(800), milliseconds(800), false, 0};
+  fixture.report("10.0.0.1:1", load);
+  fixture.world.run_until(fixture.world.now() + milliseconds(800));
+  CHECK(fixture.circle().warm.size() == 1);
+  fixture.world.run_until(fixture.world.now() + milliseconds(800));
+  CHECK(fixture.circle().warm.size() == 2);
+}
+
 TEST_CASE("a runner that is back begins one ramp, not one more with each daemon that learns of it late") {
   CircleFixture fixture;
   fixture.put("kind/model", R"({"circle":{"all":true,"ramp":1000}})");
