--- a/source/stand_ins/shapes.cpp
+++ b/source/stand_ins/shapes.cpp
@@ -131,37 +131,32 @@
   return shape;
 }
 
-Shape farm_shape() {
+// Machines that keep control state, machines that keep nothing and machines that keep lots, three zones of each.
+Shape shape_by_roles(std::string name, std::size_t lot_machines) {
   Shape shape = small_shape();
-  shape.name = "farm";
+  shape.name = std::move(name);
   shape.told_first_start = true;
   shape.machines.clear();
   const std::vector<std::string> zones{"north", "south", "west"};
   add_machines(shape, 3, zones, 3);
   for (auto& machine : shape.machines) machine.keeps = "control";
   add_machines(shape, 3, zones, 0);
-  add_machines(shape, 3, zones, 3);
-  for (std::size_t index = 6; index < shape.machines.size(); ++index) shape.machines[index].keeps = "lots";
+  const std::size_t serving = shape.machines.size();
+  add_machines(shape, lot_machines, zones, lot_machines);
+  for (std::size_t index = serving; index < shape.machines.size(); ++index) shape.machines[index].keeps = "lots";
   return shape;
 }
 
+Shape farm_shape() {
+  return shape_by_roles("farm", 3);
+}
+
 Shape storage_shape() {
   // What a third of a core was seen to take for records of lots on the users' platform.
   constexpr Span storage_time_per_kilobyte = std::chrono::microseconds(80);
-  Shape shape = small_shape();
-  shape.name = "storage";
-  shape.told_first_start = true;
-  shape.machines.clear();
-  const std::vector<std::string> zones{"north", "south", "west"};
-  add_machines(shape, 3, zones, 3);
-  for (auto& machine : shape.machines) machine.keeps = "control";
-  add_machines(shape, 3, zones, 0);
-  const std::size_t serving = shape.machines.size();
-  add_machines(shape, 8, zones, 8);
-  for (std::size_t index = serving; index < shape.machines.size(); ++index) {
-    shape.machines[index].keeps = "lots";
-    shape.machines[index].time_per_kilobyte = storage_time_per_kilobyte;
-  }
+  Shape shape = shape_by_roles("storage", 8);
+  for (auto& machine : shape.machines)
+    if (machine.keeps == "lots") machine.time_per_kilobyte = storage_time_per_kilobyte;
   shape.lots = {LotLoad{"lines", "lines", 2, 40, 4000, std::chrono::milliseconds(0), true, 0}};
   return shape;
 }
