--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -20,6 +20,8 @@
   void send(const Address&, Envelope) override {}
 };
 
+const std::string get = "GET /pay HTTP/1.1\r\nHost: here\r\n\r\n";
+
 struct Fixture {
   boost::asio::io_context context{1};
   AsioTimers timers{context};
@@ -80,6 +82,15 @@
     run([&] { return done; });
     return socket;
   }
+  // A plain request that the runner has whole.
+  struct Relayed {
+    tcp::socket caller, runner;
+  };
+  Relayed relayed() {
+    Relayed made{call(get), accepted()};
+    until(made.runner, "\r\n\r\n");
+    return made;
+  }
   // What comes until the text does; or until the end, where that is to come.
   std::string until(tcp::socket& socket, const std::string& end, bool* ended = nullptr) {
     std::string text;
@@ -100,7 +111,6 @@
   }
 };
 
-const std::string get = "GET /pay HTTP/1.1\r\nHost: here\r\n\r\n";
 void say(tcp::socket& socket, const std::string& text) {
   boost::asio::write(socket, boost::asio::buffer(text));
 }
@@ -109,9 +119,7 @@
 
 TEST_CASE("an answer passes with its length as the runner gave it, head and body in one piece") {
   Fixture fixture;
-  auto caller = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [caller, runner] = fixture.relayed();
   say(runner, "HTTP/1.1 201 Made\r\nSeal: s\r\nContent-Length: 4\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\nbody");
   const std::string text = fixture.until(caller, "body");
   CHECK(text.starts_with("HTTP/1.1 201 Created\r\n"));
@@ -121,9 +129,7 @@
 
 TEST_CASE("a stream passes event by event as it comes, and its end is told") {
   Fixture fixture;
-  auto caller = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [caller, runner] = fixture.relayed();
   say(runner, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
   CHECK(fixture.until(caller, "\r\n5\r\nfirst\r\n").find("Transfer-Encoding: chunked\r\n") != std::string::npos);
   say(runner, "6\r\nsecond\r\n");
@@ -135,9 +141,7 @@
 TEST_CASE("an answer that its runner broke off looks broken: no last chunk, or less than its length, and the end") {
   for (const std::string head : {"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "Content-Length: 8\r\n\r\nhalf"}) {
     Fixture fixture;
-    auto caller = fixture.call(get);
-    auto runner = fixture.accepted();
-    fixture.until(runner, "\r\n\r\n");
+    auto [caller, runner] = fixture.relayed();
     say(runner, "HTTP/1.1 200 OK\r\n" + head);
     runner.close();
     const std::string text = fixture.to_the_end(caller);
@@ -229,9 +233,7 @@
 TEST_CASE("while the daemon drains, a connection gets its answer and is told that it closes") {
   Fixture fixture;
   fixture.router.serves_while_draining = true;
-  auto caller = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [caller, runner] = fixture.relayed();
   fixture.shared_state.draining = true;
   say(runner, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
   const std::string text = fixture.to_the_end(caller);
@@ -246,9 +248,7 @@
 TEST_CASE("a request that comes over a kept connection after the front has closed is refused, not begun") {
   Fixture fixture;
   fixture.router.serves_while_draining = true;
-  auto caller = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [caller, runner] = fixture.relayed();
   say(runner, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbo");
   CHECK(fixture.until(caller, "bo").find("Connection: close") == std::string::npos);
   fixture.shared_state.draining = true;
@@ -265,9 +265,7 @@
 
 TEST_CASE("a front that closes lets idle connections go, and counts those with a request until they are answered") {
   Fixture fixture;
-  auto caller = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [caller, runner] = fixture.relayed();
   auto idle = fixture.call("");
   fixture.settle();
   CHECK(fixture.front.busy() == 1);
@@ -282,9 +280,7 @@
 
 TEST_CASE("a front counts the requests that it read, and those that got no whole answer by cause") {
   Fixture fixture;
-  auto answered = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [answered, runner] = fixture.relayed();
   say(runner, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
   fixture.until(answered, "body");
   fixture.settle();
@@ -341,9 +337,7 @@
 
 TEST_CASE("a caller that takes nothing holds its runner up, and both go on when it takes its answer") {
   Fixture fixture;
-  auto caller = fixture.call(get);
-  auto runner = fixture.accepted();
-  fixture.until(runner, "\r\n\r\n");
+  auto [caller, runner] = fixture.relayed();
   const std::string body(48u << 20, 'b');
   say(runner, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
   std::size_t sent = 0;
