--- a/source/replication/repair.cpp
+++ b/source/replication/repair.cpp
@@ -46,7 +46,7 @@
 void ReplicatedStore::keep_repaired(std::uint32_t slot, std::vector<Record> records) {
   for (auto& record : records) {
     if (!wanted_for_repair(slot, record)) continue;
-    if (lots_only() && !log_.takes(size_of(record))) {
+    if (!has_room(size_of(record))) {
       ++counts_.stores_refused_for_room;
       return;
     }
--- a/source/replication/replica.cpp
+++ b/source/replication/replica.cpp
@@ -87,7 +87,7 @@
   const Stamp have = found == held.records.end() ? Stamp{} : found->second.stamp;
   if (have >= store.change.stamp) return log_.when_synced([answer] { answer(StoreReply{"stored", {}, {}, {}}); });
   if (!store.change.full && have != store.change.before) return answer(StoreReply{"behind", held.promised, {}, {}});
-  if (lots_only() && !log_.takes(size_of(store.change))) return answer(no_room(held));
+  if (!has_room(size_of(store.change))) return answer(no_room(held));
   apply(held, store.change);
   const bool roster_change = store.change.key == "roster" && store.change.head;
   DiskEntry entry{.what = "change", .slot = store.slot, .epoch = store.epoch, .change = std::move(store.change)};
@@ -117,7 +117,7 @@
   std::erase_if(copies.records, [&](const Record& record) { return !newer(held, record); });
   std::size_t size = 0;
   for (const auto& record : copies.records) size += size_of(record);
-  if (lots_only() && !log_.takes(size)) return answer(no_room(held));
+  if (!has_room(size)) return answer(no_room(held));
   DiskEntry entry{.what = "copies", .holder = copies.owner, .slot = copies.slot, .epoch = copies.epoch};
   entry.records = copies.records;
   put_copies(held, std::move(copies.records));
--- a/source/replication/replicated_store.hpp
+++ b/source/replication/replicated_store.hpp
@@ -111,6 +111,7 @@
 
   void tick();
   bool lots_only() const { return self_.keeps == "lots"; }
+  bool has_room(std::size_t bytes) const { return !lots_only() || log_.takes(bytes); }
   bool keeps_key(View key) const { return self_.keeps.empty() || lot_key(key) == lots_only(); }
   void found();
   void gather();
