--- a/source/sessions/sessions.cpp
+++ b/source/sessions/sessions.cpp
@@ -165,18 +165,22 @@
     for (const auto& [member_address, member] : peer.sessions)
       if (member_address != self_.address) add(member);
   }
-  publish(std::move(table), 1 + peers_.size());
+  publish(std::move(table));
 }
 
-void Sessions::publish(MemberTable table, std::size_t control_daemons) {
+void Sessions::publish(MemberTable table) {
   const MemberChanges changes = changes_between(table_, table);
   if (changes.empty()) return;
   history_.add(digest_, changes);
   digest_ = apply(changes, table_, digest_);
+  set_members(self_.address, std::move(table));
+}
+
+void Sessions::set_members(const Address& home, MemberTable all) {
   Members members;
-  members.home = self_.address;
-  members.control_daemons = control_daemons;
-  members.all = std::move(table);
+  members.home = home;
+  for (const auto& [address, member] : all) members.control_daemons += member.keeps_control();
+  members.all = std::move(all);
   shared_state_.members.set(std::move(members));
 }
 
@@ -226,12 +230,9 @@
   turn_ = 0;
   const bool changed = take_members(reply);
   if (!changed && shared_state_.members.get()->home == home) return;
-  Members members;
-  members.home = home;
-  members.all = table_;
-  members.all[self_.address] = self_;
-  for (const auto& [address, member] : members.all) members.control_daemons += member.keeps_control();
-  shared_state_.members.set(std::move(members));
+  MemberTable all = table_;
+  all[self_.address] = self_;
+  set_members(home, std::move(all));
 }
 
 // False where nothing changed. Changes since a digest that is no longer that of the table here are left for the next
--- a/source/sessions/sessions.hpp
+++ b/source/sessions/sessions.hpp
@@ -89,7 +89,8 @@
   bool take_members(const BeatReply& reply);
   void share();
   void rebuild();
-  void publish(MemberTable table, std::size_t control_daemons);
+  void publish(MemberTable table);
+  void set_members(const Address& home, MemberTable all);
   std::vector<Address> candidates() const;
 
   Messenger& messenger_;
