--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,110 +1,133 @@
-"""Lots beside a lot whose one item is larger than a runner's memory."""
+"""Streams wait for a runner to go on at, and a configuration takes their route away meanwhile."""
 
 import asyncio
-import json
 import os
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
-from deployment import (BOUNDS, MEMORY, Deployment, Record, call, configuration, lot_of, lot_route, new_id,  # noqa: E402
-                        plain_route, stream_route)
+from deployment import (Deployment, Record, call, configuration, lot_route, new_id, plain_route,  # noqa: E402
+                        read_head, stream_route)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-COMPLETION, RETENTION = 12000, 40  # of the sheet of Sestavna
-LARGE_LOTS = int(os.environ.get("LARGE_LOTS", "1"))
-LOTS, ITEMS, EVENTS = 24, 5, 10
+RUNNERS, SLOTS, EVENTS, GAP = 6, 12, 24, 0.15  # one of six is 17 in 100; a stream lasts 3.6 s of its route's 5 s
+EXTRA, SHORT = 24, 6  # streams beyond the slots, short ones: a third more than runs at once, as in a burst
 record = Record(os.path.join(HERE, "record.txt"))
 
 
-async def hand_in(deployment, ident, lot):
-    for _ in range(8):
-        edge = deployment.edges[int(ident[:4], 16) % len(deployment.edges)]
-        answer = await call(edge.callers, "POST", "/lots-in/" + ident[:6],
-                            {"Host": "lots.example", "Attempt-Id": ident, "Content-Type": "application/json"},
-                            json.dumps(lot).encode())
-        record("lot", id=ident, items=len(lot["batch-items"]), answer=answer and answer[0])
-        if answer and answer[0] == 202:
-            return True
-        await asyncio.sleep(0.2)
-    return False
+def parse(raw):
+    """What a client makes of the bytes of an answer: 'whole', 'cut', or why they are no answer in the protocol."""
+    if b"\r\n\r\n" not in raw:
+        return "cut", b""
+    head, rest = raw.split(b"\r\n\r\n", 1)
+    if not head.startswith(b"HTTP/1.1 "):
+        return "no status line", b""
+    if b"transfer-encoding: chunked" not in head.lower():
+        return "whole", rest
+    body = b""
+    while True:
+        line, mark, after = rest.partition(b"\r\n")
+        if not mark:
+            return "cut", body
+        try:
+            size = int(line.split(b";")[0], 16)
+        except ValueError:
+            return f"no chunk: {line[:60]!r}", body
+        if len(after) < size + 2:
+            return "cut", body
+        if after[size:size + 2] != b"\r\n":
+            return f"no end of a chunk: {after[size:size + 60]!r}", body
+        if size == 0:
+            return "whole", body
+        body += after[:size]
+        rest = after[size + 2:]
 
 
-async def listed(deployment, ident):
-    """What the lot lists: item to state, text."""
-    for number in range(8):
-        answer = await call(deployment.edges[number % 4].callers, "GET", f"/v1/lots/{ident}?page-cursor=0",
-                            {"Host": "lots.example"})
-        if answer and answer[0] == 200:
-            return {each["instance-id"]: (each["oper-state"], each["text"])
-                    for each in json.loads(answer[2])["result-list"]}
-        await asyncio.sleep(0.2)
-    return None
+async def stream(deployment, edge, results, wanted=EVENTS):
+    attempt = new_id()
+    request = (f"POST /review/{attempt[:4]} HTTP/1.1\r\nHost: live.example\r\nAttempt-Id: {attempt}\r\nModel: m\r\n"
+               f"Token-Count: 500,{wanted}\r\nPrompt-Prefix: {attempt[:6]}:100,{attempt[6:12]}:400\r\n"
+               "Time-Budget: 5000\r\nContent-Length: 5\r\n\r\nhello").encode()
+    record("send", id=attempt, to=edge.name)
+    raw = b""
+    try:
+        reader, writer = await asyncio.open_connection(*edge.callers)
+        writer.write(request)
+        until = time.monotonic() + 6
+        while time.monotonic() < until and parse(raw)[0] == "cut":
+            piece = await asyncio.wait_for(reader.read(65536), max(0.01, until - time.monotonic()))
+            if not piece:
+                break
+            raw += piece
+        if parse(raw)[0] not in ("cut", "whole"):
+            await asyncio.sleep(0.2)  # for the record: what else comes
+            raw += await asyncio.wait_for(reader.read(65536), 0.2) if not reader.at_eof() else b""
+        writer.close()
+    except (OSError, asyncio.TimeoutError):
+        pass
+    how, body = parse(raw)
+    events = body.count(b"\nid: ") + body.startswith(b"id: ")
+    record("answer", id=attempt, status=raw[9:12].decode("latin-1"), events=events, how=how.replace(" ", "_"))
+    if how not in ("whole", "cut"):
+        record("bytes", id=attempt, tail=raw[-420:])
+    results.append((attempt, raw[9:12], how, events, wanted))
 
 
 async def main():
-    deployment = Deployment(record, pools={"models": (12, 32), "plain": (1, 6)}, event_gap=0.03)
+    deployment = Deployment(record, pools={"models": (RUNNERS, SLOTS), "plain": (1, 6)}, event_gap=GAP)
     try:
-        routes = [stream_route("r-review", "/review/", True), plain_route("r-plain", "/plain/"),
-                  lot_route("r-lots", "/lots-in/", completion=COMPLETION, retention=RETENTION)]
-        if not await deployment.start(configuration(7, routes, 32)):
+        routes = [stream_route("r-review", "/review/", True), stream_route("r-other", "/other/", False, tries=1),
+                  plain_route("r-plain", "/plain/"), lot_route("r-lots", "/lots-in/")]
+        if not await deployment.start(configuration(7, routes, SLOTS)):
             record("the deployment did not come up")
             return 2
         await asyncio.sleep(4)
-        # That lots are worked off is known before.
-        before = new_id()
-        if not await hand_in(deployment, before, lot_of(3, "/lots-in/", EVENTS)):
-            return 2
-        await asyncio.sleep(4)
-        if len(await listed(deployment, before) or {}) != 3:
-            record("a lot before the trouble was not worked off")
-            return 2
-        large, lots = {}, {}
-        for _ in range(LARGE_LOTS):
-            lot = lot_of(1, "/lots-in/", EVENTS)
-            if TROUBLE:
-                lot["batch-items"][0]["header-map"]["Token-Count"] = f"{MEMORY},1000"
-                lot["batch-items"][0]["token-count"] = MEMORY + 1000
-            large[new_id()] = lot
-        for _ in range(LOTS):
-            lots[new_id()] = lot_of(ITEMS, "/lots-in/", EVENTS)
-        taken = await asyncio.gather(*[hand_in(deployment, ident, lot) for ident, lot in large.items()])
-        taken += await asyncio.gather(*[hand_in(deployment, ident, lot) for ident, lot in lots.items()])
-        if not all(taken):
-            record("a lot was not accepted")
+        # All clients are in one zone, whose daemon gets them. Load before, so that the system puts all runners to use.
+        warm = []
+        models = [runner for runner in deployment.runners if runner.pool == "models"]
+        least, until = time.monotonic() + 8, time.monotonic() + 25
+
+        def go_on():
+            now = time.monotonic()
+            return now < least or (now < until and not all(runner.running for runner in models))
+
+        async def load(edge):
+            while go_on():
+                await stream(deployment, edge, warm, 6)
+
+        await asyncio.gather(*[load(deployment.edges[0]) for _ in range(RUNNERS * SLOTS + 8)])
+        if not any(status == b"200" and how == "whole" and events == 6 for _, status, how, events, _ in warm):
+            record("no stream before the trouble was served")
             return 2
-        ended = time.monotonic()
-        record("the traffic ends")
-        await asyncio.sleep(BOUNDS["finish-s"])
-        record("finish-s is over")
-        unlisted, wrong = 0, 0
-        pages = await asyncio.gather(*[listed(deployment, ident) for ident in lots])
-        for (ident, lot), page in zip(lots.items(), pages):
-            if page is None:
-                record("unreadable", id=ident)
+        results = []
+        tasks = []
+        for number in range(RUNNERS * SLOTS):
+            tasks.append(asyncio.ensure_future(
+                stream(deployment, deployment.edges[0], results)))
+            await asyncio.sleep(0.006)
+        for number in range(EXTRA):
+            tasks.append(asyncio.ensure_future(
+                stream(deployment, deployment.edges[0], results, SHORT)))
+        await asyncio.sleep(1.5)
+        if TROUBLE:
+            dark = max(models, key=lambda runner: runner.running)
+            record("dark", runner=dark.instance, running=dark.running, all=[each.running for each in models],
+                   queued=[each.waiting for each in models])
+            dark.dark = True
+            await asyncio.sleep(0.85)
+            status = await deployment.order("POST", "/v1/Config.Modify", {"Base-Version": "7"},
+                                            {"config-revision": 9, "remove": {"route-table": ["r-review"]}})
+            if status != 200:
+                record("the configuration was not taken", status=status)
                 return 2
-            missing = [item["instance-id"] for item in lot["batch-items"] if item["instance-id"] not in page]
-            unlisted += len(missing)
-            wrong += sum(state == "abandoned" for state, _ in page.values())
-            record("listed", id=ident, items=ITEMS, listed=len(page), unlisted=len(missing))
-        now = time.monotonic()
-        small = {item["instance-id"] for lot in lots.values() for item in lot["batch-items"]}
-        late_runs = [run for run in deployment.runs if now - run[0] < 5 and run[1] in small]
-        busiest = max(runner.running / runner.slots for runner in deployment.runners)
-        record("result", lots=LOTS, items=LOTS * ITEMS, unlisted=unlisted, abandoned=wrong,
-               after_the_traffic_s=round(now - ended, 1), runs_of_them_in_the_last_5_s=len(late_runs),
-               fullest_runner=busiest)
-        print(f"{LOTS * ITEMS} items that any runner could do: {unlisted} neither complete nor abandoned")
-        # What follows is for the record: how long they stay so.
-        if unlisted:
-            for _ in range(9):
-                await asyncio.sleep(4)
-                pages = await asyncio.gather(*[listed(deployment, ident) for ident in lots])
-                record("later", after_the_traffic_s=round(time.monotonic() - ended, 1),
-                       unlisted=LOTS * ITEMS - sum(len(page or {}) for page in pages),
-                       abandoned=sum(state == "abandoned" for page in pages for state, _ in (page or {}).values()))
-        return 1 if unlisted and not late_runs and busiest < 0.5 else 0
+        await asyncio.gather(*tasks)
+        broken = [each for each in results if each[2] not in ("whole", "cut")]
+        short = [each for each in results if each[1] == b"200" and each[2] == "whole" and each[3] != each[4]]
+        record("result", streams=len(results), whole=sum(each[2] == "whole" for each in results),
+               cut=sum(each[2] == "cut" for each in results), no_answer_in_the_protocol=len(broken), short=len(short))
+        print(f"{len(results)} streams: {len(broken)} got bytes that are no answer in the protocol")
+        return 1 if broken or short else 0
     finally:
         deployment.stop()
 
