review: case 3 keeps the slots in use before the trouble

Shown: review/3/run.sh, as before; the clients ask again and again, and the trouble comes when all slots are in use.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS, SLOTS, EVENTS, GAP = 6, 12, 24, 0.15  # one of six is 17 in 100; a stream lasts 3.6 s of its route's 5 s
-EXTRA, SHORT = 24, 6  # streams beyond the slots, short ones: a third more than runs at once, as in a burst
+EXTRA = 24  # streams beyond the slots: a third more than runs at once, as in a burst
 record = Record(os.path.join(HERE, "record.txt"))
 
 
@@ -44,10 +44,10 @@
         rest = after[size + 2:]
 
 
-async def stream(deployment, edge, results, wanted=EVENTS):
+async def stream(deployment, edge, results):
     attempt = new_id()
     request = (f"POST /review/{attempt[:4]} HTTP/1.1\r\nHost: live.example\r\nAttempt-Id: {attempt}\r\nModel: m\r\n"
-               f"Token-Count: 500,{wanted}\r\nPrompt-Prefix: {attempt[:6]}:100,{attempt[6:12]}:400\r\n"
+               f"Token-Count: 500,{EVENTS}\r\nPrompt-Prefix: {attempt[:6]}:100,{attempt[6:12]}:400\r\n"
                "Time-Budget: 5000\r\nContent-Length: 5\r\n\r\nhello").encode()
     record("send", id=attempt, to=edge.name)
     raw = b""
@@ -71,7 +71,7 @@
     record("answer", id=attempt, status=raw[9:12].decode("latin-1"), events=events, how=how.replace(" ", "_"))
     if how not in ("whole", "cut"):
         record("bytes", id=attempt, tail=raw[-420:])
-    results.append((attempt, raw[9:12], how, events, wanted))
+    results.append((attempt, raw[9:12], how, events))
 
 
 async def main():
@@ -83,56 +83,42 @@
             record("the deployment did not come up")
             return 2
         await asyncio.sleep(4)
-        # All clients are in one zone, whose daemon gets them. Load before, so that the system puts all runners to use.
-        warm = []
+        # All clients are in one zone, whose daemon gets them. They ask again and again, so that all runners come to use.
         models = [runner for runner in deployment.runners if runner.pool == "models"]
-        least, until = time.monotonic() + 8, time.monotonic() + 14
+        results, ended = [], []
 
-        def go_on():
-            now = time.monotonic()
-            return now < least or (now < until and not all(runner.running for runner in models))
+        async def client(number):
+            await asyncio.sleep(0.03 * number)
+            while not ended:
+                await stream(deployment, deployment.edges[0], results)
 
-        async def load(edge):
-            while go_on():
-                await stream(deployment, edge, warm, 6)
-
-        await asyncio.gather(*[load(deployment.edges[0]) for _ in range(RUNNERS * SLOTS + 8)])
-        if not any(status == b"200" and how == "whole" and events == 6 for _, status, how, events, _ in warm):
+        tasks = [asyncio.ensure_future(client(number)) for number in range(RUNNERS * SLOTS + EXTRA)]
+        least, until = time.monotonic() + 8, time.monotonic() + 60
+        # The trouble comes when the slots are in use; what waits takes those that become free.
+        while time.monotonic() < least or sum(runner.running for runner in models) < RUNNERS * SLOTS - 2:
+            if time.monotonic() > until:
+                record("the runners were never full")
+                return 2
+            await asyncio.sleep(0.05)
+        if not any(status == b"200" and how == "whole" and events == EVENTS for _, status, how, events in results):
             record("no stream before the trouble was served")
             return 2
-        results = []
-        for batch in range(15):
-            results.clear()
-            tasks = []
-            for number in range(RUNNERS * SLOTS):
-                tasks.append(asyncio.ensure_future(stream(deployment, deployment.edges[0], results)))
-                await asyncio.sleep(0.006)
-            for number in range(EXTRA):
-                tasks.append(asyncio.ensure_future(stream(deployment, deployment.edges[0], results, SHORT)))
-            await asyncio.sleep(1.5)
-            running = [runner.running for runner in models]
-            record("batch", running=running)
-            # The trouble comes in a batch that fills all runners.
-            if all(count == SLOTS for count in running):
-                break
-            await asyncio.gather(*tasks)
-        else:
-            record("no batch filled all runners")
-            return 2
+        results.clear()
         if TROUBLE:
             dark = max(models, key=lambda runner: runner.running)
             record("dark", runner=dark.instance, running=dark.running, all=[each.running for each in models],
                    queued=[each.waiting for each in models])
             dark.dark = True
-            await asyncio.sleep(0.85)
+            await asyncio.sleep(0.8)
             status = await deployment.order("POST", "/v1/Config.Modify", {"Base-Version": "7"},
                                             {"config-revision": 9, "remove": {"route-table": ["r-review"]}})
             if status != 200:
                 record("the configuration was not taken", status=status)
                 return 2
+        ended.append(True)
         await asyncio.gather(*tasks)
         broken = [each for each in results if each[2] not in ("whole", "cut")]
-        short = [each for each in results if each[1] == b"200" and each[2] == "whole" and each[3] != each[4]]
+        short = [each for each in results if each[1] == b"200" and each[2] == "whole" and each[3] != EVENTS]
         record("result", streams=len(results), whole=sum(each[2] == "whole" for each in results),
                cut=sum(each[2] == "cut" for each in results), no_answer_in_the_protocol=len(broken), short=len(short))
         print(f"{len(results)} streams: {len(broken)} got bytes that are no answer in the protocol")
