Lots: an item that no runner can hold keeps no other from the runners

Cause: Fetching::has_room told "no more items are wanted" and "this one does not fit" by one flag, so an item that never fits ended each fetch before all lots behind it at its owner. Ruled out: runners that turn work away (all idle, nothing was sent), the placers (the items of other owners ran).

Change: what does not fit is passed over; what no runner of the kind can hold is not told to circle and placers as demand and is given up at the lane's retention alone. An item whose runs brought nothing twice in a row goes behind all others for a while: a wrong size, or no stated memory, gave the same fault through runners that turn it away.

--- a/source/lots/lot_demand.cpp
+++ b/source/lots/lot_demand.cpp
@@ -26,16 +26,18 @@
   auto lane = configuration.lanes.find(lot.head.lane);
   if (lane == configuration.lanes.end()) return;
   const bool queued = queue_.contains({lot.due, lot.id});
-  const auto count = queued ? static_cast<std::uint32_t>(lot.pending.size()) : 0;
-  const double at_once = runs_at_once(lot, count, now);
-  if (count == 0 && at_once == 0) return;
   auto& pending = late(lot, now) ? demand.pending.late : demand.pending.kinds;
   for (const auto& share : lane->second.spec.kinds()) {
     if (share.weight <= 0) continue;
+    const std::uint64_t memory = memory_of(configuration, share.kind.text);
+    const std::uint32_t count = queued ? holdable(lot, memory) : 0;
+    const double at_once = runs_at_once(lot, count, now);
+    if (count == 0 && at_once == 0) continue;
     LotDemand& of_kind = demand.kinds[share.kind.text];
     of_kind.pending += count;
     of_kind.at_once += at_once;
-    if (!slot.adopting && count > 0) pending[share.kind.text] += count;
+    const std::uint32_t startable_now = queued && !slot.adopting ? startable(lot, memory, now) : 0;
+    if (startable_now > 0) pending[share.kind.text] += startable_now;
   }
 }
 
--- a/source/lots/lot_ownership.cpp
+++ b/source/lots/lot_ownership.cpp
@@ -134,6 +134,7 @@
   lot.begun = now + -elapsed;
   lot.closed_at = now;
   for (std::uint32_t index = 0; index < lot.items.size(); ++index) {
+    lot.largest_item = std::max(lot.largest_item, lot.head.items[index].tokens);
     if (lot.items[index].state == ItemState::pending) lot.pending.insert(index);
     if (lot.items[index].state == ItemState::started) lot.busy.insert(index);
   }
--- a/source/lots/lot_results.cpp
+++ b/source/lots/lot_results.cpp
@@ -15,6 +15,12 @@
   return finish.outcome == "answer" || finish.outcome == "impossible";
 }
 
+// Whether the runner turned the item away, or broke off while it ran it; other weights say nothing of the item.
+bool may_be_its_own_fault(const FinishItem& finish) {
+  const bool turned_away = finish.outcome == "not_run" && finish.status != 0 && finish.status != 421;
+  return turned_away || finish.outcome == "lost";
+}
+
 LotEntry entry_of(const FinishItem& finish) {
   LotEntry entry;
   entry.item = finish.item;
@@ -34,6 +40,7 @@
     Item& item = lot.items[entry.item];
     given.push_back(Before{entry, item.state});
     lot.pending.erase(entry.item);
+    lot.resting.erase(entry.item);
     lot.busy.insert(entry.item);
     item.state = ItemState::finishing;
     given.back().entry.what = entry.what = "result";
@@ -153,13 +160,17 @@
 std::optional<LotEntry> Lots::batch_result(Lot& lot, FinishItem& finish) {
   Item& item = lot.items[finish.item];
   item.failures = std::max(item.failures, finish.failures);
+  const bool gained = finish.outcome != "damaged" && finish.part.last_event > item.part.last_event;
   if (finish.outcome == "damaged")
     item.part = StreamPart{};
-  else if (finish.part.last_event > item.part.last_event)
+  else if (gained)
     item.part = std::move(finish.part);
+  if (gained) item.setbacks = 0;
   const bool spent = finish.outcome == "failed" && item.failures >= std::max(1u, lot.head.attempts);
   if (!whole_answer(finish) && !spent) {
-    if (item.state == ItemState::started) requeue(lot, finish.item);
+    if (item.state != ItemState::started) return std::nullopt;
+    requeue(lot, finish.item);
+    if (!gained && may_be_its_own_fault(finish)) count_setback(lot, finish.item);
     return std::nullopt;
   }
   LotEntry entry = entry_of(finish);
@@ -171,7 +182,9 @@
 std::optional<LotEntry> Lots::plain_result(Lot& lot, FinishItem& finish) {
   const Item& item = lot.items[finish.item];
   if (finish.outcome == "not_run") {
-    if (item.state == ItemState::started) requeue(lot, finish.item);
+    if (item.state != ItemState::started) return std::nullopt;
+    requeue(lot, finish.item);
+    if (may_be_its_own_fault(finish)) count_setback(lot, finish.item);
     return std::nullopt;
   }
   if (finish.outcome == "stopped" || finish.outcome == "lost") {
--- a/source/lots/lot_starts.cpp
+++ b/source/lots/lot_starts.cpp
@@ -2,6 +2,7 @@
 #include "lots/lots_internals.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace mothwalk {
 
@@ -9,8 +10,23 @@
 constexpr std::uint32_t most_items_fetched = 64;
 // Seconds that an item runs, where none of its lane has run yet.
 constexpr double unknown_run = 1.0;
+// Runs without any gain that an item may have before it rests.
+constexpr std::uint32_t setbacks_before_rest = 2;
+// The first rest, which doubles with each further setback.
+constexpr Span shortest_rest = std::chrono::milliseconds(250);
+constexpr std::uint32_t most_rest_doublings = 3;
+constexpr Moment end_of_all_rests{std::numeric_limits<std::int64_t>::max()};
 }  // namespace
 
+std::uint64_t memory_of(const ConfigurationView& configuration, const std::string& kind) {
+  auto found = configuration.kinds.find(kind);
+  return found == configuration.kinds.end() ? 0 : found->second.spec.engine.memory_tokens;
+}
+
+bool holds(std::uint64_t memory_tokens, std::uint32_t item_tokens) {
+  return memory_tokens == 0 || item_tokens <= memory_tokens;
+}
+
 bool Lots::leads(const ConfigurationView& configuration, const Lot& lot, const std::string& kind) const {
   auto lane = configuration.lanes.find(lot.head.lane);
   if (lane == configuration.lanes.end()) return false;
@@ -39,14 +55,12 @@
   std::size_t left = 1;
   std::uint32_t wanted = 0;
   std::uint64_t tokens = 0;
+  Moment awake;  // items that rest for longer stay behind
 
-  // Whether one more item may go; counts it in if so.
-  bool has_room(std::uint32_t item_tokens) {
-    if (wanted == 0) return false;
-    if (fetch.tokens > 0 && tokens + item_tokens > fetch.tokens) {
-      wanted = 0;
-      return false;
-    }
+  // Whether one more item fits into what the runner's memory has left; counts it in if so. One that does not fit is
+  // passed over, so that it keeps no other from the runner.
+  bool take(std::uint32_t item_tokens) {
+    if (fetch.tokens > 0 && tokens + item_tokens > fetch.tokens) return false;
     tokens += item_tokens;
     --wanted;
     return true;
@@ -63,7 +77,13 @@
                         "wait for the news that names it"});
   auto fetching = std::make_shared<Fetching>();
   fetching->wanted = std::min(fetch.count, most_items_fetched);
-  std::vector<Lot*> choices = lots_to_start(fetch.runner_kind, fetching->wanted, fetching->reply);
+  // Items that rest go where nothing else waits.
+  std::vector<Lot*> choices;
+  for (const Moment awake : {messenger_.timers().now(), end_of_all_rests}) {
+    if (!choices.empty()) break;
+    fetching->awake = awake;
+    choices = lots_to_start(fetch, awake, fetching->reply);
+  }
   std::set<std::uint32_t> unconfirmed;
   std::erase_if(choices, [&](const Lot* lot) {
     const std::uint32_t number = slot_of(lot_record_key(lot->id));
@@ -88,27 +108,46 @@
   fetching->done();
 }
 
-std::vector<Lots::Lot*> Lots::lots_to_start(const std::string& runner_kind, std::uint32_t wanted, ItemsReply& reply) {
+std::uint32_t Lots::holdable(const Lot& lot, std::uint64_t memory_tokens) {
+  if (holds(memory_tokens, lot.largest_item)) return static_cast<std::uint32_t>(lot.pending.size());
+  return static_cast<std::uint32_t>(std::count_if(lot.pending.begin(), lot.pending.end(), [&](std::uint32_t index) {
+    return holds(memory_tokens, lot.head.items[index].tokens);
+  }));
+}
+
+std::uint32_t Lots::startable(const Lot& lot, std::uint64_t memory_tokens, Moment awake) {
+  const auto resting = std::count_if(lot.resting.begin(), lot.resting.end(), [&](const auto& each) {
+    return each.second > awake && holds(memory_tokens, lot.head.items[each.first].tokens);
+  });
+  return holdable(lot, memory_tokens) - static_cast<std::uint32_t>(resting);
+}
+
+std::vector<Lots::Lot*> Lots::lots_to_start(const FetchItems& fetch, Moment awake, ItemsReply& reply) {
   const Moment now = messenger_.timers().now();
   const auto configuration = shared_state_.configuration.get();
+  const std::uint64_t memory = memory_of(*configuration, fetch.runner_kind);
   std::vector<Lot*> choices, late_ones;
   for (const auto& [due, id] : queue_) {
     Slot& slot = slots_[slot_of(lot_record_key(id))];
     auto found = slot.lots.find(id);
-    if (found == slot.lots.end() || slot.adopting || !leads(*configuration, found->second, runner_kind)) continue;
+    if (found == slot.lots.end() || slot.adopting || !leads(*configuration, found->second, fetch.runner_kind)) continue;
     Lot& lot = found->second;
     const bool expired = !lot.head.batch && lot.head.deadline > Span{} && now - lot.begun >= lot.head.deadline;
     if (expired) continue;
+    const std::uint32_t waiting = startable(lot, memory, awake);
+    if (waiting == 0) continue;
     const bool too_late = late(lot, now);
-    (too_late ? reply.late : reply.remaining) += static_cast<std::uint32_t>(lot.pending.size());
+    (too_late ? reply.late : reply.remaining) += waiting;
     (too_late ? late_ones : choices).push_back(&lot);
   }
   // What can still be in time goes first, due earlier before due later; what can't takes the room that is left.
   choices.insert(choices.end(), late_ones.begin(), late_ones.end());
+  // Of the items, those that fit into what the runner has left.
+  const std::uint64_t left = fetch.tokens > 0 ? fetch.tokens : memory;
+  const std::uint32_t wanted = std::min(fetch.count, most_items_fetched);
   std::size_t enough = 0;
   std::uint32_t items = 0;
-  while (enough < choices.size() && items < wanted)
-    items += static_cast<std::uint32_t>(choices[enough++]->pending.size());
+  while (enough < choices.size() && items < wanted) items += startable(*choices[enough++], left, awake);
   choices.resize(enough);
   return choices;
 }
@@ -116,12 +155,17 @@
 void Lots::start_items(Lot& lot, const std::shared_ptr<Fetching>& fetching) {
   const Moment now = messenger_.timers().now();
   const bool again_allowed = repeatable(lot);
+  const std::uint64_t memory = memory_of(*shared_state_.configuration.get(), fetching->fetch.runner_kind);
   std::uint32_t& remaining = late(lot, now) ? fetching->reply.late : fetching->reply.remaining;
   std::vector<LotEntry> starts;
-  while (!lot.pending.empty()) {
-    const std::uint32_t index = *lot.pending.begin();
-    if (!fetching->has_room(lot.head.items[index].tokens)) break;
+  for (auto next = lot.pending.begin(); next != lot.pending.end() && fetching->wanted > 0;) {
+    const std::uint32_t index = *next++;
+    const std::uint32_t tokens = lot.head.items[index].tokens;
+    auto rest = lot.resting.find(index);
+    if (rest != lot.resting.end() && rest->second > fetching->awake) continue;
+    if (!holds(memory, tokens) || !fetching->take(tokens)) continue;
     lot.pending.erase(index);
+    lot.resting.erase(index);
     lot.busy.insert(index);
     --remaining;
     Item& item = lot.items[index];
@@ -210,4 +254,12 @@
   announce_soon_ = true;
 }
 
+void Lots::count_setback(Lot& lot, std::uint32_t index) {
+  const std::uint32_t setbacks = ++lot.items[index].setbacks;
+  if (setbacks < setbacks_before_rest) return;
+  const std::uint32_t doublings = std::min(setbacks - setbacks_before_rest, most_rest_doublings);
+  lot.resting[index] = messenger_.timers().now() + shortest_rest * (1 << doublings);
+  ++counts_.items_rested;
+}
+
 }  // namespace mothwalk
--- a/source/lots/lot_submission.cpp
+++ b/source/lots/lot_submission.cpp
@@ -75,6 +75,16 @@
   return std::nullopt;
 }
 
+std::uint32_t Lots::too_large(const Lot& lot) const {
+  const auto configuration = shared_state_.configuration.get();
+  auto lane = configuration->lanes.find(lot.head.lane);
+  if (lane == configuration->lanes.end()) return 0;
+  std::uint32_t held = 0;
+  for (const auto& share : lane->second.spec.kinds())
+    if (share.weight > 0) held = std::max(held, holdable(lot, memory_of(*configuration, share.kind.text)));
+  return static_cast<std::uint32_t>(lot.pending.size()) - held;
+}
+
 void Lots::submitted(const std::string& id, const Bytes& head, const std::string& content, Epoch epoch,
                      const Result<WriteReply>& result, const Answer<LotStatus>& answer) {
   Slot& slot = slots_[slot_of(lot_record_key(id))];
@@ -94,6 +104,7 @@
   record.head = head;
   record.written = std::get<WriteReply>(result).stamp;
   Lot& lot = slot.lots.emplace(id, rebuild(record, epoch)).first->second;
+  counts_.items_too_large += too_large(lot);
   queue(lot);
   announce_soon_ = true;
   answer(status(lot));
--- a/source/lots/lots.hpp
+++ b/source/lots/lots.hpp
@@ -11,7 +11,9 @@
 struct LotCounts {
   std::uint64_t slots_loaded = 0, lots_rebuilt = 0;  // rebuilt: read from their records
   std::uint64_t lots_kept = 0;                       // taken over as they were, under the owner's next epoch
-  MOTHWALK_FIELDS(slots_loaded, lots_rebuilt, lots_kept)
+  std::uint64_t items_too_large = 0;  // handed in here, and larger than a runner's memory: no runner can hold them
+  std::uint64_t items_rested = 0;     // times that an item rested since its runs brought nothing
+  MOTHWALK_FIELDS(slots_loaded, lots_rebuilt, lots_kept, items_too_large, items_rested)
 };
 
 class Lots {
@@ -26,6 +28,7 @@
     ItemState state = ItemState::pending;
     std::uint64_t attempt = 0;
     std::uint32_t tries = 0, failures = 0;
+    std::uint32_t setbacks = 0;  // runs in a row that a runner turned away or broke off, and that brought no new part
     Address placer;
     std::uint64_t incarnation = 0;
     Moment since;
@@ -44,8 +47,10 @@
     LotHead head;
     std::string content;  // names what was handed in: equal for a lot handed in again
     std::vector<Item> items;
-    std::vector<LotEntry> results;          // on a majority of disks
-    std::set<std::uint32_t> pending, busy;  // items: free to run; with a placer or with a result being written
+    std::vector<LotEntry> results;            // on a majority of disks
+    std::set<std::uint32_t> pending, busy;    // items: free to run; with a placer or with a result being written
+    std::map<std::uint32_t, Moment> resting;  // of the pending: until then they go behind all others
+    std::uint32_t largest_item = 0;           // tokens
     std::vector<Waiter> waiters;
     bool cancelled = false, cancelling = false, removing = false;
     Moment begun;  // such that now - begun is the time since submission
@@ -100,6 +105,7 @@
   void when_owner(const std::string& id, bool within_lease, std::function<void(bool, Lot*)> then);
   void submit(SubmitLot submit, Answer<LotStatus> answer);
   std::uint64_t expected_growth(std::size_t items) const;
+  std::uint32_t too_large(const Lot& lot) const;  // pending items that no runner of the lot's lane can hold
   std::optional<Fault> not_accepted(const LotHead& head, const ConfigurationView& configuration) const;
   void submitted(const std::string& id, const Bytes& head, const std::string& content, Epoch epoch,
                  const Result<WriteReply>& result, const Answer<LotStatus>& answer);
@@ -112,7 +118,10 @@
   void body(ReadItem read, Answer<ItemBody> answer);
   void fetch(const Address& placer, std::uint64_t incarnation, FetchItems fetch, Answer<ItemsReply> answer, bool again);
   // The lots that the items of a fetch come from, in their order; what waits in all of them is counted in the reply.
-  std::vector<Lot*> lots_to_start(const std::string& runner_kind, std::uint32_t wanted, ItemsReply& reply);
+  std::vector<Lot*> lots_to_start(const FetchItems& fetch, Moment awake, ItemsReply& reply);
+  // How many pending items a runner with this memory can hold, and how many of these rest no longer than until then.
+  static std::uint32_t holdable(const Lot& lot, std::uint64_t memory_tokens);
+  static std::uint32_t startable(const Lot& lot, std::uint64_t memory_tokens, Moment awake);
   void start_items(Lot& lot, const std::shared_ptr<Fetching>& fetching);
   LotEntry start_entry(const Lot& lot, std::uint32_t index) const;
   PlacedItem placed_item(const Lot& lot, std::uint32_t index) const;
@@ -131,6 +140,8 @@
   // Whether the fetch comes from the newest placer of the runner that this owner has heard of.
   bool newest_placer(const Address& placer, std::uint64_t incarnation, const FetchItems& fetch);
   void requeue(Lot& lot, std::uint32_t index);
+  // Counts a run that brought nothing; after some in a row the item rests, so that others go before it.
+  void count_setback(Lot& lot, std::uint32_t index);
   double took(const Lot& lot) const;            // seconds that an item of its lane runs, about
   bool late(const Lot& lot, Moment now) const;  // an item begun now would miss the time that the lot was promised
   void queue(const Lot& lot);                   // puts the lot among those that have items to run, or takes it out
--- a/source/lots/lots_internals.hpp
+++ b/source/lots/lots_internals.hpp
@@ -25,6 +25,12 @@
                "check the id; finished lots are kept for the retention time only"};
 }
 
+// The tokens that a runner of the kind can hold; 0 where no bound is stated.
+std::uint64_t memory_of(const ConfigurationView& configuration, const std::string& kind);
+
+// Whether an item of so many tokens can run at a runner with this memory.
+bool holds(std::uint64_t memory_tokens, std::uint32_t item_tokens);
+
 // Names what was handed in. Of a batch the items alone: what the lane promises may have changed between two sendings.
 std::string lot_content(const LotHead& head);
 
