Router: a request that needs an idle runner does not mark its kind as full

One request over a runner's memory waits until a runner has no work, and meanwhile Router::send_to_any took the whole kind as full for all requests behind it in that daemon: late answers, and 503 at the end of the waiting budget.

Change: a request that no runner can hold beside others says nothing of the room that others find. Requests that fit beside others keep their order.

Before: with the condition taken out, the new case "a request that no runner can hold beside others keeps none behind it from the runners" fails (one attempt of two). After: it passes, and all unit tests do.

--- a/source/routes/router_sending.cpp
+++ b/source/routes/router_sending.cpp
@@ -99,7 +99,8 @@
       return true;
     }
     record.obstacle = runner_table_.main_obstacle();
-    if (*why == "busy" && record.tried.empty()) full[kind] = record.obstacle;
+    if (*why == "busy" && record.tried.empty() && !needs_idle_runner(configuration, kind, record.demand))
+      full[kind] = record.obstacle;
     if (*why == "busy") return false;
   }
   return false;
--- a/source/routes/runner_table.cpp
+++ b/source/routes/runner_table.cpp
@@ -18,8 +18,19 @@
 constexpr double apart_share = 0.45;             // of the members, for large prompts
 constexpr double apart_load = 0.75;              // of the others, above which they take everything
 constexpr Span load_news = milliseconds(1500);   // how old the news of a runner's load may be to rely on it
+
+// What requests may take of an engine's memory together; one that has the engine to itself may take all of it.
+double shared_memory(const Kind& kind) {
+  return memory_share * static_cast<double>(kind.engine.memory_tokens);
+}
 }  // namespace
 
+bool needs_idle_runner(const ConfigurationView& configuration, const std::string& kind, const Demand& demand) {
+  auto found = configuration.kinds.find(kind);
+  if (found == configuration.kinds.end() || found->second.spec.engine.memory_tokens == 0) return false;
+  return static_cast<double>(demand.tokens) > shared_memory(found->second.spec);
+}
+
 RunnerTable::RunnerTable(Messenger& messenger, SharedState& shared_state, RandomSource& random, Member self)
     : messenger_(messenger), shared_state_(shared_state), random_(random), self_(std::move(self)) {
   messenger_.on_tell<LoadTotals>([this](const Address&, LoadTotals totals) {
@@ -135,7 +146,7 @@
   if (kind.engine.memory_tokens > 0 && runner_state.taken() > 0) {
     const double used = static_cast<double>(runner_state.tokens + considered.demand.tokens) +
                         mean_tokens_ * (runner_state.others + runner_state.items);
-    if (used > memory_share * static_cast<double>(kind.engine.memory_tokens)) return Obstacle::memory;
+    if (used > shared_memory(kind)) return Obstacle::memory;
   }
   const double limit = runner.slots * kind.overcommit;
   follow_ramp(name, considered, warm, runner_state);
--- a/source/routes/runner_table.hpp
+++ b/source/routes/runner_table.hpp
@@ -48,6 +48,10 @@
   Span cold_told{};              // what its source last said of that
 };
 
+// Whether no runner of the kind can hold the request beside others, or at all: it waits until one has no work, and says
+// nothing of the room that others find.
+bool needs_idle_runner(const ConfigurationView& configuration, const std::string& kind, const Demand& demand);
+
 class RunnerTable {
  public:
   RunnerTable(Messenger& messenger, SharedState& shared_state, RandomSource& random, Member self);
--- a/tests/dialect_router_test.cpp
+++ b/tests/dialect_router_test.cpp
@@ -394,6 +394,22 @@
   CHECK(fixture.attempts.size() == 2);
 }
 
+// Guards against: one request larger than a runner's memory held up all that came behind it until it was refused.
+TEST_CASE("a request that no runner can hold beside others keeps none behind it from the runners") {
+  SpeakingFixture fixture;
+  fixture.put("kind/model", R"({"engine":{"memory_tokens":12000}})");
+  fixture.put("circle/model", R"({"members":["one"],"warm":["one"]})");
+  fixture.put("runner/one", R"({"kind":"model","address":"10.0.1.1:80","zone":"north","slots":32})");
+  EXPECT_ATTEMPTS(fixture, 2);
+  fixture.say("/pay", {{"Prefix", "p"}});
+  auto large = fixture.say("/pay", {{"Prefix", "p"}, {"Long", "12001"}});
+  CHECK(fixture.attempts.size() == 1);
+  fixture.say("/pay", {{"Prefix", "p"}});
+  CHECK(fixture.attempts.size() == 2);
+  fixture.wait(std::chrono::milliseconds(600));
+  CHECK((large->status == 503 && large->outcome == "refused"));
+}
+
 TEST_CASE("what a runner tells of its load counts as others' work on it") {
   SpeakingFixture fixture;
   fixture.put("circle/model", R"({"members":["one","two"],"warm":["one","two"]})");
