Router: a stream whose answer has begun is not answered a second time

Cause: follow_configuration admits what waits anew; without_lane then wrote an answer of its own without a look at head_given, which every other ending checked for itself. Ruled out: the front and the platform's surface (they write nothing while an answer of the connection is under way; the bytes are the router's 404).

Change: all answers of the router's own go through one function that breaks a begun stream off visibly. A stream whose answer has begun goes on as it was admitted, at runners of its kinds, as undisturbed ones do: a break would be an answer cut by planned work. A request that may have run is unknown (502) when its lane goes, no longer "refused" with 404.

--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -95,6 +95,14 @@
     std::optional<std::uint64_t> last_event;
     std::string version;  // of the weights that the answer comes from, as its head and its events tell
   };
+  // An answer of this daemon's own.
+  struct Refusal {
+    int status = 0;
+    std::string outcome;  // refused: not run, and never will be; or unknown
+    std::string reason;   // that it is counted by
+    bool retry_after = false;
+    Fault fault;
+  };
   class Watcher;
   using Place = std::tuple<std::uint32_t, Moment, Id>;  // rank, arrival
 
@@ -122,6 +130,7 @@
   void set_deadline(Record& record);
   static Demand demand_of(const Record& record);
   bool follow_configuration(Record& record, const std::shared_ptr<const ConfigurationView>& configuration, Moment now);
+  bool may_go_on(Record& record, const ConfigurationView& configuration);
   bool send_to_any(Record& record, const ConfigurationView& configuration, std::map<std::string, Obstacle>& full,
                    std::string* why);
   void share(Record& record);
@@ -145,7 +154,7 @@
   void again(Record& record);
   void refuse(Record& record, const std::string& reason, const std::string& message);
   void give_unknown(Record& record, int status, const std::string& reason, const std::string& message);
-  void answer(Record& record, int status, const std::string& outcome, const Fault& fault, bool retry_after);
+  void answer(Record& record, const Refusal& refusal);
   void count_wait(const Record& record);
   void check_held(Record& record, const ConfigurationView& configuration, Moment now);
   void warn_of_troubles();
--- a/source/routes/router_admission.cpp
+++ b/source/routes/router_admission.cpp
@@ -33,8 +33,12 @@
     record.lane_name.clear();
     return true;
   }
-  answer(record, 404, "refused",
-         Fault{FaultKind::unknown_name, "path", "no lane has this path", "use the path of a declared lane"}, false);
+  if (record.may_have_run)
+    give_unknown(record, 502, "lane", "the request's lane was removed");
+  else
+    answer(record,
+           Refusal{404, "refused", "lane", false,
+                   Fault{FaultKind::unknown_name, "path", "no lane has this path", "use the path of a declared lane"}});
   return false;
 }
 
--- a/source/routes/router_endings.cpp
+++ b/source/routes/router_endings.cpp
@@ -44,37 +44,35 @@
 }
 
 void Router::refuse(Record& record, const std::string& reason, const std::string& message) {
-  if (record.may_have_run && !record.head_given) return give_unknown(record, 502, reason, message);
-  if (record.head_given) return ended_broken(record, reason);
-  ++counts_.refusals[reason];
-  answer(record, 503, "refused",
-         Fault{FaultKind::refused, "request", message + "; it was not run and never will be",
-               "send it again after the time in Retry-After"},
-         true);
+  if (record.may_have_run) return give_unknown(record, 502, reason, message);
+  answer(record, Refusal{503, "refused", reason, true,
+                         Fault{FaultKind::refused, "request", message + "; it was not run and never will be",
+                               "send it again after the time in Retry-After"}});
 }
 
 void Router::give_unknown(Record& record, int status, const std::string& reason, const std::string& message) {
-  if (record.head_given) return ended_broken(record, reason);
-  ++counts_.unknowns[reason];
-  answer(record, status, "unknown",
-         Fault{FaultKind::unknown, "request", message + "; whether it ran is not known",
-               record.repeatable ? "send it again after the time in Retry-After"
-                                 : "find out whether it took effect before you send it again"},
-         true);
+  const std::string remedy = record.repeatable ? "send it again after the time in Retry-After"
+                                               : "find out whether it took effect before you send it again";
+  answer(record, Refusal{status, "unknown", reason, true,
+                         Fault{FaultKind::unknown, "request", message + "; whether it ran is not known", remedy}});
 }
 
-void Router::answer(Record& record, int status, const std::string& outcome, const Fault& fault, bool retry_after) {
+// A caller that has the head of an answer can be told nothing else any more: its stream breaks off.
+void Router::answer(Record& record, const Refusal& refusal) {
+  if (record.head_given) return ended_broken(record, refusal.reason);
+  const bool unknown = refusal.outcome == "unknown";
+  ++(unknown ? counts_.unknowns : counts_.refusals)[refusal.reason];
   if (record.abandoned) return set_state(record, State::finished);
-  ++(outcome == "unknown" ? counts_.unknown : counts_.refused);
+  ++(unknown ? counts_.unknown : counts_.refused);
   count_for_aims(record, false);
-  json::value body = fault_to_json(fault);
-  body.as_object()["outcome"] = outcome;
+  json::value body = fault_to_json(refusal.fault);
+  body.as_object()["outcome"] = refusal.outcome;
   const std::string text = json::serialize(body) + "\n";
-  std::vector<Header> headers{{"X-Mothwalk-Outcome", outcome},
+  std::vector<Header> headers{{"X-Mothwalk-Outcome", refusal.outcome},
                               {"Content-Type", "application/json"},
                               {"Content-Length", std::to_string(text.size())}};
-  if (retry_after) headers.push_back({"Retry-After", dialect_.retry_after(come_back(record))});
-  record.caller->head(status, headers);
+  if (refusal.retry_after) headers.push_back({"Retry-After", dialect_.retry_after(come_back(record))});
+  record.caller->head(refusal.status, headers);
   record.caller->piece(text);
   record.caller->end();
   set_state(record, State::finished);
--- a/source/routes/router_sending.cpp
+++ b/source/routes/router_sending.cpp
@@ -69,6 +69,7 @@
 bool Router::follow_configuration(Record& record, const std::shared_ptr<const ConfigurationView>& configuration,
                                   Moment now) {
   if (record.configuration == configuration && !record.lane_name.empty()) return true;
+  if (record.head_given) return may_go_on(record, *configuration);
   auto lane = configuration->lanes.find(record.lane_name);
   const bool unchanged = !record.lane_name.empty() && lane != configuration->lanes.end() &&
                          lane->second.stamp == record.configuration->lanes.at(record.lane_name).stamp &&
@@ -83,6 +84,15 @@
   return false;
 }
 
+// A stream whose answer has begun goes on as it was admitted, as do those that no runner broke off: at runners of its
+// kinds while there are any, whatever becomes of its lane meanwhile.
+bool Router::may_go_on(Record& record, const ConfigurationView& configuration) {
+  const bool any = std::any_of(record.kinds.begin(), record.kinds.end(),
+                               [&](const std::string& kind) { return configuration.kinds.contains(kind); });
+  if (!any) ended_broken(record, "lane");
+  return any;
+}
+
 // Sends the record to a runner of its kinds; `full` collects the kinds whose runners are all busy, and by what.
 bool Router::send_to_any(Record& record, const ConfigurationView& configuration, std::map<std::string, Obstacle>& full,
                          std::string* why) {
--- a/tests/dialect_router_test.cpp
+++ b/tests/dialect_router_test.cpp
@@ -167,6 +167,75 @@
   CHECK(fixture.attempts[0].request.to.text == "10.0.1.9:80");
 }
 
+namespace {
+
+// A stream, and a request that may run twice, whose only runner broke off: both wait for it. The stream has its head.
+struct BrokenOffFixture : SpeakingFixture {
+  BrokenOffFixture() {
+    put("lane/tell", R"({"path":"/tell","kind":"model","repeatable":true,"attempts":3,"waiting":2000,"whole":5000})");
+    put("lane/stream",
+        R"({"path":"/stream","kind":"model","streaming":true,"resumable":true,"attempts":3,"waiting":2000,"whole":5000})");
+    put("circle/model", R"({"members":["one"],"warm":["one"]})");
+    stream = say("/stream", {});
+    request = say("/tell", {});
+    attempts[0].watcher->on_head(200, {{"Content-Type", "text/event-stream"}});
+    attempts[0].watcher->on_piece("id: 1\ndata: a\n\n");
+    attempts[0].watcher->on_end(AttemptEnd::broken);
+    attempts[1].watcher->on_end(AttemptEnd::broken);
+  }
+  void remove(const std::string& key) {
+    REQUIRE(put_in_view(view, key, nullptr, Stamp{}));
+    shared_state.configuration.set(view);
+  }
+  std::unique_ptr<trompeloeil::expectation> sending =
+      NAMED_ALLOW_CALL(exchange, start(_, _)).LR_SIDE_EFFECT(attempts.push_back({_1, _2})).LR_RETURN(attempts.size());
+  std::shared_ptr<Seen> stream, request;
+};
+
+}  // namespace
+
+// Guards against: a 404 of this daemon's own in the middle of a caller's event stream.
+TEST_CASE("a stream that waits for a runner goes on to its end when its lane is removed or becomes one of lots") {
+  for (const bool removed : {true, false}) {
+    BrokenOffFixture fixture;
+    CHECK((fixture.stream->status == 200 && fixture.attempts.size() == 2));
+    if (removed)
+      fixture.remove("lane/stream");
+    else
+      fixture.put("lane/stream", R"({"path":"/stream","kind":"model","batch":true})");
+    fixture.wait(std::chrono::milliseconds(100));
+    CHECK((!fixture.stream->ended && !fixture.stream->broken));
+    fixture.wait(std::chrono::seconds(1));
+    REQUIRE(fixture.attempts.size() == 3);
+    CHECK(fixture.told(2, "After") == "1");
+    fixture.attempts[2].watcher->on_head(200, {});
+    fixture.attempts[2].watcher->on_piece("id: 2\ndata: b\n\n");
+    fixture.attempts[2].watcher->on_end(AttemptEnd::whole);
+    CHECK(fixture.stream->text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK((fixture.stream->ended && !fixture.stream->broken));
+    CHECK(fixture.say("/stream", {})->status == 404);
+  }
+}
+
+// Guards against: the same where nothing is left that the stream could go on at.
+TEST_CASE("a stream that waits for a runner breaks off visibly when its lane and its kind of runner are removed") {
+  BrokenOffFixture fixture;
+  fixture.remove("lane/stream");
+  fixture.remove("kind/model");
+  fixture.wait(std::chrono::milliseconds(100));
+  CHECK((fixture.stream->broken && !fixture.stream->ended));
+  CHECK(fixture.stream->text == "id: 1\ndata: a\n\n");
+  CHECK(fixture.router.counts().breaks.at("lane") == 1);
+}
+
+// Guards against: "refused", which promises that nothing ran, for a request that a runner had begun.
+TEST_CASE("a request that may have run is unknown, not refused, when its lane is removed while it waits") {
+  BrokenOffFixture fixture;
+  fixture.remove("lane/tell");
+  fixture.wait(std::chrono::milliseconds(100));
+  CHECK((fixture.request->status == 502 && fixture.request->outcome == "unknown"));
+}
+
 TEST_CASE("work that a runner promises not to have run goes to another one, within the lane's attempts") {
   for (const int status : {503, 429, 421}) {
     SpeakingFixture fixture;
