Circle: members take items of lots where no runner is outside

Cause: lots run outside the circle alone, and a circle has one member at least, so with one able runner none is outside; likewise in kinds that are all circle, and where prompts need every runner at medium load though all are under half full. Ruled out: demand that was not told (the circle's log line shows it), runners that fail (none was sent anything).

Change: where every able runner has been a member for a second and lots wait, the circle duty appoints placers for as many members as the lots need. Their placers keep prompts and items together within half of the slots, and items within a cold runner's share. Prompts go to the circle alone, evenly, as before; the PI law is untouched.

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -21,6 +21,8 @@
 constexpr Span quiet_span = std::chrono::seconds(60);         // without any prompt, after which little is needed
 constexpr Span quiet_beside_lots = std::chrono::seconds(10);  // the same while lots wait for runners
 constexpr Span fewer_span = std::chrono::seconds(60);  // that fewer daemons route before shares are made for fewer
+constexpr Span share_after = milliseconds(1000);       // that no runner is outside before members take items
+constexpr Span share_kept = std::chrono::seconds(5);   // after lots had use for it last
 }  // namespace
 
 namespace {
@@ -324,7 +326,8 @@
   next.dark.clear();
   for (const auto& [name, until] : state.dark_until)
     if (until > now && configuration->runners.contains(name)) next.dark.push_back(RunnerId(name));
-  appoint(*configuration, *members, able, state, next);
+  const auto shared = shared_with_lots(configuration->runners, able, next, lots, totals, state, now);
+  appoint(*configuration, *members, able, shared, state, next);
   std::erase_if(state.entered, [&](const auto& entry) {
     return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end();
   });
@@ -363,10 +366,48 @@
   return now - *state.fewer_since >= fewer_span ? routing : before.daemons;
 }
 
-// Each runner outside has one placer: the one it had while that one lives, else another, under a higher term. Where
-// some daemons keep nothing but lots, these place: in the runner's zone first, and evenly.
+// With no runner outside, lots would wait for as long as that lasts, which is for ever where a kind has one runner or
+// keeps all in its circle. What a member may be given of them beside its prompts is bounded where items are placed.
+std::set<std::string> CircleDuty::shared_with_lots(const Table<Runner>& runners, const std::set<std::string>& able,
+                                                   const Circle& next, const LotDemand& lots,
+                                                   const std::map<std::string, RunnerTotal>& totals, State& state,
+                                                   Moment now) {
+  if (able.empty() || next.members.size() < able.size()) {
+    state.all_inside_since.reset();
+    state.shared_for.reset();
+    return {};
+  }
+  if (!state.all_inside_since) state.all_inside_since = now;
+  const bool running = std::any_of(next.members.begin(), next.members.end(), [&](const RunnerId& member) {
+    const auto total = totals.find(member.text);
+    return total != totals.end() && total->second.items > 0 && next.placers.contains(member.text);
+  });
+  if (running || lots.pending > 0 || lots.at_once > 0) state.shared_for = now;
+  const bool wanted = state.shared_for && now - *state.shared_for < share_kept;
+  if (!wanted || now - *state.all_inside_since < share_after) return {};
+  std::vector<std::string> order(able.begin(), able.end());
+  auto rank = [&](const std::string& name) {
+    const bool cold = runners.at(name).spec.cold > Span{};
+    return std::make_tuple(cold, !next.placers.contains(name), hash_of(name));
+  };
+  std::sort(order.begin(), order.end(),
+            [&](const std::string& left, const std::string& right) { return rank(left) < rank(right); });
+  std::set<std::string> shared;
+  double room = 0;
+  for (const auto& name : order) {
+    if (!shared.empty() && room >= lots.at_once) break;
+    shared.insert(name);
+    room += runners.at(name).spec.items_beside_prompts();
+  }
+  return shared;
+}
+
+// Each runner outside has one placer, and each member that lots share: the one it had while that one lives, else
+// another, under a higher term. Where some daemons keep nothing but lots, these place: in the runner's zone first, and
+// evenly.
 void CircleDuty::appoint(const ConfigurationView& configuration, const Members& members,
-                         const std::set<std::string>& able, const State& state, Circle& next) const {
+                         const std::set<std::string>& able, const std::set<std::string>& shared, const State& state,
+                         Circle& next) const {
   const bool settled = messenger_.timers().now() - state.since > appoint_after;
   std::map<Address, std::size_t> busy;
   for (const auto& [address, member] : members.all)
@@ -378,7 +419,9 @@
   std::map<std::string, Placer> placers;
   std::vector<std::string> open;
   for (const auto& name : able) {
-    if (inside.contains(name) || (warm_outside && configuration.runners.at(name).spec.cold > Span{})) continue;
+    if ((inside.contains(name) && !shared.contains(name)) ||
+        (warm_outside && configuration.runners.at(name).spec.cold > Span{}))
+      continue;
     auto had = next.placers.find(name);
     auto member = had == next.placers.end() ? members.all.end() : members.all.find(had->second.address);
     const bool lives = member != members.all.end() && member->second.incarnation == had->second.incarnation &&
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -85,10 +85,12 @@
     std::map<std::string, Moment> dark_until;
     std::set<std::string> over_limit;  // runners that have more connections than they take
     Moment totals_told;
-    std::size_t samples_loaded = 0;     // of the samples, those with any load
-    Moment last_live;                   // when any prompt ran or waited last
-    std::optional<Moment> fewer_since;  // that fewer daemons route than the circle says
-    std::size_t substitutes = 0;        // members that stand in for others that failed of late
+    std::size_t samples_loaded = 0;          // of the samples, those with any load
+    Moment last_live;                        // when any prompt ran or waited last
+    std::optional<Moment> fewer_since;       // that fewer daemons route than the circle says
+    std::size_t substitutes = 0;             // members that stand in for others that failed of late
+    std::optional<Moment> all_inside_since;  // that every able runner is a member
+    std::optional<Moment> shared_for;        // when lots last had use for members that take items
     // Takes what a daemon saw of a runner that was away; false where that says nothing new.
     bool take_absence(const std::string& runner, const ObservedLoad& seen, Moment now);
     // Whether an attempt to the runner has failed within the last ramp.
@@ -96,8 +98,13 @@
   };
   void tick();
   void pass();
+  // The members that take items of lots beside live prompts: some where every able runner is a member and lots wait.
+  static std::set<std::string> shared_with_lots(const Table<Runner>& runners, const std::set<std::string>& able,
+                                                const Circle& next, const LotDemand& lots,
+                                                const std::map<std::string, RunnerTotal>& totals, State& state,
+                                                Moment now);
   void appoint(const ConfigurationView& configuration, const Members& members, const std::set<std::string>& able,
-               const State& state, Circle& next) const;
+               const std::set<std::string>& shared, const State& state, Circle& next) const;
   void run(const std::string& kind, const Kind& settings, State& state);
   bool dark(const State& state, const std::string& runner, Moment now) const;
   void check_connections(const std::string& kind, std::uint32_t limit, State& state, Moment now);
--- a/source/configuration/resources.hpp
+++ b/source/configuration/resources.hpp
@@ -47,6 +47,8 @@
   std::uint64_t generation = 0;  // raised by the platform with each new start of the runner's process
   Span cold{};                   // how much longer it is cold, as its source said last
   MOTHWALK_FIELDS(kind, address, zone, slots, leaving, generation, cold)
+  // The slots that items of lots may use where live prompts use the runner too.
+  std::uint32_t items_beside_prompts() const { return slots < 2 ? 1 : slots / 2; }
 };
 
 // A kind's share of a lane's requests, by weight.
@@ -127,7 +129,7 @@
   std::vector<RunnerId> dark;                        // runners that do not answer: neither members nor workers of lots
   std::map<std::string, std::uint64_t> generations;  // of the members: another one in force means a cold runner
   std::map<std::string, std::uint64_t> ramps;        // of the members: counts up when the ramp begins anew
-  std::map<std::string, Placer> placers;             // of the runners outside
+  std::map<std::string, Placer> placers;             // of the runners outside, and of members that lots share
   std::uint64_t term = 0;
   std::uint32_t daemons = 0;  // that route requests, as far as the circle duty has seen of late
   double load = 0;
@@ -137,6 +139,8 @@
   std::string reason;
   MOTHWALK_FIELDS(members, warm, dark, generations, ramps, placers, term, daemons, load, law, error, cycle, reason)
   bool has(const std::string& runner) const;
+  // Whether the member takes items of lots beside its prompts.
+  bool shares(const std::string& runner) const { return has(runner) && placers.contains(runner); }
   // Whether the runner may bear its whole share: its ramp is over, and it was not started anew since.
   bool bears(const std::string& runner, std::uint64_t generation) const;
 };
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -174,10 +174,11 @@
   tick();
 }
 
-bool Placing::outside(const ConfigurationView& configuration, const std::string& name, const Runner& runner) const {
+bool Placing::takes_items(const ConfigurationView& configuration, const std::string& name, const Runner& runner) const {
   if (runner.leaving || configuration.evacuated(runner.zone)) return false;
   auto circle = configuration.circles.find(runner.kind.text);
-  if (circle == configuration.circles.end() || circle->second.spec.has(name)) return false;
+  if (circle == configuration.circles.end()) return false;
+  if (circle->second.spec.has(name) && !circle->second.spec.shares(name)) return false;
   const auto& dark = circle->second.spec.dark;
   return std::find(dark.begin(), dark.end(), RunnerId(name)) == dark.end();
 }
@@ -191,30 +192,31 @@
   if (placer == placers.end() || placer->second.address != messenger_.self() ||
       placer->second.incarnation != messenger_.incarnation())
     return std::nullopt;
-  if (!outside(configuration, name, runner)) return std::nullopt;
+  if (!takes_items(configuration, name, runner)) return std::nullopt;
   return placer->second.term;
 }
 
 // Slots free of items and of streams that began while the runner was in the circle; half of them stay free until the
-// totals are newer than the change that made this daemon its placer. A runner that may turn cold at any moment is never
-// given more in a second than a cold one bears.
-std::uint32_t Placing::room(const std::string& name, const Runner& runner, const Kind& kind, Work& state) {
+// totals are newer than the change that made this daemon its placer. A member of the circle has half of its slots for
+// prompts alone. A runner that may turn cold at any moment is never given more in a second than a cold one bears.
+std::uint32_t Placing::room(const std::string& name, const Runner& runner, const Kind& kind, bool shared, Work& state) {
   const auto load = shared_state_.load.get();
   auto totals = load->find(runner.kind.text);
-  if (totals == load->end() || !state.outside_since) return 0;
+  if (totals == load->end() || !state.taking_since) return 0;
   auto found = totals->second.runners.find(name);
   // Totals from before it came out do not tell the prompts that were sent to it last.
-  if (totals->second.heard < *state.outside_since) return 0;
+  if (totals->second.heard < *state.taking_since) return 0;
   const std::uint32_t taken =
       state.open + (found == totals->second.runners.end() ? 0 : found->second.open + found->second.foreign);
   std::uint32_t free = taken < runner.slots ? runner.slots - taken : 0;
-  if (totals->second.heard < *state.outside_since + account_span)
+  if (totals->second.heard < *state.taking_since + account_span)
     free = free > runner.slots / 2 ? free - runner.slots / 2 : 0;
+  if (shared) free = std::min(free, runner.items_beside_prompts() - std::min(runner.items_beside_prompts(), taken));
   if (kind.cold_rate > 0) {
     const Moment now = messenger_.timers().now();
     while (!state.sent.empty() && now - state.sent.front() > milliseconds(1100)) state.sent.pop_front();
-    const auto bound =
-        static_cast<std::size_t>(std::max(1.0, kind.cold_rate * (runner.cold > Span{} ? cold_share : warm_share)));
+    const double share = shared || runner.cold > Span{} ? cold_share : warm_share;
+    const auto bound = static_cast<std::size_t>(std::max(1.0, kind.cold_rate * share));
     free = std::min(free, static_cast<std::uint32_t>(bound - std::min(bound, state.sent.size())));
   }
   return free;
@@ -263,16 +265,16 @@
       each = works_.erase(each);
       continue;
     }
-    const bool out = runner != configuration->runners.end() && outside(*configuration, name, runner->second.spec);
+    const bool out = runner != configuration->runners.end() && takes_items(*configuration, name, runner->second.spec);
     if (out)
-      state.inside_since.reset();
-    else if (!state.inside_since)
-      state.inside_since = now;
+      state.barred_since.reset();
+    else if (!state.barred_since)
+      state.barred_since = now;
     const auto term = out ? appointed(*configuration, name, runner->second.spec) : std::nullopt;
     if (!term)
-      state.outside_since.reset();
-    else if (!state.outside_since || state.term != *term)
-      state.outside_since = now;
+      state.taking_since.reset();
+    else if (!state.taking_since || state.term != *term)
+      state.taking_since = now;
     state.term = term.value_or(0);
     if (term) mine_.insert(name);
     ++each;
@@ -281,7 +283,7 @@
   std::vector<std::uint64_t> late;
   for (const auto& [number, attempt] : attempts_)
     if (const Work& state = works_[attempt.runner];
-        attempt.repeatable && state.inside_since && now - *state.inside_since > leave_span)
+        attempt.repeatable && state.barred_since && now - *state.barred_since > leave_span)
       late.push_back(number);
   stop(late);
   std::erase_if(sources_, [&](const auto& entry) { return now - entry.second.heard > source_span; });
@@ -329,7 +331,8 @@
     if (state.fetching || now < state.not_before) continue;
     const auto term = appointed(*configuration, name, runner);
     if (!term) continue;
-    const std::uint32_t free = room(name, runner, kind->second.spec, state);
+    const bool shared = configuration->circles.at(runner.kind.text).spec.shares(name);
+    const std::uint32_t free = room(name, runner, kind->second.spec, shared, state);
     // A runner that failed lately gets one item to prove itself with.
     if (free > 0 && (state.failures == 0 || state.open == 0))
       fetch(name, runner, state, *term, state.failures > 0 ? 1 : free, kind->second.spec);
--- a/source/lots/placing.hpp
+++ b/source/lots/placing.hpp
@@ -1,6 +1,7 @@
-// The placing side of kept lots. The runners outside the circle are shared out by an agreed order, each to one daemon,
-// which fetches items from the owners that have some, sends each within its short lease, and reports until heard. Of an
-// answer that is a series of events what came whole is kept, so that the item can go on anywhere.
+// The placing side of kept lots. The runners that take items, which are those outside the circle and members where none
+// is outside, are shared out by an agreed order, each to one daemon, which fetches items from the owners that have
+// some, sends each within its short lease, and reports until heard. Of an answer that is a series of events what came
+// whole is kept, so that the item can go on anywhere.
 #pragma once
 #include <deque>
 
@@ -26,7 +27,7 @@
     bool fetching = false;
     Moment not_before;
     std::uint32_t failures = 0;
-    std::optional<Moment> inside_since, outside_since;
+    std::optional<Moment> barred_since, taking_since;
     Moment last_sent;
     std::deque<Moment> sent;  // within the last second, where the kind bounds that
     std::uint64_t term = 0;
@@ -53,11 +54,12 @@
   void work_soon();
   void fetch(const std::string& name, const Runner& runner, Work& state, std::uint64_t term, std::uint32_t count,
              const Kind& kind);
-  bool outside(const ConfigurationView& configuration, const std::string& name, const Runner& runner) const;
+  // Whether it is outside its circle, or a member that lots share, and may be sent to.
+  bool takes_items(const ConfigurationView& configuration, const std::string& name, const Runner& runner) const;
   // This daemon's term as the runner's placer, or none.
   std::optional<std::uint64_t> appointed(const ConfigurationView& configuration, const std::string& name,
                                          const Runner& runner) const;
-  std::uint32_t room(const std::string& name, const Runner& runner, const Kind& kind, Work& state);
+  std::uint32_t room(const std::string& name, const Runner& runner, const Kind& kind, bool shared, Work& state);
   void report_load();
   void send(const std::string& runner, const PlacedItem& item);
   // Ends an attempt whose answer can't be used, and its connection.
--- a/tests/circle_duty_test.cpp
+++ b/tests/circle_duty_test.cpp
@@ -289,3 +289,91 @@
   report(3, Span{}, false);
   CHECK(fixture.circle().ramps.at("1") > returned);
 }
+
+namespace {
+
+// A kind whose lots have items for two slots; a third of the runs' time goes by between two reports of them.
+struct WaitingLotsFixture : CircleFixture {
+  WaitingLotsFixture(const Bytes& kind, int runners) {
+    put("kind/model", kind);
+    list_runners(runners);
+    duty.start();
+  }
+  void run_beside_lots(int spans, std::uint32_t open_each) {
+    for (int span = 0; span < spans; ++span) {
+      report_pending_items(9, 2);
+      run(seconds(1), open_each);
+    }
+  }
+  std::size_t shared() const {
+    return static_cast<std::size_t>(std::count_if(circle().members.begin(), circle().members.end(),
+                                                  [&](const RunnerId& name) { return circle().shares(name.text); }));
+  }
+};
+
+const char* whole_kind = R"({"circle":{"cycle":2000,"all":true,"ramp":500}})";
+
+}  // namespace
+
+// Guards against: lots of a kind with one runner, which is its circle, were accepted and never run.
+TEST_CASE("the only runner of a kind takes items of lots beside its prompts while lots wait") {
+  WaitingLotsFixture fixture(model_kind, 1);
+  fixture.run(seconds(3), 0);
+  CHECK(fixture.circle().members.size() == 1);
+  CHECK(fixture.shared() == 0);
+  for (const std::uint32_t open_each : {0u, 2u}) {
+    fixture.run_beside_lots(4, open_each);
+    CHECK(fixture.circle().members.size() == 1);
+    CHECK(fixture.shared() == 1);
+  }
+  fixture.run(seconds(12), 0);
+  CHECK(fixture.shared() == 0);
+}
+
+// Guards against: the same for a kind that keeps all of its runners in the circle.
+TEST_CASE("a kind that is all circle gives lots as many members as they need, and another placer when one is lost") {
+  WaitingLotsFixture fixture(whole_kind, 5);
+  fixture.run_beside_lots(4, 1);
+  CHECK(fixture.circle().members.size() == 5);
+  CHECK(fixture.shared() == 1);
+  fixture.report_pending_items(40, 7);
+  fixture.run(seconds(1), 1);
+  CHECK(fixture.shared() == 4);
+  const auto placers = fixture.circle().placers;
+  fixture.member("10.0.0.2:1", true);
+  fixture.members.all.erase(Address("10.0.0.1:1"));
+  fixture.shared_state.members.set(fixture.members);
+  fixture.run_beside_lots(2, 1);
+  REQUIRE(fixture.shared() >= 1);
+  for (const auto& [runner, placer] : fixture.circle().placers) {
+    CHECK(placer.address.text == "10.0.0.2:1");
+    CHECK(placer.term > placers.at(runner).term);
+  }
+}
+
+TEST_CASE("items that run on a member keep their placer until they have ended, though no lot waits any more") {
+  WaitingLotsFixture fixture(model_kind, 1);
+  fixture.run_beside_lots(4, 0);
+  REQUIRE(fixture.shared() == 1);
+  for (int second = 0; second < 12; ++second) {
+    LoadReport items;
+    items.items = true;
+    items.runners["1"].open = 2;
+    fixture.report("10.0.0.1:1", items);
+    fixture.run(seconds(1), 0);
+    CHECK(fixture.shared() == 1);
+  }
+}
+
+TEST_CASE("no member takes items while a runner is outside the circle, and all do their share where prompts need all") {
+  WaitingLotsFixture fixture(model_kind, 2);
+  fixture.run_beside_lots(6, 0);
+  CHECK(fixture.circle().members.size() == 1);
+  CHECK(fixture.shared() == 0);
+  CHECK(fixture.circle().placers.size() == 1);
+  // Prompts for more than one runner at medium load: both are members, and under half full.
+  fixture.run_beside_lots(12, 4);
+  fixture.run_beside_lots(6, 2);
+  CHECK(fixture.circle().members.size() == 2);
+  CHECK(fixture.shared() >= 1);
+}
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -215,3 +215,31 @@
   fixture.wait(milliseconds(300));
   CHECK(fixture.exchange.attempts.size() == 1);
 }
+
+// Guards against: items on a runner that live prompts use fill it.
+TEST_CASE("a member of the circle that lots share has half of its slots for prompts alone") {
+  for (const std::uint32_t prompts : {0u, 1u, 2u, 4u}) {
+    PlacerFixture fixture;
+    fixture.put("circle/model",
+                R"({"members":["model-1"],"placers":{"model-1":{"address":"10.0.0.2:1","incarnation":7,"term":2}}})");
+    for (int second = 0; second < 4; ++second) {
+      fixture.wait(std::chrono::seconds(1));
+      fixture.shared_state.load.set({{"model", KindTotals{fixture.world.now(), {{"model-1", {prompts, 0, 0}}}}}});
+    }
+    for (std::uint32_t index = 0; index < 4; ++index) fixture.offered.push_back(PlacerFixture::item(index));
+    fixture.tell(PendingItems{{{"model", 4}}, {}});
+    fixture.wait(milliseconds(300));
+    CHECK(fixture.exchange.attempts.size() == 2 - std::min(2u, prompts));
+  }
+}
+
+TEST_CASE("a member without a placer takes no items") {
+  PlacerFixture fixture;
+  fixture.put("circle/model", R"({"members":["model-1"]})");
+  fixture.pass_second();
+  fixture.pass_second();
+  fixture.offered.push_back(PlacerFixture::item());
+  fixture.tell(PendingItems{{{"model", 1}}, {}});
+  fixture.wait(milliseconds(500));
+  CHECK(fixture.exchange.attempts.empty());
+}
