Placing: a member that lots share takes items by what it bears, not by its slots

Change: half of what the runner bears at full load, in the circle duty's count of members to share and at the placer.

Before: with slots in place of the concurrency the new case "a member that bears fewer prompts than it has slots takes items by what it bears" fails (two items where one may go). After: all unit tests pass.

--- a/source/circle/circle.cpp
+++ b/source/circle/circle.cpp
@@ -326,7 +326,7 @@
   next.dark.clear();
   for (const auto& [name, until] : state.dark_until)
     if (until > now && configuration->runners.contains(name)) next.dark.push_back(RunnerId(name));
-  const auto shared = shared_with_lots(configuration->runners, able, next, lots, totals, state, now);
+  const auto shared = shared_with_lots(configuration->runners, settings, able, next, lots, totals, state, now);
   appoint(*configuration, *members, able, shared, state, next);
   std::erase_if(state.entered, [&](const auto& entry) {
     return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end();
@@ -368,8 +368,9 @@
 
 // With no runner outside, lots would wait for as long as that lasts, which is for ever where a kind has one runner or
 // keeps all in its circle. What a member may be given of them beside its prompts is bounded where items are placed.
-std::set<std::string> CircleDuty::shared_with_lots(const Table<Runner>& runners, const std::set<std::string>& able,
-                                                   const Circle& next, const LotDemand& lots,
+std::set<std::string> CircleDuty::shared_with_lots(const Table<Runner>& runners, const Kind& kind,
+                                                   const std::set<std::string>& able, const Circle& next,
+                                                   const LotDemand& lots,
                                                    const std::map<std::string, RunnerTotal>& totals, State& state,
                                                    Moment now) {
   if (able.empty() || next.members.size() < able.size()) {
@@ -397,7 +398,7 @@
   for (const auto& name : order) {
     if (!shared.empty() && room >= lots.at_once) break;
     shared.insert(name);
-    room += runners.at(name).spec.items_beside_prompts();
+    room += items_beside_prompts(kind, runners.at(name).spec);
   }
   return shared;
 }
--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -99,10 +99,10 @@
   void tick();
   void pass();
   // The members that take items of lots beside live prompts: some where every able runner is a member and lots wait.
-  static std::set<std::string> shared_with_lots(const Table<Runner>& runners, const std::set<std::string>& able,
-                                                const Circle& next, const LotDemand& lots,
-                                                const std::map<std::string, RunnerTotal>& totals, State& state,
-                                                Moment now);
+  static std::set<std::string> shared_with_lots(const Table<Runner>& runners, const Kind& kind,
+                                                const std::set<std::string>& able, const Circle& next,
+                                                const LotDemand& lots, const std::map<std::string, RunnerTotal>& totals,
+                                                State& state, Moment now);
   void appoint(const ConfigurationView& configuration, const Members& members, const std::set<std::string>& able,
                const std::set<std::string>& shared, const State& state, Circle& next) const;
   void run(const std::string& kind, const Kind& settings, State& state);
--- a/source/configuration/resources.hpp
+++ b/source/configuration/resources.hpp
@@ -47,10 +47,15 @@
   std::uint64_t generation = 0;  // raised by the platform with each new start of the runner's process
   Span cold{};                   // how much longer it is cold, as its source said last
   MOTHWALK_FIELDS(kind, address, zone, slots, leaving, generation, cold)
-  // The slots that items of lots may use where live prompts use the runner too.
-  std::uint32_t items_beside_prompts() const { return slots < 2 ? 1 : slots / 2; }
 };
 
+// Of what a runner bears at full load, the part that items of lots may use where live prompts use the runner too.
+inline std::uint32_t items_beside_prompts(const Kind& kind, const Runner& runner) {
+  const std::uint32_t limit = kind.circle.concurrency;
+  const std::uint32_t full = limit == 0 ? runner.slots : std::min(limit, runner.slots);
+  return std::max(1u, full / 2);
+}
+
 // A kind's share of a lane's requests, by weight.
 struct KindShare {
   KindId kind;
--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -211,7 +211,10 @@
   std::uint32_t free = taken < runner.slots ? runner.slots - taken : 0;
   if (totals->second.heard < *state.taking_since + account_span)
     free = free > runner.slots / 2 ? free - runner.slots / 2 : 0;
-  if (shared) free = std::min(free, runner.items_beside_prompts() - std::min(runner.items_beside_prompts(), taken));
+  if (shared) {
+    const std::uint32_t most = items_beside_prompts(kind, runner);
+    free = std::min(free, most - std::min(most, taken));
+  }
   if (kind.cold_rate > 0) {
     const Moment now = messenger_.timers().now();
     while (!state.sent.empty() && now - state.sent.front() > milliseconds(1100)) state.sent.pop_front();
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -233,6 +233,19 @@
   }
 }
 
+// Guards against: half of the slots of a runner whose prompts are slow long before its slots are used.
+TEST_CASE("a member that bears fewer prompts than it has slots takes items by what it bears") {
+  PlacerFixture fixture;
+  fixture.put("kind/model", R"({"circle":{"concurrency":2}})");
+  fixture.put("circle/model",
+              R"({"members":["model-1"],"placers":{"model-1":{"address":"10.0.0.2:1","incarnation":7,"term":2}}})");
+  for (int second = 0; second < 4; ++second) fixture.pass_second();
+  for (std::uint32_t index = 0; index < 4; ++index) fixture.offered.push_back(PlacerFixture::item(index));
+  fixture.tell(PendingItems{{{"model", 4}}, {}});
+  fixture.wait(milliseconds(300));
+  CHECK(fixture.exchange.attempts.size() == 1);
+}
+
 TEST_CASE("a member without a placer takes no items") {
   PlacerFixture fixture;
   fixture.put("circle/model", R"({"members":["model-1"]})");
