--- a/source/circle/circle.hpp
+++ b/source/circle/circle.hpp
@@ -91,18 +91,42 @@
     std::size_t substitutes = 0;             // members that stand in for others that failed of late
     std::optional<Moment> all_inside_since;  // that every able runner is a member
     std::optional<Moment> shared_for;        // when lots last had use for members that take items
+    double recent_load = 0, mean_load = 0;   // of the last samples, and of all since the last cycle
+    void sample(double load);
     // Takes what a daemon saw of a runner that was away; false where that says nothing new.
     bool take_absence(const std::string& runner, const ObservedLoad& seen, Moment now);
     // Whether an attempt to the runner has failed within the last ramp.
     bool shaken(const std::string& runner, Span ramp, Moment now) const;
   };
+  // What the reports of all daemons say together.
+  struct Observed {
+    std::map<std::string, std::uint32_t> open;  // live prompts by runner
+    std::map<std::string, RunnerTotal> totals;
+    std::map<std::string, double> demand;  // live work by the zone that it came to
+    std::uint32_t queued = 0, live = 0;
+    std::size_t fresh = 0;  // routing daemons with a report that is not aged
+    LotDemand lots;
+    bool lots_wait() const { return lots.pending > 0 || lots.at_once > 0; }
+  };
+  struct Bounds {  // of the circle's size
+    std::size_t lowest = 0, highest = 0;
+  };
   void tick();
   void pass();
+  std::set<std::string> able_runners(const ConfigurationView& configuration, const std::string& kind, State& state,
+                                     Moment now) const;
+  static Observed observe(const Members& members, const Circle& before, State& state, Moment now);
+  void tell_totals(const std::string& kind, const Members& members, const Observed& seen, State& state, Moment now);
+  static Bounds bounds(const Table<Runner>& runners, const std::set<std::string>& able, const CircleSettings& circle,
+                       const Observed& seen);
+  // The size that the law gives, where a cycle is due and enough is known; else the one given.
+  static std::size_t step(const CircleSettings& circle, const Bounds& limits, const Observed& seen, std::size_t routing,
+                          std::size_t size, State& state, Moment now, Circle& next);
+  static std::string change(const Circle& before, const Circle& next);
   // The members that take items of lots beside live prompts: some where every able runner is a member and lots wait.
   static std::set<std::string> shared_with_lots(const Table<Runner>& runners, const Kind& kind,
                                                 const std::set<std::string>& able, const Circle& next,
-                                                const LotDemand& lots, const std::map<std::string, RunnerTotal>& totals,
-                                                State& state, Moment now);
+                                                const Observed& seen, State& state, Moment now);
   void appoint(const ConfigurationView& configuration, const Members& members, const std::set<std::string>& able,
                const std::set<std::string>& shared, const State& state, Circle& next) const;
   void run(const std::string& kind, const Kind& settings, State& state);
@@ -113,9 +137,9 @@
                            Circle& next);
   static std::uint32_t count_daemons(const Members& members, const Circle& before, State& state, Moment now);
   // Members spread over the zones as the live work does; every zone with work has one before any has two.
-  std::vector<std::string> match_members(const ConfigurationView& configuration, const std::set<std::string>& able,
-                                         std::vector<std::string> members, std::size_t size, const Circle& before,
-                                         const std::map<std::string, double>& demand) const;
+  static std::vector<RunnerId> match_members(const ConfigurationView& configuration, const std::set<std::string>& able,
+                                             std::size_t size, const Circle& before,
+                                             const std::map<std::string, double>& demand);
   void write(const std::string& kind, State& state, Circle circle);
 
   Messenger& messenger_;
