--- a/source/lots/placing.cpp
+++ b/source/lots/placing.cpp
@@ -372,9 +372,6 @@
         if (auto source = sources_.find(owner); source != sources_.end())
           source->second.kinds[kind] = reply->remaining, source->second.late[kind] = reply->late;
         const Moment now = messenger_.timers().now();
-        // What waits there does not fit into what the runner has left: another question at once gets the same answer.
-        if (reply->items.empty() && reply->remaining + reply->late > 0)
-          works_[name].not_before = std::max(works_[name].not_before, now + tick_span);
         const auto configuration = shared_state_.configuration.get();
         auto found = configuration->runners.find(name);
         const bool good = found != configuration->runners.end() &&
