A lot that arrives before the first configuration is submitted, not denied

Cause: without a configuration the HTTP server takes every request for a live one. The router lets it wait, finds that its lane takes lots, and answers as if no lane had the path. Change: the router gives such a request back to its connection, which submits it like one that arrives now.

--- a/source/host/http_server.cpp
+++ b/source/host/http_server.cpp
@@ -86,6 +86,9 @@
    public:
     ConnectionSink(std::shared_ptr<Connection> connection, std::uint64_t request_number)
         : connection_(std::move(connection)), request_number_(request_number) {}
+    bool take_back_lot(const LiveRequest& request) override {
+      return current() && connection_->redirect_to_control(request);
+    }
     void head(int status, const std::vector<Header>& headers) override {
       if (!current()) return;
       std::string& out = connection_->start_head(status);
@@ -233,27 +236,10 @@
     awaiting_response_ = true;
     read();
     if (server_.closed_) return refuse_temporarily("this daemon is shutting down");
-    const bool for_control =
-        !client_side_ ||
-        (server_.is_control_request_ ? server_.is_control_request_(reader_->method, reader_->target, reader_->headers)
-                                     : is_lot_request(reader_->method, reader_->target, reader_->headers));
-    if (for_control) {
+    if (!client_side_ || is_control_request(reader_->method, reader_->target, reader_->headers)) {
       if (!client_side_ && client_disconnected()) return close(CloseCause::client_disconnected);
-      ControlRequest control{std::move(reader_->method), std::move(reader_->target), std::move(reader_->body),
-                             client_side_, std::move(reader_->headers)};
-      // The handler may reply from another thread, so it gets a weak pointer only: the connection has to be destroyed
-      // on its own thread. Until the reply, the connection keeps itself alive.
-      self_while_control_replies_ = shared_from_this();
-      const bool accepted = server_.control_handler_(
-          std::move(control),
-          [weak = weak_from_this(), &context = server_.context_, request_number = request_number_](ControlReply reply) {
-            boost::asio::post(context, [weak, request_number, reply = std::move(reply)] {
-              if (auto self = weak.lock(); self && self->request_number_ == request_number && !self->closed_)
-                self->write_reply(reply);
-            });
-          });
-      if (!accepted) refuse_temporarily("the queue of this daemon's control component is full");
-      return;
+      return send_to_control(ControlRequest{std::move(reader_->method), std::move(reader_->target),
+                                            std::move(reader_->body), client_side_, std::move(reader_->headers)});
     }
     LiveRequest live{std::move(reader_->method), std::move(reader_->target), std::move(reader_->headers),
                      std::make_shared<const Bytes>(std::move(reader_->body))};
@@ -267,6 +253,34 @@
       routed_ = false;
   }
 
+  bool is_control_request(StringView method, StringView target, const std::vector<Header>& headers) const {
+    return server_.is_control_request_ ? server_.is_control_request_(method, target, headers)
+                                       : is_lot_request(method, target, headers);
+  }
+
+  void send_to_control(ControlRequest request) {
+    // The handler may reply from another thread, so it gets a weak pointer only: the connection has to be destroyed
+    // on its own thread. Until the reply, the connection keeps itself alive.
+    self_while_control_replies_ = shared_from_this();
+    const bool accepted = server_.control_handler_(
+        std::move(request),
+        [weak = weak_from_this(), &context = server_.context_, request_number = request_number_](ControlReply reply) {
+          boost::asio::post(context, [weak, request_number, reply = std::move(reply)] {
+            if (auto self = weak.lock(); self && self->request_number_ == request_number && !self->closed_)
+              self->write_reply(reply);
+          });
+        });
+    if (!accepted) refuse_temporarily("the queue of this daemon's control component is full");
+  }
+
+  // Sends a request that the router took for a live one to the control handler, if that is where it belongs by now.
+  bool redirect_to_control(const LiveRequest& request) {
+    if (!is_control_request(request.method, request.target, request.headers)) return false;
+    routed_ = false;
+    send_to_control(ControlRequest{request.method, request.target, *request.body, client_side_, request.headers});
+    return true;
+  }
+
   // An operator that closed the connection before its request was read (this process may have been suspended) has sent
   // the request to another daemon by now, possibly followed by later ones. This request must not be applied after
   // those.
--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -8,10 +8,20 @@
 
 namespace mothwalk {
 
+// A request of a client, as it was read.
+struct LiveRequest {
+  std::string method, target;
+  std::vector<Header> headers;
+  std::shared_ptr<const Bytes> body;
+};
+
 // Receives the response of one request and passes it to the client. It is called on the router's thread.
 class ResponseSink {
  public:
   virtual ~ResponseSink() = default;
+  // Takes the request back unanswered if it submits a lot, which the router does not serve. Returns whether it did; no
+  // other call follows then. A request reaches the router by mistake if it arrived before the configuration.
+  virtual bool take_back_lot(const LiveRequest& /*request*/) { return false; }
   virtual void head(int status, const std::vector<Header>& headers) = 0;
   virtual void chunk(StringView chunk) = 0;
   // Sends the buffered part of the response now.
@@ -23,12 +33,6 @@
   virtual std::size_t backlog() const = 0;
 };
 
-struct LiveRequest {
-  std::string method, target;
-  std::vector<Header> headers;
-  std::shared_ptr<const Bytes> body;
-};
-
 // Counts the finished requests of an aim's lane, without those whose client disconnected before the end. An aim is an
 // operator's service-level objective.
 struct AimCounts {
@@ -49,12 +53,14 @@
   std::uint64_t over_share = 0, over_share_rejected = 0;
   // Requests that a limit delayed for long while a runner was idle. This must stay 0.
   std::uint64_t delayed_beside_idle = 0;
+  // Submissions of lots that waited here for the first configuration.
+  std::uint64_t lots_taken_back = 0;
   MOTHWALK_FIELDS_AS("arrived", arrived, "answered", answered, "refused", refused, "unknown", unknown, "broken", broken,
                      "callers_gone", client_disconnects, "attempts", attempts, "retries", retries, "resumed", resumed,
                      "left_dark", cancelled_unresponsive, "own_zone", own_zone, "other_zone", other_zone, "refusals",
                      refusals, "unknowns", unknowns, "breaks", breaks, "attempts_failed", attempts_failed, "waits",
                      waits, "aims", aims, "strays", over_share, "strays_turned_away", over_share_rejected,
-                     "held_beside_idle", delayed_beside_idle)
+                     "held_beside_idle", delayed_beside_idle, "lots_taken_back", lots_taken_back)
 };
 
 class Router {
@@ -152,7 +158,8 @@
   void fail_response(Record& record, const std::string& reason);
   void count_for_aims(const Record& record, bool answered);
   bool admit(Record& record);
-  bool handle_missing_lane(Record& record, const ConfigurationView& configuration);
+  bool handle_missing_lane(Record& record, bool has_all_lanes);
+  bool take_back_lot(Record& record);
   void assign_lane(Record& record, const std::string& name, const Lane& lane);
   void set_deadline(Record& record);
   static Demand demand_of(const Record& record);
--- a/source/routes/router_admission.cpp
+++ b/source/routes/router_admission.cpp
@@ -11,10 +11,13 @@
   // A daemon that has just started receives the configuration within a second or two, so requests wait for it for a
   // short time.
   if (shared_state_.has_had_lease()) {
+    // Read before the configuration, which may change meanwhile.
+    const bool has_lease = shared_state_.has_lease(messenger_.timers().now());
     auto configuration = shared_state_.configuration.get();
     std::string name;
     const Lane* lane = configuration->lane_for(record.request.target, &name, record.info.host);
-    if (lane == nullptr || lane->batch) return handle_missing_lane(record, *configuration);
+    if (lane != nullptr && lane->batch && is_new && take_back_lot(record)) return false;
+    if (lane == nullptr || lane->batch) return handle_missing_lane(record, has_lease && !configuration->lanes.empty());
     record.configuration = std::move(configuration);
     assign_lane(record, name, *lane);
   }
@@ -27,10 +30,19 @@
   return true;
 }
 
-// Without a lease this daemon may not have the newest configuration, and it may have none at all. Only a daemon with a
-// current configuration can tell that no lane exists for a path.
-bool Router::handle_missing_lane(Record& record, const ConfigurationView& configuration) {
-  if (!shared_state_.has_lease(messenger_.timers().now()) || configuration.lanes.empty()) {
+// Ends the record of a request whose lane takes lots if the sender of the request takes it back. Such a request was
+// taken for a live one because no configuration was known at its arrival.
+bool Router::take_back_lot(Record& record) {
+  if (!record.sink->take_back_lot(record.request)) return false;
+  ++counts_.lots_taken_back;
+  set_state(record, State::finished);
+  return true;
+}
+
+// Without a lease this daemon may not have the newest configuration, and it may have none at all. Only a daemon that
+// has all lanes can tell that no lane exists for a path.
+bool Router::handle_missing_lane(Record& record, bool has_all_lanes) {
+  if (!has_all_lanes) {
     record.lane_name.clear();
     return true;
   }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -319,6 +319,38 @@
   CHECK(fixture.control_requests.size() == 1);
 }
 
+// Guards against lots that are answered 404 by a daemon that has just started and knows no configuration yet.
+TEST_CASE("a lot that arrives before the first configuration is submitted once the configuration names its lane") {
+  SharedState* shared_state = nullptr;
+  Fixture fixture([&](StringView method, StringView target, const std::vector<Header>&) {
+    const auto configuration = shared_state->configuration.get();
+    const Lane* lane = configuration->lane_for(target, nullptr, "");
+    return method == "POST" && lane != nullptr && lane->batch;
+  });
+  shared_state = &fixture.shared_state;
+  fixture.put("lane/sweep", R"({"path":"/bulk/","kind":"model","batch":true})");
+  shared_state->configuration.set(ConfigurationView{});
+  shared_state->lease_until = -1;
+  const std::string lot = "POST /bulk/1 HTTP/1.1\r\nHost: here\r\nId: 7\r\nContent-Length: 2\r\n\r\n{}";
+  auto client = fixture.send_from_client(lot);
+  auto other_method = fixture.send_from_client("GET /bulk/1 HTTP/1.1\r\nHost: here\r\n\r\n");
+  auto gone = fixture.send_from_client(lot);
+  fixture.run([&] { return fixture.router.open() == 3; });
+  gone.close();
+  fixture.run([&] { return fixture.router.open() == 2; });
+  CHECK(fixture.control_requests.empty());
+  shared_state->lease_until = INT64_MAX / 2;
+  shared_state->configuration.set(fixture.view);
+  fixture.reply.raw = "accepted\n";
+  CHECK(fixture.read_until(client, "\n").starts_with("HTTP/1.1 200 OK\r\n"));
+  REQUIRE(fixture.control_requests.size() == 1);
+  CHECK((fixture.control_requests[0].method == "POST" && fixture.control_requests[0].target == "/bulk/1" &&
+         fixture.control_requests[0].body == "{}" && fixture.control_requests[0].from_clients &&
+         header_of(fixture.control_requests[0].headers, "Id") != nullptr));
+  CHECK(fixture.read_until(other_method, "\n").starts_with("HTTP/1.1 404 "));
+  CHECK((fixture.router.open() == 0 && fixture.router.counts().lots_taken_back == 1 && fixture.server.busy() == 0));
+}
+
 TEST_CASE("an operator's request is not processed if the operator disconnected before it was read") {
   Fixture fixture;
   tcp::acceptor probe(fixture.context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
--- a/tests/platform_freshness_test.cpp
+++ b/tests/platform_freshness_test.cpp
@@ -12,6 +12,12 @@
   fixture.wait(std::chrono::milliseconds(10));
   return status;
 }
+int evacuation_status(platform::PlatformApiHandler& handler, const std::string& zone) {
+  int status = 0;
+  handler.handle(ControlRequest{"POST", "/v1/Evacuation.Begin/" + zone, "", false},
+                 [&](ControlReply reply) { status = reply.status; });
+  return status;
+}
 int readiness_status(platform::PlatformApiHandler& handler) {
   int status = 0;
   handler.handle(ControlRequest{"GET", "/v1/readiness", "", false}, [&](ControlReply reply) { status = reply.status; });
@@ -31,6 +37,18 @@
   CHECK(post_status(fixture, handler, "/nowhere") == 503);
 }
 
+// Guards against lots and evacuations that a daemon without the current configuration refuses for good.
+TEST_CASE("a daemon that knows no routes or may not know all zones answers 503, not 404") {
+  Fixture fixture;
+  platform::PlatformApiHandler handler(fixture.messenger, fixture.shared_state, {"north"});
+  CHECK(evacuation_status(handler, "nowhere") == 404);
+  fixture.shared_state.configuration.set(ConfigurationView{});
+  CHECK(post_status(fixture, handler, "/nowhere") == 503);
+  fixture.shared_state.configuration.set(fixture.view);
+  fixture.shared_state.lease_until = -1;
+  CHECK(evacuation_status(handler, "nowhere") == 503);
+}
+
 TEST_CASE("a daemon suspended while serving its last known configuration is not ready until gossip has run again") {
   Fixture fixture;
   fixture.view.fleet.spec.revision = 1;
