No connection carries a request twice, so that a late copy is not its answer

Cause: a request that all members of the circle turned away is offered to them again, and the runner client took the connection used last, also the one over which the same request had been turned away. There the late copy of that refusal has the right id, so it passed for the answer to the attempt that was running. Change: an attempt states its request's id, a connection remembers the ids that it carried (128, as hashes), and an idle one that has carried the id is passed over. A new counter, repeated_ids, tells how often.

--- a/source/host/beast_runner_client.cpp
+++ b/source/host/beast_runner_client.cpp
@@ -18,6 +18,8 @@
 // Assumed where a runner's response does not state how long the runner keeps idle connections.
 constexpr Duration default_idle_timeout = std::chrono::milliseconds(800);
 constexpr std::size_t input_bytes = 8192;
+// How many ids a connection remembers. A late copy of a response comes in the place of one of the next responses.
+constexpr std::size_t remembered_ids = 128;
 
 std::string pool_key(const Address& to, const std::string& runner) {
   return to.text + " " + runner;
@@ -49,6 +51,27 @@
     seconds = seconds * 10 + ((*text)[index] - '0');
   return std::chrono::seconds(seconds);
 }
+
+// The ids of the last requests of a connection, as hashes. Another id with the same hash costs a new connection.
+class RecentIds {
+ public:
+  void add(const std::string& id) {
+    if (id.empty()) return;
+    if (hashes_.size() < remembered_ids) {
+      hashes_.push_back(hash_of(id));
+      return;
+    }
+    hashes_[oldest_] = hash_of(id);
+    oldest_ = (oldest_ + 1) % remembered_ids;
+  }
+  bool contains(const std::string& id) const {
+    return !id.empty() && std::find(hashes_.begin(), hashes_.end(), hash_of(id)) != hashes_.end();
+  }
+
+ private:
+  std::vector<std::uint64_t> hashes_;
+  std::size_t oldest_ = 0;  // The index of the oldest hash once the vector is full.
+};
 }  // namespace
 
 struct BeastRunnerClient::Connection {
@@ -62,6 +85,7 @@
   bool closed = false, reading = false, reused = false;
   TimePoint last_used;
   Duration idle_timeout = default_idle_timeout;
+  RecentIds ids;
 
   // The state of the attempt that uses the connection. Without an observer the connection is idle.
   Id attempt_id = 0;
@@ -94,7 +118,7 @@
                                                      std::shared_ptr<AttemptObserver> observer, TimePoint decided_at) {
   const Id attempt_id = ++last_attempt_id_;
   const std::string key = pool_key(request.to, request.runner);
-  ConnectionPointer connection = take_idle_connection(key, request.repeatable);
+  ConnectionPointer connection = take_idle_connection(key, request);
   const bool reuse = connection != nullptr;
   if (!reuse) {
     connection = std::make_shared<Connection>(context_, ++last_connection_, key);
@@ -109,6 +133,7 @@
   connection->decided_at = decided_at;
   connection->observer = std::move(observer);
   connection->request = request;
+  connection->ids.add(request.id);
   connection->header = request_header(request);
   connection->bytes_sent = 0;
   connection->sent_earlier = false;
@@ -128,23 +153,31 @@
   return attempt_id;
 }
 
-// Takes the idle connection that was used last, provided it is young enough. The runner closes a connection when its
-// idle timeout has passed, and the close may cross the next request. A connection is therefore used for three quarters
-// of the idle timeout by repeatable requests, and for half of it by others.
-BeastRunnerClient::ConnectionPointer BeastRunnerClient::take_idle_connection(const std::string& key, bool repeatable) {
+// Takes the idle connection that was used last, provided it is young enough and has not carried the request before. The
+// runner closes a connection when its idle timeout has passed, and the close may cross the next request. A connection
+// is therefore used for three quarters of the idle timeout by repeatable requests, and for half of it by others.
+BeastRunnerClient::ConnectionPointer BeastRunnerClient::take_idle_connection(const std::string& key,
+                                                                             const AttemptRequest& request) {
   auto found = pools_.find(key);
   if (found == pools_.end()) return nullptr;
   const TimePoint now = clock_();
-  while (!found->second.idle.empty()) {
-    const ConnectionPointer connection = found->second.idle.back();
+  std::size_t passed_over = 0;
+  while (passed_over < found->second.idle.size()) {
+    const auto position = found->second.idle.end() - 1 - static_cast<std::ptrdiff_t>(passed_over);
+    const ConnectionPointer connection = *position;
+    if (connection->ids.contains(request.id)) {
+      ++passed_over;
+      ++counts_.repeated_ids;
+      continue;
+    }
     const Duration age = now - connection->last_used;
-    if (age * 2 > connection->idle_timeout && !repeatable && age * 4 < connection->idle_timeout * 3) return nullptr;
+    const bool is_young = age * 4 < connection->idle_timeout * 3;
+    if (age * 2 > connection->idle_timeout && !request.repeatable && is_young) return nullptr;
     boost::system::error_code error;
     char byte = 0;
-    if (age * 4 < connection->idle_timeout * 3)
-      connection->socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (is_young) connection->socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     if (error == boost::asio::error::would_block) {
-      found->second.idle.pop_back();
+      found->second.idle.erase(position);
       return connection;
     }
     close(connection);
--- a/source/host/beast_runner_client.hpp
+++ b/source/host/beast_runner_client.hpp
@@ -1,8 +1,8 @@
 // HTTP attempts at runners over keep-alive connections. The runner may be closing a connection that was idle for a
 // while, so a request that must not be repeated gets a new one. A connection is closed when it receives data that
-// answers no request, and is not reused after an incomplete response. The decision to send an attempt is valid for the
-// request's `connecting` time limit: a process that was suspended for longer sends nothing, and resets a connection
-// whose write took longer.
+// answers no request, and is not reused after an incomplete response, nor for another attempt at the same request. The
+// decision to send an attempt is valid for the request's `connecting` time limit: a process that was suspended for
+// longer sends nothing, and resets a connection whose write took longer.
 #pragma once
 #include "host/deadlines.hpp"
 
@@ -12,7 +12,8 @@
   std::uint64_t opened = 0,   // Connections opened.
       reused = 0,             // Attempts that were started over an idle connection.
       stale_connections = 0,  // Reused connections that turned out to be closed by the runner.
-      unsolicited = 0;        // Connections that received data which answers no request.
+      unsolicited = 0,        // Connections that received data which answers no request.
+      repeated_ids = 0;       // Idle connections that were passed over because they had carried the request's id.
 };
 
 // The daemon's RunnerClient, on Boost.Beast's parser. It runs on one event loop.
@@ -39,7 +40,7 @@
     std::vector<ConnectionPointer> idle;  // The most recently used connection is the last.
     std::size_t open = 0;                 // The number of connections, idle and in use.
   };
-  ConnectionPointer take_idle_connection(const std::string& key, bool repeatable);
+  ConnectionPointer take_idle_connection(const std::string& key, const AttemptRequest& request);
   void close_idle_in_pool(const std::string& key);
   Id start_decided_at(const AttemptRequest& request, std::shared_ptr<AttemptObserver> observer, TimePoint decided_at);
   void connect(const ConnectionPointer& connection);
--- a/source/interfaces/interfaces.hpp
+++ b/source/interfaces/interfaces.hpp
@@ -71,6 +71,10 @@
       first_piece{},      // The time limit from the request to the first chunk of the response body.
       between_pieces{};   // The time limit from one chunk to the next.
   std::string runner;     // The runner's name. A connection is reused only for the same runner.
+  // The request's id, which is the same in all attempts and is repeated in the responses; empty if there is none. No
+  // connection is used for two attempts at one request, since a late copy of the first response could be taken for the
+  // second one.
+  std::string id;
   // Whether the request may be processed twice. Only then is it sent over an idle connection that the runner might be
   // closing, and sent again if the runner was.
   bool repeatable = false;
--- a/source/routes/router_sending.cpp
+++ b/source/routes/router_sending.cpp
@@ -178,6 +178,7 @@
   request.first_piece = record.lane.first_piece;
   request.between_pieces = record.lane.between_pieces;
   request.runner = record.runner;
+  request.id = record.info.id;
   request.repeatable = record.repeatable;
   request.keep_connection = record.keep_connection;
   dialect_.write_attempt(request, record.info,
--- a/tests/dialect_router_test.cpp
+++ b/tests/dialect_router_test.cpp
@@ -117,6 +117,24 @@
   }
 }
 
+// Guards against requests that run twice: the runner client tells by the id which connections a retry must not use.
+TEST_CASE("all attempts at a request state the client's id, also if a runner is tried again") {
+  HeaderDialectFixture fixture;
+  fixture.put("lane/pay", R"({"path":"/pay","kind":"model","attempts":4,"waiting":500,"whole":5000})");
+  EXPECT_ATTEMPTS(fixture, 4);
+  auto seen = fixture.send_request("/pay", {{"Id", "once"}});
+  std::map<std::string, int> attempts_by_runner;
+  for (std::size_t attempt = 0; attempt < 4; ++attempt) {
+    REQUIRE(fixture.attempts.size() == attempt + 1);
+    CHECK(fixture.attempts[attempt].request.id == "once");
+    ++attempts_by_runner[fixture.attempts[attempt].request.runner];
+    fixture.complete_attempt(attempt, 503, {{"Not-Run", "1"}, {"Id", "once"}});
+    fixture.wait(std::chrono::milliseconds(100));
+  }
+  CHECK(attempts_by_runner.size() == 3);
+  CHECK((seen->status == 503 && seen->outcome == "refused"));
+}
+
 TEST_CASE("an error status without that guarantee is relayed; a repeatable request is retried elsewhere first") {
   HeaderDialectFixture fixture;
   EXPECT_ATTEMPTS(fixture, 4);
--- a/tests/runner_client_test.cpp
+++ b/tests/runner_client_test.cpp
@@ -179,6 +179,50 @@
   }
 }
 
+// Guards against requests that run twice because a late copy of a refusal was taken for the response to a retry.
+TEST_CASE("a connection carries a request only once, so that a late copy of a response is not taken for the next one") {
+  Fixture fixture;
+  const std::string refusal = "HTTP/1.1 503 Full\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+  auto start = [&](const std::string& id, std::uint32_t max_connections = 0) {
+    AttemptRequest request = fixture.request();
+    request.id = id;
+    request.connections = max_connections;
+    return fixture.start(request);
+  };
+  auto respond = [&](tcp::socket& socket, const std::string& response, const RecordingObserver& observer) {
+    fixture.receive_request(socket);
+    fixture.send(socket, response);
+    fixture.run([&] { return observer.outcome.has_value(); });
+    CHECK(observer.outcome == AttemptOutcome::complete);
+  };
+  auto refused = start("first");
+  tcp::socket& first_connection = fixture.accept();
+  respond(first_connection, refusal, *refused);
+  // Other requests use the connection meanwhile.
+  for (int number = 0; number < 20; ++number)
+    respond(first_connection, refusal, *start("other-" + std::to_string(number)));
+  REQUIRE(fixture.runner_client.counts().opened == 1);
+
+  auto retried = start("first");
+  REQUIRE(fixture.runner_client.counts().opened == 2);
+  CHECK(fixture.runner_client.counts().repeated_ids == 1);
+  tcp::socket& second_connection = fixture.accept();
+  fixture.receive_request(second_connection);
+  fixture.send(first_connection, refusal);
+  fixture.run([&] { return fixture.runner_client.counts().unsolicited == 1; });
+  CHECK_FALSE(retried->outcome.has_value());
+  fixture.send(second_connection, fixture.next_head + "Content-Length: 3\r\n\r\nown");
+  fixture.run([&] { return retried->outcome.has_value(); });
+  CHECK((retried->status == 200 && retried->text == "own"));
+
+  // At the limit of connections, the third attempt replaces the idle connection of the second one.
+  auto replaced = start("first", 1);
+  REQUIRE(fixture.runner_client.counts().opened == 3);
+  const AttemptRequest request = fixture.request();
+  CHECK(fixture.runner_client.connections(request.to, request.runner) == 1);
+  respond(fixture.accept(), refusal, *replaced);
+}
+
 TEST_CASE("a connection is not kept if the runner closes it or states an idle timeout of zero") {
   for (const char* head :
        {"HTTP/1.1 200 OK\r\nConnection: close\r\n", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"}) {
