An item's next run uses no connection that carried it, so that a late copy is not its answer

Change: the item placer states the item's id in its attempts, of batches and of plain lots; the runner client then uses another connection.

--- a/source/lots/item_placer.cpp
+++ b/source/lots/item_placer.cpp
@@ -451,6 +451,7 @@
     RequestInfo request_info = dialect_.read_request(request.headers);
     request_info.id = item.request.id;
     request_info.host = item.host;
+    request.id = request_info.id;
     AttemptInfo attempt_info{runner_name, run_budget, std::nullopt, {}};
     if (item.part.last_event > 0) {
       attempt_info.last_event = item.part.last_event;
@@ -461,9 +462,9 @@
         std::make_shared<BatchResponseReader>(*this, number, std::move(request_info), std::move(attempt.item.part));
   } else {
     request.target = lane->second.spec.path;
-    request.headers = {{"Content-Type", "application/json"},
-                       {"X-Request-Id", item.lot + "/" + std::to_string(item.item)},
-                       {"X-Mothwalk-Lot", item.lot}};
+    request.id = item.lot + "/" + std::to_string(item.item);
+    request.headers = {
+        {"Content-Type", "application/json"}, {"X-Request-Id", request.id}, {"X-Mothwalk-Lot", item.lot}};
     observer = std::make_shared<PlainResponseReader>(*this, number, kind->second.spec.refusals);
   }
   attempt.request_id = runner_client_.start(request, observer);
--- a/tests/item_placer_test.cpp
+++ b/tests/item_placer_test.cpp
@@ -16,6 +16,17 @@
   CHECK(attempt.header("After").empty());
 }
 
+// Guards against items that are abandoned because a late copy of a failed run's response was taken for the next run's:
+// the runner client tells by the id which connections an attempt must not use.
+TEST_CASE("each attempt at an item states the item's id, also after a failed run") {
+  PlacerFixture fixture;
+  auto& first = fixture.dispatch(PlacerFixture::make_item(3));
+  CHECK(first.request.id == "item-3");
+  CHECK(fixture.complete(first, 500, "").outcome == "failed");
+  fixture.advance_second();
+  CHECK(fixture.dispatch(PlacerFixture::make_item(3)).request.id == "item-3");
+}
+
 TEST_CASE("the text of a complete response is the data of all events in order") {
   PlacerFixture fixture;
   const ItemReport report = fixture.complete(
