Operators' calls have limits of their own, so that no configuration locks them out

Cause: connections at the control address took the limits of the configuration in force, which are meant for clients. In the same way a crowd of clients at the limit of connections left operators 503. Evidence: one run on the code as found: first answer 200, the same order again 413, while Config.Show has it in force. Change: OperatorLimits bound operators' headers, bodies, times, connections, and the bytes of all their calls in progress, whatever the configuration says; the answer to a call beyond them names the limit. Clients and operators have connections of their own.

A test of the limit of connections, which listened for operators, now checks both limits: the one of clients, which it passed to the server, no longer binds operators.

--- a/source/host/http_server.cpp
+++ b/source/host/http_server.cpp
@@ -62,9 +62,14 @@
         socket_(std::move(socket)),
         id_(id),
         client_side_(client_side),
-        over_limit_(server.connections_.size() >= server.max_connections_) {}
+        over_limit_(server.open_connections(client_side) >= server.max_connections(client_side)) {
+    ++server_.open_connections(client_side_);
+  }
   ~Connection() {
-    if (*server_alive_) server_.connections_.erase(id_);
+    if (!*server_alive_) return;
+    release_body();
+    --server_.open_connections(client_side_);
+    server_.connections_.erase(id_);
   }
   void run() { await_request(); }
   void on_deadline() { close(CloseCause::deadline); }
@@ -139,7 +144,7 @@
 
   // Prepares for the next request, whose bytes may already be in the input buffer.
   void await_request() {
-    limits_ = server_.router_.limits();
+    limits_ = client_side_ ? server_.router_.limits() : server_.operator_limits_.calls;
     reader_.emplace();
     reader_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
     reader_->body_limit(limits_.body_bytes);
@@ -197,6 +202,9 @@
         flush();
       }
     }
+    if (!client_side_ && !account_body())
+      return refuse_temporarily("the calls of operators in progress have more than " +
+                                std::to_string(server_.operator_limits_.all_body_bytes) + " bytes together");
     if (reader_->is_done()) return dispatch();
     if (header_read_)
       set_deadline(limits_.idle_time);
@@ -208,6 +216,18 @@
     read();
   }
 
+  // Counts the bytes of the body received so far. Returns false if operators' calls have too many together.
+  bool account_body() {
+    server_.operator_body_bytes_ += reader_->body.size() - accounted_body_bytes_;
+    accounted_body_bytes_ = reader_->body.size();
+    return server_.operator_body_bytes_ <= server_.operator_limits_.all_body_bytes;
+  }
+
+  void release_body() {
+    server_.operator_body_bytes_ -= std::exchange(accounted_body_bytes_, 0);
+    if (!client_side_ && reader_) reader_->body = {};
+  }
+
   void reply_with_parse_error(const boost::system::error_code& error) {
     if (error == http::error::header_limit)
       return reply_with_error(431,
@@ -379,6 +399,7 @@
 
   void finish_response() {
     self_while_control_replies_.reset();
+    release_body();
     awaiting_response_ = routed_ = false;
     response_complete_ = true;
     // Closes the connection if the client reads nothing of its response for this time.
@@ -413,6 +434,7 @@
     closed_ = true;
     if (awaiting_response_ || writing_ || response_complete_) server_.count_incomplete(cause, phase());
     self_while_control_replies_.reset();
+    release_body();
     server_.deadlines_.clear(id_);
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -432,7 +454,7 @@
   std::optional<HttpReader<true>> reader_;
   std::string output_,  // Bytes that no write has been started for.
       in_flight_;       // Bytes of the write in progress.
-  std::size_t in_flight_written_ = 0;
+  std::size_t in_flight_written_ = 0, accounted_body_bytes_ = 0;
   std::uint64_t request_number_ = 0;
   Router::Id route_id_ = 0;
   // Keeps the connection alive while the control handler has not replied yet.
@@ -443,11 +465,13 @@
 };
 
 HttpServer::HttpServer(boost::asio::io_context& context, Router& router, ControlHandler control_handler,
-                       std::size_t max_connections, ControlRequestFilter is_control_request)
+                       std::size_t max_client_connections, ControlRequestFilter is_control_request,
+                       OperatorLimits operator_limits)
     : context_(context),
       router_(router),
       control_handler_(std::move(control_handler)),
-      max_connections_(max_connections),
+      max_client_connections_(max_client_connections),
+      operator_limits_(operator_limits),
       is_control_request_(std::move(is_control_request)),
       deadlines_(context, [this](std::uint64_t id) {
         auto found = connections_.find(id);
@@ -480,12 +504,12 @@
 void HttpServer::accept(std::shared_ptr<Listener> listener) {
   listener->acceptor.async_accept([this, listener](const boost::system::error_code& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
-    if (!error && connections_.size() < max_connections_ + over_limit_connections) {
+    const bool client_side = listener->client_side;
+    if (!error && open_connections(client_side) < max_connections(client_side) + over_limit_connections) {
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       socket.non_blocking(true, ignored);
-      const auto connection =
-          std::make_shared<Connection>(*this, std::move(socket), listener->client_side, ++last_connection_);
+      const auto connection = std::make_shared<Connection>(*this, std::move(socket), client_side, ++last_connection_);
       connections_[last_connection_] = connection;
       connection->run();
     }
--- a/source/host/http_server.hpp
+++ b/source/host/http_server.hpp
@@ -19,6 +19,16 @@
   MOTHWALK_FIELDS(read, answered, cut)
 };
 
+// Limits on operators' calls. They do not depend on the configuration, so that no configuration can lock operators out.
+struct OperatorLimits {
+  ClientLimits calls{.header_bytes = 32u << 10,
+                     .body_bytes = 16u << 20,
+                     .header_time = std::chrono::seconds(60),
+                     .idle_time = std::chrono::seconds(60)};
+  std::size_t connections = 200;          // Open at once, in addition to those of clients.
+  std::size_t all_body_bytes = 32 << 20;  // Of the bodies of all calls that are in progress.
+};
+
 // The HTTP server. All its connections run on one event loop.
 class HttpServer {
  public:
@@ -29,7 +39,8 @@
   using ControlRequestFilter =
       std::function<bool(StringView method, StringView target, const std::vector<Header>& headers)>;
   HttpServer(boost::asio::io_context& context, Router& router, ControlHandler control_handler,
-             std::size_t max_connections, ControlRequestFilter is_control_request = {});
+             std::size_t max_client_connections, ControlRequestFilter is_control_request = {},
+             OperatorLimits operator_limits = {});
   ~HttpServer();
   // Starts to listen. `client_side` says whether this address serves clients; at any other address all requests go to
   // the control handler.
@@ -50,12 +61,20 @@
   };
   void count_incomplete(CloseCause cause, const char* phase);
   void accept(std::shared_ptr<Listener> listener);
+  // The number of connections of clients or of operators, and its limit.
+  std::size_t& open_connections(bool client_side) { return client_side ? client_connections_ : operator_connections_; }
+  std::size_t max_connections(bool client_side) const {
+    return client_side ? max_client_connections_ : operator_limits_.connections;
+  }
   std::vector<std::shared_ptr<Connection>> connections() const;
 
   boost::asio::io_context& context_;
   Router& router_;
   ControlHandler control_handler_;
-  std::size_t max_connections_;
+  std::size_t max_client_connections_;
+  OperatorLimits operator_limits_;
+  std::size_t client_connections_ = 0, operator_connections_ = 0;
+  std::size_t operator_body_bytes_ = 0;  // Of the bodies of operators' calls that are in progress.
   ControlRequestFilter is_control_request_;
   Deadlines deadlines_;
   std::vector<std::shared_ptr<Listener>> listeners_;
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -67,7 +67,10 @@
   CHECK(error_of(opened)->field == "data_folder");
 }
 
-TEST_CASE("a connection over the limit gets a 503 response with Retry-After") {
+TEST_CASE("a connection over the limit of clients or of operators gets a 503 response with Retry-After") {
+  const bool client_side = GENERATE(true, false);
+  OperatorLimits operator_limits;
+  if (!client_side) operator_limits.connections = 1;
   boost::asio::io_context context;
   simulate::World world{7};
   simulate::SimulatedTimers timers{world, std::make_shared<simulate::ProcessState>()};
@@ -81,14 +84,14 @@
       [](ControlRequest, ControlReplyCallback answer) {
         return answer(ControlReply{200, json::object{{"good", true}}, false}), true;
       },
-      1);
+      client_side ? 1 : 100, {}, operator_limits);
   boost::asio::ip::tcp::acceptor probe(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
   const auto endpoint = probe.local_endpoint();
   probe.close();
-  REQUIRE(error_of(server.listen(Address("127.0.0.1:" + std::to_string(endpoint.port())), false)) == nullptr);
+  REQUIRE(error_of(server.listen(Address("127.0.0.1:" + std::to_string(endpoint.port())), client_side)) == nullptr);
   auto send_request = [&](boost::asio::ip::tcp::socket& socket) {
     socket.connect(endpoint);
-    boost::asio::write(socket, boost::asio::buffer(std::string("GET /v1/health HTTP/1.1\r\nHost: here\r\n\r\n")));
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /lots/one HTTP/1.1\r\nHost: here\r\n\r\n")));
     std::string text(4096, '\0');
     std::size_t length = 0;
     socket.async_read_some(boost::asio::buffer(text),
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -37,7 +37,9 @@
   HttpServer server;
   tcp::acceptor runner{context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
   tcp::endpoint client_endpoint;
+  std::optional<tcp::endpoint> operator_endpoint_;
   ConfigurationView view;
+  static constexpr std::size_t max_client_connections = 100;
 
   explicit Fixture(HttpServer::ControlRequestFilter is_control_request = {})
       : server(
@@ -47,11 +49,8 @@
               answer(reply);
               return true;
             },
-            100, std::move(is_control_request)) {
-    tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    client_endpoint = probe.local_endpoint();
-    probe.close();
-    REQUIRE(error_of(server.listen(Address("127.0.0.1:" + std::to_string(client_endpoint.port())), true)) == nullptr);
+            max_client_connections, std::move(is_control_request)) {
+    client_endpoint = listen(true);
     put("kind/model", R"({"overcommit":100})");
     put("lane/pay", R"({"path":"/","kind":"model"})");
     put("runner/one", R"({"kind":"model","address":"127.0.0.1:)" + std::to_string(runner.local_endpoint().port()) +
@@ -60,6 +59,18 @@
     shared_state.lease_until = INT64_MAX / 2;
     router.start();
   }
+  // Lets the server listen at a free port, for clients or for operators.
+  tcp::endpoint listen(bool client_side) {
+    tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    const tcp::endpoint endpoint = probe.local_endpoint();
+    probe.close();
+    REQUIRE(error_of(server.listen(Address("127.0.0.1:" + std::to_string(endpoint.port())), client_side)) == nullptr);
+    return endpoint;
+  }
+  tcp::endpoint operator_endpoint() {
+    if (!operator_endpoint_) operator_endpoint_ = listen(false);
+    return *operator_endpoint_;
+  }
   void put(const std::string& key, const Bytes& value) {
     REQUIRE(apply_to_view(view, key, &value, Stamp{}));
     shared_state.configuration.set(view);
@@ -353,11 +364,7 @@
 
 TEST_CASE("an operator's request is not processed if the operator disconnected before it was read") {
   Fixture fixture;
-  tcp::acceptor probe(fixture.context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-  const tcp::endpoint operator_endpoint = probe.local_endpoint();
-  probe.close();
-  REQUIRE(error_of(fixture.server.listen(Address("127.0.0.1:" + std::to_string(operator_endpoint.port())), false)) ==
-          nullptr);
+  const tcp::endpoint operator_endpoint = fixture.operator_endpoint();
   const std::string order = "POST /order HTTP/1.1\r\nHost: here\r\nContent-Length: 2\r\n\r\n{}";
   tcp::socket disconnected(fixture.context), connected(fixture.context);
   disconnected.connect(operator_endpoint);
@@ -371,6 +378,99 @@
   CHECK(fixture.control_requests.size() == 1);
 }
 
+namespace {
+// A configuration of 13,000 tenants with about 330 bytes each.
+std::string large_order() {
+  std::string body;
+  for (int tenant = 0; tenant < 13000; ++tenant) body += std::string(320, 'r') + std::to_string(tenant) + "\n";
+  return body;
+}
+
+// An operator's connection to the control address.
+struct OperatorConnection {
+  Fixture& fixture;
+  tcp::socket socket{fixture.context};
+  explicit OperatorConnection(Fixture& given) : fixture(given) { socket.connect(given.operator_endpoint()); }
+  void send_all(const std::string& text) {
+    bool sent = false;
+    boost::asio::async_write(socket, boost::asio::buffer(text),
+                             [&](const boost::system::error_code&, std::size_t) { sent = true; });
+    fixture.run([&] { return sent; });
+  }
+  void send_order(const std::string& body) {
+    send_all("POST /order HTTP/1.1\r\nHost: here\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    send_all(body);
+  }
+  std::string read_response() { return fixture.read_until(socket, "\n"); }
+};
+}  // namespace
+
+// Guards against operators that are locked out by a configuration with low limits for clients.
+TEST_CASE("the limits for clients do not bind operators, whose calls have limits of their own") {
+  Fixture fixture;
+  fixture.view.limits = ClientLimits{200, 1000, std::chrono::milliseconds(1), std::chrono::milliseconds(1)};
+  fixture.shared_state.configuration.set(fixture.view);
+  const std::string order = large_order();
+  // The response to the first call is lost on its way, so the operator sends the same order again.
+  for (std::size_t call = 1; call <= 2; ++call) {
+    OperatorConnection connection(fixture);
+    connection.send_order(order);
+    CHECK(connection.read_response().starts_with("HTTP/1.1 200"));
+    REQUIRE(fixture.control_requests.size() == call);
+    CHECK(fixture.control_requests.back().body == order);
+  }
+  OperatorConnection long_header(fixture);
+  long_header.send_all("GET /order HTTP/1.1\r\nHost: here\r\nX-Long: " + std::string(20000, 'x') + "\r\n\r\n");
+  CHECK(long_header.read_response().starts_with("HTTP/1.1 200"));
+
+  const OperatorLimits limits;
+  OperatorConnection too_long(fixture);
+  too_long.send_all("POST /order HTTP/1.1\r\nHost: here\r\nContent-Length: " +
+                    std::to_string(limits.calls.body_bytes + 1) + "\r\n\r\n");
+  const std::string refusal = fixture.read_to_end(too_long.socket);
+  CHECK(refusal.starts_with("HTTP/1.1 413"));
+  CHECK(refusal.find(std::to_string(limits.calls.body_bytes)) != std::string::npos);
+  CHECK(fixture.control_requests.size() == 3);
+}
+
+TEST_CASE("the calls of operators in progress together hold a limited number of bytes") {
+  Fixture fixture;
+  const OperatorLimits limits;
+  const std::string body(limits.calls.body_bytes, 'b');
+  std::vector<std::unique_ptr<OperatorConnection>> unfinished;
+  std::size_t sent = 0;
+  while (sent + body.size() <= limits.all_body_bytes) {
+    unfinished.push_back(std::make_unique<OperatorConnection>(fixture));
+    unfinished.back()->send_all("POST /order HTTP/1.1\r\nHost: here\r\nContent-Length: " + std::to_string(body.size()) +
+                                "\r\n\r\n" + body.substr(1));
+    sent += body.size() - 1;
+  }
+  fixture.run_pending();
+  OperatorConnection refused(fixture);
+  refused.send_order("more than what is left");
+  const std::string refusal = fixture.read_until(refused.socket, "}\n");
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK(refusal.find("Retry-After: ") != std::string::npos);
+  CHECK(fixture.control_requests.empty());
+  unfinished.front()->send_all("b");
+  CHECK(unfinished.front()->read_response().starts_with("HTTP/1.1 200"));
+  OperatorConnection accepted(fixture);
+  accepted.send_order("more than what was left");
+  CHECK(accepted.read_response().starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("clients that use all their connections leave operators theirs") {
+  Fixture fixture;
+  std::vector<tcp::socket> clients;
+  for (std::size_t count = 0; count < Fixture::max_client_connections; ++count)
+    clients.push_back(fixture.send_from_client("GET /pay HTTP/1.1\r\n"));
+  auto refused = fixture.send_from_client(get_request);
+  CHECK(fixture.read_to_end(refused).starts_with("HTTP/1.1 503"));
+  OperatorConnection connection(fixture);
+  connection.send_order("{}");
+  CHECK(connection.read_response().starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a client that does not read pauses its runner, and both resume when it reads the response") {
   Fixture fixture;
   auto [client, runner] = fixture.forward_request();
