--- a/source/routes/router.hpp
+++ b/source/routes/router.hpp
@@ -146,7 +146,6 @@
   void dispatch();
   void dispatch_waiting();
   void erase_finished();
-  void wait(Record& record);
   void set_state(Record& record, State state);
   bool check_backpressure(Record& record, TimePoint now);
   // Cancels the attempt and aborts the response.
@@ -181,7 +180,6 @@
   bool relay_events(Record& record, StringView chunk);
   void on_attempt_pause(Id id, std::uint64_t attempt);
   void on_attempt_end(Id id, std::uint64_t attempt, AttemptOutcome end);
-  void resume(Record& record, const std::string& reason);
   void cancel_attempt(Record& record);
   void end_attempt(Record& record, AttemptVerdict verdict);
   AttemptVerdict verdict_of(const Record& record, AttemptOutcome end);
--- a/source/routes/router_sending.cpp
+++ b/source/routes/router_sending.cpp
@@ -15,8 +15,6 @@
 // How long a limit may delay a request while a runner is idle.
 constexpr Duration max_delay_beside_idle = milliseconds(500);
 constexpr Duration watchdog_interval = milliseconds(100);
-// If configuration gossip ran within this time, the process was not suspended.
-constexpr Duration max_gossip_age = milliseconds(600);
 }  // namespace
 
 // Forwards the events of one attempt to the router, with the ids of the request and the attempt.
